--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+MODULES := core entry agent ctl standin measure
+PROGRAMS := entry/cmd/goldcrest-entry agent/cmd/goldcrest-agent ctl/cmd/goldcrestctl standin/cmd/goldcrest-standin measure/cmd/goldcrest-measure
+SEED ?= 1
+export CGO_ENABLED := 1
+
+.PHONY: build test format vet lint generated unit
+
+build:
+	@mkdir -p bin
+	@for p in $(PROGRAMS); do if [ -d $$p ]; then go build -o bin/$$(basename $$p) ./$$p || exit 1; fi; done
+
+test: format vet lint generated unit
+
+format:
+	@out=$$(gofmt -l $(MODULES)); if [ -n "$$out" ]; then echo "gofmt needed:"; echo "$$out"; exit 1; fi
+
+vet:
+	@for m in $(MODULES); do (cd $$m && go vet ./...) || exit 1; done
+
+# The module core pins staticcheck; the workspace makes every module's packages visible to it.
+lint:
+	@cd core && go tool staticcheck $(MODULES:%=goldcrestshore/%/...)
+
+# Generated code must match its source.
+generated:
+	@cp core/connection/frame/messages_gen.go /tmp/messages_gen.$$$$ && (cd core && go generate ./...) && cmp core/connection/frame/messages_gen.go /tmp/messages_gen.$$$$ && rm -f /tmp/messages_gen.$$$$
+
+unit:
+	@for m in $(MODULES); do (cd $$m && go test ./...) || exit 1; done
+
+# Virtual-time measurements over the decision packages; each ends with a line "result …".
+measure-%: build
+	@bin/goldcrest-measure $* -seed $(SEED)
--- /dev/null
+++ b/agent/doc.go
@@ -0,0 +1,2 @@
+// Package agent is the root of its module.
+package agent
--- /dev/null
+++ b/core/connection/frame/frame.go
@@ -0,0 +1,117 @@
+// Package frame encodes the messages between goldcrestshore processes as
+// length-prefixed TCP frames with msgpack bodies.
+package frame
+
+import (
+	"encoding/binary"
+	"io"
+
+	"github.com/cockroachdb/errors"
+	"github.com/tinylib/msgp/msgp"
+)
+
+// Sizes of a frame in bytes.
+const (
+	HeaderBytes = 24
+	// MaxBodyBytes leaves room for the largest caller body and its envelope.
+	MaxBodyBytes = 4<<20 + 64<<10
+	// chunkBytes bounds the allocation ahead of received data, so that a
+	// forged length costs its sender as many bytes as it costs the receiver.
+	chunkBytes = 64 << 10
+)
+
+// ProtocolVersion is the version that this program speaks.
+const ProtocolVersion = 1
+
+// Errors of the decoder. A connection is unusable after any of them except
+// ErrUnknownKind.
+var (
+	ErrTooLarge    = errors.New("frame body exceeds the limit")
+	ErrVersion     = errors.New("frame has an unknown protocol version")
+	ErrUnknownKind = errors.New("frame has an unknown kind")
+	ErrMalformed   = errors.New("frame body is malformed")
+)
+
+// ID identifies a request across connections.
+type ID struct {
+	incarnation uint64
+	sequence    uint64
+}
+
+// NewID returns the id of the sequence-th request of a process incarnation.
+func NewID(incarnation, sequence uint64) ID { return ID{incarnation, sequence} }
+
+// Incarnation returns the incarnation of the process that issued the id.
+func (id ID) Incarnation() uint64 { return id.incarnation }
+
+// Sequence returns the position among the requests of the incarnation.
+func (id ID) Sequence() uint64 { return id.sequence }
+
+// Message is one of the message types of this package.
+type Message interface {
+	frameKind() byte
+	msgp.Marshaler
+}
+
+type decoder[T any] interface {
+	*T
+	msgp.Unmarshaler
+}
+
+// Append encodes m for request id to b.
+func Append(b []byte, id ID, m Message) ([]byte, error) {
+	start := len(b)
+	b = append(b, make([]byte, HeaderBytes)...)
+	b, err := m.MarshalMsg(b)
+	if err != nil {
+		return b[:start], errors.Wrap(err, "encode frame body")
+	}
+	length := len(b) - start - HeaderBytes
+	if length > MaxBodyBytes {
+		return b[:start], errors.Wrapf(ErrTooLarge, "%d bytes", length)
+	}
+	head := b[start : start+HeaderBytes]
+	binary.BigEndian.PutUint32(head[0:], uint32(length))
+	head[4] = ProtocolVersion
+	head[5] = m.frameKind()
+	binary.BigEndian.PutUint64(head[8:], id.incarnation)
+	binary.BigEndian.PutUint64(head[16:], id.sequence)
+	return b, nil
+}
+
+// Read decodes the next frame. After ErrUnknownKind the reader stands at the
+// following frame.
+func Read(r io.Reader) (ID, Message, error) {
+	var head [HeaderBytes]byte
+	if _, err := io.ReadFull(r, head[:]); err != nil {
+		return ID{}, nil, err
+	}
+	if head[4] != ProtocolVersion {
+		return ID{}, nil, errors.Wrapf(ErrVersion, "version %d", head[4])
+	}
+	length := binary.BigEndian.Uint32(head[0:])
+	if length > MaxBodyBytes {
+		return ID{}, nil, errors.Wrapf(ErrTooLarge, "%d bytes", length)
+	}
+	id := ID{binary.BigEndian.Uint64(head[8:]), binary.BigEndian.Uint64(head[16:])}
+	body, err := readBody(r, int(length))
+	if err != nil {
+		return id, nil, err
+	}
+	m, err := decode(head[5], body)
+	return id, m, err
+}
+
+// readBody reads length bytes and grows its buffer only as data arrives.
+func readBody(r io.Reader, length int) ([]byte, error) {
+	body := make([]byte, 0, min(length, chunkBytes))
+	for len(body) < length {
+		n := min(length-len(body), chunkBytes)
+		start := len(body)
+		body = append(body, make([]byte, n)...)
+		if _, err := io.ReadFull(r, body[start:]); err != nil {
+			return nil, errors.Wrap(err, "read frame body")
+		}
+	}
+	return body, nil
+}
--- /dev/null
+++ b/core/connection/frame/kind.go
@@ -0,0 +1,112 @@
+package frame
+
+import (
+	"github.com/cockroachdb/errors"
+)
+
+// Kinds of frames. Numbers are part of the protocol and are never reused.
+const (
+	kindHello      = 1
+	kindProof      = 2
+	kindHeartbeat  = 3
+	kindSubmit     = 4
+	kindAccepted   = 5
+	kindRefused    = 6
+	kindAnswerHead = 7
+	kindData       = 8
+	kindEnd        = 9
+	kindCredit     = 10
+	kindCancel     = 11
+	kindResume     = 12
+	kindGone       = 13
+	kindClaimQuery = 14
+	kindClaimState = 15
+	kindSubscribe  = 20
+	kindVersion    = 21
+	kindShares     = 22
+)
+
+// Cancel asks the agent to stop a request whose caller has left.
+type Cancel struct{}
+
+// MarshalMsg encodes an empty body.
+func (Cancel) MarshalMsg(b []byte) ([]byte, error) { return b, nil }
+
+// UnmarshalMsg decodes an empty body.
+func (*Cancel) UnmarshalMsg(b []byte) ([]byte, error) { return b, nil }
+
+func (*Hello) frameKind() byte      { return kindHello }
+func (*Proof) frameKind() byte      { return kindProof }
+func (*Heartbeat) frameKind() byte  { return kindHeartbeat }
+func (*Submit) frameKind() byte     { return kindSubmit }
+func (*Accepted) frameKind() byte   { return kindAccepted }
+func (*Refused) frameKind() byte    { return kindRefused }
+func (*AnswerHead) frameKind() byte { return kindAnswerHead }
+func (*Data) frameKind() byte       { return kindData }
+func (*End) frameKind() byte        { return kindEnd }
+func (*Credit) frameKind() byte     { return kindCredit }
+func (*Cancel) frameKind() byte     { return kindCancel }
+func (*Resume) frameKind() byte     { return kindResume }
+func (*Gone) frameKind() byte       { return kindGone }
+func (*ClaimQuery) frameKind() byte { return kindClaimQuery }
+func (*ClaimState) frameKind() byte { return kindClaimState }
+func (*Subscribe) frameKind() byte  { return kindSubscribe }
+func (*Version) frameKind() byte    { return kindVersion }
+func (*Shares) frameKind() byte     { return kindShares }
+
+func decode(kind byte, body []byte) (Message, error) {
+	switch kind {
+	case kindHello:
+		return unmarshal[Hello](body)
+	case kindProof:
+		return unmarshal[Proof](body)
+	case kindHeartbeat:
+		return unmarshal[Heartbeat](body)
+	case kindSubmit:
+		return unmarshal[Submit](body)
+	case kindAccepted:
+		return unmarshal[Accepted](body)
+	case kindRefused:
+		return unmarshal[Refused](body)
+	case kindAnswerHead:
+		return unmarshal[AnswerHead](body)
+	case kindData:
+		return unmarshal[Data](body)
+	case kindEnd:
+		return unmarshal[End](body)
+	case kindCredit:
+		return unmarshal[Credit](body)
+	case kindCancel:
+		return &Cancel{}, nil
+	case kindResume:
+		return unmarshal[Resume](body)
+	case kindGone:
+		return unmarshal[Gone](body)
+	case kindClaimQuery:
+		return unmarshal[ClaimQuery](body)
+	case kindClaimState:
+		return unmarshal[ClaimState](body)
+	case kindSubscribe:
+		return unmarshal[Subscribe](body)
+	case kindVersion:
+		return unmarshal[Version](body)
+	case kindShares:
+		return unmarshal[Shares](body)
+	}
+	return nil, errors.Wrapf(ErrUnknownKind, "kind %d", kind)
+}
+
+func unmarshal[T any, P interface {
+	decoder[T]
+	Message
+}](body []byte) (Message, error) {
+	m := P(new(T))
+	rest, err := m.UnmarshalMsg(body)
+	if err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "decode frame body"), ErrMalformed)
+	}
+	if len(rest) != 0 {
+		return nil, errors.Wrapf(ErrMalformed, "%d bytes after the body", len(rest))
+	}
+	return m, nil
+}
--- /dev/null
+++ b/core/connection/frame/messages.go
@@ -0,0 +1,176 @@
+package frame
+
+//go:generate go tool msgp -unexported -tests=false -io=false -file messages.go -o messages_gen.go
+
+// Field is one header line of a call or an answer.
+type Field struct {
+	name  string
+	value string
+}
+
+// Hello opens a connection in both directions.
+type Hello struct {
+	role        string
+	instance    string
+	dataCentre  string
+	incarnation uint64
+	nonce       []byte
+}
+
+// Proof authenticates the sender of a Hello.
+type Proof struct {
+	mac []byte
+}
+
+// Load is an agent's report on its upstream.
+type Load struct {
+	service       string
+	held          int
+	limit         int
+	cold          bool
+	reservedBytes int64
+	budgetBytes   int64
+	queueMs       int64
+	leaving       bool
+	incarnation   uint64
+	firstTokenMs  int64
+	crashes       uint64
+}
+
+// Heartbeat proves that the connection is alive and carries the sender's
+// configuration version, and the load of an agent's upstream.
+type Heartbeat struct {
+	configVersion uint64
+	load          Load
+}
+
+// Call is the HTTP request to run.
+type Call struct {
+	method string
+	path   string
+	header []Field
+	body   []byte
+}
+
+// Terms are the conditions under which a call may run.
+type Terms struct {
+	deadlineMs int64
+	priority   int
+	idempotent bool
+	stream     bool
+	claimKey   string
+}
+
+// Size estimates the upstream memory that a call needs.
+type Size struct {
+	promptTokens int
+	maxTokens    int
+}
+
+// Submit asks an agent to run a call.
+type Submit struct {
+	service       string
+	customer      string
+	call          Call
+	terms         Terms
+	size          Size
+	configVersion uint64
+}
+
+// Accepted tells that the agent has admitted the request.
+type Accepted struct {
+	incarnation uint64
+}
+
+// Refused tells that the agent did not admit the request.
+type Refused struct {
+	code         string
+	retryAfterMs int64
+	notRun       bool
+}
+
+// AnswerHead is the status line and header of the answer.
+type AnswerHead struct {
+	status int
+	header []Field
+}
+
+// Data is a part of the answer body at an offset in bytes.
+type Data struct {
+	offset int64
+	bytes  []byte
+}
+
+// End closes an answer. The checksum is xxhash64 over all body bytes.
+type End struct {
+	length   int64
+	checksum uint64
+	ok       bool
+	code     string
+}
+
+// Credit tells how many answer bytes the caller has taken.
+type Credit struct {
+	offset int64
+}
+
+// Resume asks for an answer again from an offset in bytes.
+type Resume struct {
+	offset int64
+}
+
+// Gone tells that the request id is not known to the agent, which will refuse
+// it if it arrives later.
+type Gone struct {
+	incarnation uint64
+}
+
+// ClaimQuery asks whether the agent has run the request with this claim. An
+// agent that never saw it refuses it from then on.
+type ClaimQuery struct {
+	claimKey string
+}
+
+// ClaimState answers a ClaimQuery.
+type ClaimState struct {
+	state       string
+	incarnation uint64
+	status      int
+	header      []Field
+	body        []byte
+}
+
+// Subscribe asks a relay for versions newer than those held.
+type Subscribe struct {
+	configVersion uint64
+	outVersion    uint64
+	listVersion   uint64
+}
+
+// Version carries one whole versioned value.
+type Version struct {
+	kind    string
+	version uint64
+	value   []byte
+}
+
+// Shares tells other entries a customer's use and the suspects seen here.
+type Shares struct {
+	customers []Share
+	suspects  []Suspect
+}
+
+// Share is the request rate of one customer at one entry.
+type Share struct {
+	customer string
+	perMille int64
+	held     int
+}
+
+// Suspect is a request fingerprint with the upstreams it was running on when
+// they crashed.
+type Suspect struct {
+	fingerprint uint64
+	crashes     int
+	expiresMs   int64
+}
--- /dev/null
+++ b/core/doc.go
@@ -0,0 +1,2 @@
+// Package core holds what the goldcrestshore programs share.
+package core
--- /dev/null
+++ b/core/process/check/check.go
@@ -0,0 +1,39 @@
+// Package check has the assertion functions that tests share.
+package check
+
+import (
+	"errors"
+	"testing"
+)
+
+// Equal fails the test when got differs from want.
+func Equal[T comparable](t testing.TB, what string, got, want T) {
+	t.Helper()
+	if got != want {
+		t.Errorf("%s: got %v, want %v", what, got, want)
+	}
+}
+
+// Is fails the test unless got wraps want.
+func Is(t testing.TB, what string, got, want error) {
+	t.Helper()
+	if !errors.Is(got, want) {
+		t.Errorf("%s: got error %v, want %v", what, got, want)
+	}
+}
+
+// NoError stops the test when err is not nil.
+func NoError(t testing.TB, what string, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatalf("%s: got error %v, want none", what, err)
+	}
+}
+
+// AtMost fails the test when got is greater than want.
+func AtMost[T int | int64 | uint64 | float64](t testing.TB, what string, got, want T) {
+	t.Helper()
+	if got > want {
+		t.Errorf("%s: got %v, want at most %v", what, got, want)
+	}
+}
--- /dev/null
+++ b/core/process/rendezvous/rendezvous.go
@@ -0,0 +1,44 @@
+// Package rendezvous places keys on instances by highest-random-weight hashing,
+// so that the loss of one instance moves only the keys it held.
+package rendezvous
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Top returns the n names that weigh most for key, heaviest first. It returns
+// fewer when there are fewer names, and leaves names unchanged.
+func Top(key string, names []string, n int) []string {
+	type weighed struct {
+		name   string
+		weight uint64
+	}
+	all := make([]weighed, len(names))
+	for i, name := range names {
+		all[i] = weighed{name, Weight(key, name)}
+	}
+	slices.SortFunc(all, func(a, b weighed) int {
+		if a.weight != b.weight {
+			return cmp.Compare(b.weight, a.weight)
+		}
+		return cmp.Compare(a.name, b.name)
+	})
+	top := make([]string, 0, min(n, len(all)))
+	for _, w := range all[:min(n, len(all))] {
+		top = append(top, w.name)
+	}
+	return top
+}
+
+// Weight returns the weight of name for key.
+func Weight(key, name string) uint64 {
+	d := xxhash.New()
+	// A Digest never returns an error from its writers.
+	_, _ = d.WriteString(key)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(name)
+	return d.Sum64()
+}
--- /dev/null
+++ b/ctl/doc.go
@@ -0,0 +1,2 @@
+// Package ctl is the root of its module.
+package ctl
--- /dev/null
+++ b/entry/doc.go
@@ -0,0 +1,2 @@
+// Package entry is the root of its module.
+package entry
--- /dev/null
+++ b/measure/cmd/goldcrest-measure/main.go
@@ -0,0 +1,48 @@
+// Command goldcrest-measure measures the decision packages in virtual time.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/cockroachdb/errors"
+)
+
+// errUsage reports a command line that names no known subject.
+var errUsage = errors.New("usage: goldcrest-measure <subject> [-seed n]")
+
+// subject is one measurement; run writes its report to out and ends it with a
+// line that begins with "result".
+type subject struct {
+	name string
+	run  func(seed uint64, out io.Writer) error
+}
+
+// subjects lists the measurements in the order of docs/design.md section 8.
+var subjects = []subject{}
+
+func main() {
+	if err := run(os.Args[1:], os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "goldcrest-measure:", err)
+		os.Exit(1)
+	}
+}
+
+func run(args []string, out io.Writer) error {
+	if len(args) == 0 {
+		return errUsage
+	}
+	flags := flag.NewFlagSet("goldcrest-measure "+args[0], flag.ContinueOnError)
+	seed := flags.Uint64("seed", 1, "seed of the workload and of the fault schedules")
+	if err := flags.Parse(args[1:]); err != nil {
+		return err
+	}
+	for _, s := range subjects {
+		if s.name == args[0] {
+			return s.run(*seed, out)
+		}
+	}
+	return errors.Wrapf(errUsage, "unknown subject %q", args[0])
+}
--- /dev/null
+++ b/standin/doc.go
@@ -0,0 +1,2 @@
+// Package standin is the root of its module.
+package standin
