--- /dev/null
+++ b/core/process/event/catalogue.go
@@ -0,0 +1,63 @@
+package event
+
+import "github.com/sirupsen/logrus"
+
+// catalogue lists every event in the order of its number.
+var catalogue []Event
+
+func define(number int, level logrus.Level, text string) Event {
+	e := Event{number, level, text}
+	catalogue = append(catalogue, e)
+	return e
+}
+
+// Catalogue returns every event in the order of definition.
+func Catalogue() []Event { return append([]Event(nil), catalogue...) }
+
+// Events of every process, 1000-1099.
+var (
+	ProcessStarted  = define(1000, logrus.InfoLevel, "process started")
+	ProcessStopping = define(1001, logrus.InfoLevel, "process is shutting down; held requests are finished first")
+	ProcessStopped  = define(1002, logrus.InfoLevel, "process stopped")
+	ProcessFailed   = define(1003, logrus.ErrorLevel, "process cannot go on")
+)
+
+// Events of connections between own processes, 1100-1199.
+var (
+	PeerConnected      = define(1100, logrus.InfoLevel, "peer connected")
+	PeerLost           = define(1101, logrus.WarnLevel, "peer connection lost")
+	PeerSilent         = define(1102, logrus.WarnLevel, "peer connection is silent; it is closed and dialled again")
+	PeerRefusedKey     = define(1103, logrus.WarnLevel, "peer failed authentication; the connection is closed")
+	PeerUnknownVersion = define(1104, logrus.WarnLevel, "peer speaks an unknown protocol version; the connection is closed")
+	PeerUnknownKind    = define(1105, logrus.InfoLevel, "frame of an unknown kind skipped")
+	PeerMalformed      = define(1106, logrus.WarnLevel, "malformed frame; the connection is closed")
+	PeerStrayFrame     = define(1107, logrus.DebugLevel, "frame for an unknown request or offset dropped")
+)
+
+// Events of the configuration, 1200-1299.
+var (
+	ConfigAdopted  = define(1200, logrus.InfoLevel, "configuration version adopted")
+	ConfigRejected = define(1201, logrus.ErrorLevel, "configuration version failed its check and is not adopted")
+	PlatformFailed = define(1202, logrus.WarnLevel, "platform call failed")
+)
+
+// Events of requests at an entry, 1300-1399.
+var (
+	RequestRefused  = define(1300, logrus.DebugLevel, "request refused")
+	RequestRetried  = define(1301, logrus.InfoLevel, "request sent to another upstream")
+	AnswerAborted   = define(1302, logrus.WarnLevel, "answer broken off; the caller's connection is aborted")
+	AnswerMismatch  = define(1303, logrus.ErrorLevel, "answer length or checksum does not match")
+	CallerLeft      = define(1304, logrus.DebugLevel, "caller left before the answer was complete")
+	StreamResumed   = define(1305, logrus.InfoLevel, "stream resumed on a new connection")
+	RequestSuspect  = define(1306, logrus.WarnLevel, "request was in flight when its upstream crashed")
+	RequestExcluded = define(1307, logrus.WarnLevel, "request quarantined after crashing upstreams")
+)
+
+// Events of an agent's upstream, 1400-1499.
+var (
+	UpstreamCold    = define(1400, logrus.WarnLevel, "upstream is cold; its limit is lowered")
+	UpstreamWarm    = define(1401, logrus.InfoLevel, "upstream has reached its warm limit")
+	UpstreamFailed  = define(1402, logrus.WarnLevel, "upstream broke off an answer")
+	UpstreamCrashed = define(1403, logrus.WarnLevel, "upstream process was replaced; held requests are lost")
+	OrderFenced     = define(1404, logrus.WarnLevel, "order with a stale fencing token refused")
+)
--- /dev/null
+++ b/core/process/event/event.go
@@ -0,0 +1,57 @@
+// Package event has the numbered log events of all programs. The catalogue in
+// docs/EVENTS.md is checked against it by a test.
+package event
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/sirupsen/logrus"
+)
+
+// Event is one kind of log line.
+type Event struct {
+	number int
+	level  logrus.Level
+	text   string
+}
+
+// Number returns the number that stands in logs and refusals.
+func (e Event) Number() int { return e.number }
+
+// Level returns the severity.
+func (e Event) Level() logrus.Level { return e.level }
+
+// Text returns the fixed message.
+func (e Event) Text() string { return e.text }
+
+// Fields are the variable parts of a log line.
+type Fields = logrus.Fields
+
+// Log writes events of one process as JSON lines.
+type Log struct {
+	entry *logrus.Entry
+}
+
+// NewLog returns a log that writes to w; role and instance stand in each line.
+func NewLog(w io.Writer, level, role, instance string) (*Log, error) {
+	l, err := logrus.ParseLevel(level)
+	if err != nil {
+		return nil, fmt.Errorf("log level: %w", err)
+	}
+	logger := logrus.New()
+	logger.SetOutput(w)
+	logger.SetLevel(l)
+	logger.SetFormatter(&logrus.JSONFormatter{})
+	return &Log{logger.WithFields(logrus.Fields{"role": role, "instance": instance})}, nil
+}
+
+// Emit writes one event; fields may be nil.
+func (l *Log) Emit(e Event, fields Fields) {
+	l.entry.WithField("event", e.number).WithFields(fields).Log(e.level, e.text)
+}
+
+// Error writes one event with the error that caused it.
+func (l *Log) Error(e Event, err error, fields Fields) {
+	l.entry.WithField("event", e.number).WithField("error", err.Error()).WithFields(fields).Log(e.level, e.text)
+}
--- /dev/null
+++ b/core/process/settings/settings.go
@@ -0,0 +1,74 @@
+// Package settings reads a program's flags and its settings file, which is
+// JSON with comments. A flag goes before the file.
+package settings
+
+import (
+	"encoding/json"
+	"flag"
+	"io"
+
+	"github.com/cockroachdb/errors"
+	"github.com/peterbourgon/ff/v3"
+	"github.com/tailscale/hujson"
+)
+
+// Errors of Parse.
+var (
+	ErrSyntax  = errors.New("settings file is malformed")
+	ErrUnknown = errors.New("unknown setting")
+)
+
+// maxFileBytes bounds a settings file; real ones are a few kilobytes.
+const maxFileBytes = 1 << 20
+
+// Parse sets the flags of fs from args and from the file named by the flag
+// -settings, which Parse defines. A setting that fs does not define is an error.
+func Parse(fs *flag.FlagSet, args []string) error {
+	_ = fs.String("settings", "", "settings file, JSON with comments")
+	return ff.Parse(fs, args, ff.WithConfigFileFlag("settings"), ff.WithConfigFileParser(parseFile))
+}
+
+// parseFile is an ff.ConfigFileParser; it reports each setting in turn.
+func parseFile(r io.Reader, set func(name, value string) error) error {
+	raw, err := io.ReadAll(io.LimitReader(r, maxFileBytes))
+	if err != nil {
+		return errors.Wrap(err, "read settings")
+	}
+	plain, err := hujson.Standardize(raw)
+	if err != nil {
+		return errors.Mark(errors.Wrap(err, "settings file"), ErrSyntax)
+	}
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(plain, &fields); err != nil {
+		return errors.Mark(errors.Wrap(err, "settings file"), ErrSyntax)
+	}
+	for name, value := range fields {
+		if err := setAll(name, value, set); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// setAll sets name once, or once per element when value is a list.
+func setAll(name string, value json.RawMessage, set func(name, value string) error) error {
+	var list []json.RawMessage
+	if json.Unmarshal(value, &list) != nil {
+		list = []json.RawMessage{value}
+	}
+	for _, item := range list {
+		if err := set(name, scalar(item)); err != nil {
+			return errors.Mark(errors.Wrapf(err, "setting %q", name), ErrUnknown)
+		}
+	}
+	return nil
+}
+
+// scalar returns a JSON string without its quotes and any other value as it is.
+func scalar(item json.RawMessage) string {
+	var s string
+	if json.Unmarshal(item, &s) == nil {
+		return s
+	}
+	return string(item)
+}
