Add the configuration text and the platform client

Cause: entries, agents and goldcrestctl all need the checked operators' text and the object API before any of them can be wired.

Change: core/version/text parses JSON with comments and reports every fault with line, column and a sentinel cause. core/connection/platform has typed calls with conditions, watches and the instance list; a write without an answer is ErrUnavailable. The breaker of httpc is disabled under the client's name, and its global log output is switched off.

--- /dev/null
+++ b/core/connection/platform/instance.go
@@ -0,0 +1,134 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+
+	"github.com/cockroachdb/errors"
+)
+
+// State tells whether an instance is to stay.
+type State string
+
+// States of an instance.
+const (
+	Live    State = "live"
+	Leaving State = "leaving"
+)
+
+// Roles of an instance.
+const (
+	RoleEntry = "entry"
+	RoleAgent = "agent"
+)
+
+// Instance is one entry of the platform's lagging list.
+type Instance struct {
+	name       string
+	role       string
+	dataCentre string
+	address    string
+	upstream   string
+	service    string
+	state      State
+}
+
+// NewInstance returns a live instance that has no upstream.
+func NewInstance(name, role, dataCentre, address string) Instance {
+	return Instance{name: name, role: role, dataCentre: dataCentre, address: address, state: Live}
+}
+
+// WithUpstream returns the instance with its upstream's address and service.
+func (i Instance) WithUpstream(address, service string) Instance {
+	i.upstream = address
+	i.service = service
+	return i
+}
+
+// WithState returns the instance in a state.
+func (i Instance) WithState(s State) Instance {
+	i.state = s
+	return i
+}
+
+// Name returns the instance's name.
+func (i Instance) Name() string { return i.name }
+
+// Role returns RoleEntry or RoleAgent.
+func (i Instance) Role() string { return i.role }
+
+// DataCentre returns the name of its data centre.
+func (i Instance) DataCentre() string { return i.dataCentre }
+
+// Address returns where other processes reach it.
+func (i Instance) Address() string { return i.address }
+
+// Upstream returns the address of an agent's upstream.
+func (i Instance) Upstream() string { return i.upstream }
+
+// Service returns the service of an agent's upstream.
+func (i Instance) Service() string { return i.service }
+
+// State tells whether it is to stay.
+func (i Instance) State() State { return i.state }
+
+// instanceBody is the JSON of an instance.
+type instanceBody struct {
+	Name       string `json:"name"`
+	Role       string `json:"role"`
+	DataCentre string `json:"dataCentre"`
+	Address    string `json:"address"`
+	Upstream   string `json:"upstream"`
+	Service    string `json:"service"`
+	State      State  `json:"state"`
+}
+
+// MarshalJSON encodes the instance as the platform and the relays have it.
+func (i Instance) MarshalJSON() ([]byte, error) {
+	return json.Marshal(instanceBody{i.name, i.role, i.dataCentre, i.address, i.upstream, i.service, i.state})
+}
+
+// UnmarshalJSON decodes what MarshalJSON encodes.
+func (i *Instance) UnmarshalJSON(raw []byte) error {
+	var b instanceBody
+	if err := json.Unmarshal(raw, &b); err != nil {
+		return err
+	}
+	*i = Instance{b.Name, b.Role, b.DataCentre, b.Address, b.Upstream, b.Service, b.State}
+	return nil
+}
+
+// Instances returns the lagging list.
+func (c *Client) Instances(ctx context.Context) ([]Instance, error) {
+	c.reads.Add(1)
+	a, err := c.call(ctx, http.MethodGet, "/instances", nil, nil)
+	if err != nil {
+		return nil, err
+	}
+	var list []Instance
+	if err := json.Unmarshal(a.body, &list); err != nil {
+		return nil, fmt.Errorf("decode instances: %w: %w", ErrAnswer, err)
+	}
+	return list, nil
+}
+
+// Register enters an instance in the list or replaces its entry.
+func (c *Client) Register(ctx context.Context, i Instance) error {
+	c.writes.Add(1)
+	body, err := json.Marshal(i)
+	if err != nil {
+		return errors.Wrap(err, "encode instance")
+	}
+	_, err = c.call(ctx, http.MethodPut, "/instances/"+url.PathEscape(i.name), nil, body)
+	return err
+}
+
+// Deregister removes an instance from the list.
+func (c *Client) Deregister(ctx context.Context, name string) error {
+	c.writes.Add(1)
+	_, err := c.call(ctx, http.MethodDelete, "/instances/"+url.PathEscape(name), nil, nil)
+	return err
+}
--- /dev/null
+++ b/core/connection/platform/listing.go
@@ -0,0 +1,74 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"goldcrestshore/core/process/clock"
+)
+
+// watchMargin is added to the timeout that a watch asks for, so that the
+// platform's 204 arrives before the client gives up.
+const watchMargin = 2 * clock.Second
+
+// listingBody is the JSON of a list and of a watch; values are in base64.
+type listingBody struct {
+	Items   []itemBody `json:"items"`
+	Version uint64     `json:"version"`
+}
+
+type itemBody struct {
+	Name    string `json:"name"`
+	Version uint64 `json:"version"`
+	Value   []byte `json:"value"`
+	Deleted bool   `json:"deleted"`
+}
+
+// List returns the objects of a kind whose names begin with prefix.
+func (c *Client) List(ctx context.Context, kind, prefix string) (Listing, error) {
+	c.reads.Add(1)
+	path := "/objects/" + url.PathEscape(kind)
+	if prefix != "" {
+		path += "?prefix=" + url.QueryEscape(prefix)
+	}
+	a, err := c.call(ctx, http.MethodGet, path, nil, nil)
+	if err != nil {
+		return Listing{}, err
+	}
+	return a.listing()
+}
+
+// Watch waits until objects of a kind change after a version, and returns the
+// changed ones. After timeout it returns an empty listing of the same version.
+func (c *Client) Watch(ctx context.Context, kind string, after uint64, timeout clock.Millis) (Listing, error) {
+	c.watches.Add(1)
+	query := url.Values{
+		"after":     {strconv.FormatUint(after, 10)},
+		"timeoutMs": {strconv.FormatInt(int64(timeout), 10)},
+	}
+	path := "/watch/" + url.PathEscape(kind) + "?" + query.Encode()
+	a, err := c.callFor(ctx, timeout+watchMargin, http.MethodGet, path, nil, nil)
+	if err != nil {
+		return Listing{}, err
+	}
+	if a.status == http.StatusNoContent {
+		return Listing{version: after}, nil
+	}
+	return a.listing()
+}
+
+func (a *answer) listing() (Listing, error) {
+	var body listingBody
+	if err := json.Unmarshal(a.body, &body); err != nil {
+		return Listing{}, fmt.Errorf("decode listing: %w: %w", ErrAnswer, err)
+	}
+	l := Listing{version: body.Version, objects: make([]Object, len(body.Items))}
+	for i, item := range body.Items {
+		l.objects[i] = Object{item.Name, item.Version, item.Value, item.Deleted}
+	}
+	return l, nil
+}
--- /dev/null
+++ b/core/connection/platform/platform.go
@@ -0,0 +1,299 @@
+// Package platform is the client of the platform's object API and of its
+// lagging list of instances (docs/design.md section 4.3).
+package platform
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+	"github.com/zeromicro/go-zero/core/breaker"
+	"github.com/zeromicro/go-zero/core/logx"
+	"github.com/zeromicro/go-zero/rest/httpc"
+
+	"goldcrestshore/core/process/clock"
+)
+
+// Errors of a call, for use with errors.Is.
+var (
+	ErrNotFound = errors.New("object does not exist")
+	ErrConflict = errors.New("object has another version")
+	ErrTooLarge = errors.New("value exceeds the platform's limit")
+	// ErrUnavailable means that the outcome is not known: a write may have
+	// taken effect, and the caller must read back.
+	ErrUnavailable = errors.New("platform gave no answer")
+	// ErrAnswer means that the platform answered against its interface.
+	ErrAnswer = errors.New("platform gave an unexpected answer")
+)
+
+// ConflictError is an ErrConflict with the version in force.
+type ConflictError struct {
+	current uint64
+}
+
+// Error describes the conflict.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("%v: %d is in force", ErrConflict, e.current)
+}
+
+// Is makes errors.Is(err, ErrConflict) true.
+func (e *ConflictError) Is(target error) bool { return target == ErrConflict }
+
+// Current returns the version in force, 0 when the object does not exist.
+func (e *ConflictError) Current() uint64 { return e.current }
+
+// Kinds of objects.
+const (
+	KindConfiguration = "configuration"
+	KindOut           = "out"
+	KindDuty          = "duty"
+	KindClaim         = "claim"
+	KindStatus        = "status"
+	KindBurn          = "burn"
+)
+
+// NameRoot is the name of the operators' text under KindConfiguration.
+const NameRoot = "root"
+
+const (
+	// DefaultTimeout ends a call that the platform does not answer. The
+	// platform answers in milliseconds; a change must be in force within 3 s.
+	DefaultTimeout = 2 * clock.Second
+	// maxAnswerBytes bounds a list. 6,350 instances of about 200 bytes, or
+	// several values of 1 MB in base64, stay far below it.
+	maxAnswerBytes = 64 << 20
+	// idleConnections covers the duties that call at the same time.
+	idleConnections = 4
+)
+
+// serviceName is the key of the breaker in httpc. It is disabled: a breaker that
+// one duty's failures open would refuse another duty's call.
+const serviceName = "goldcrest-platform"
+
+// Client calls one platform. It is safe for use by several goroutines.
+type Client struct {
+	// Timeout ends each call but Watch, which has its own. Set before use.
+	Timeout clock.Millis
+
+	base    string
+	service httpc.Service
+	reads   atomic.Int64
+	writes  atomic.Int64
+	watches atomic.Int64
+}
+
+// New returns a client of the platform at an address such as 127.0.0.1:8000 or
+// a base URL.
+func New(address string) *Client {
+	breaker.NoBreakerFor(serviceName)
+	// httpc logs each call through the global logger of go-zero, which stands
+	// beside the numbered events of the process.
+	logx.Disable()
+	transport := &http.Transport{MaxIdleConnsPerHost: idleConnections, DisableCompression: true}
+	if !strings.Contains(address, "://") {
+		address = "http://" + address
+	}
+	return &Client{
+		Timeout: DefaultTimeout,
+		base:    strings.TrimSuffix(address, "/"),
+		service: httpc.NewServiceWithClient(serviceName, &http.Client{Transport: transport}),
+	}
+}
+
+// Calls counts the calls that a client has made.
+type Calls struct {
+	reads   int64
+	writes  int64
+	watches int64
+}
+
+// Reads returns the calls of Get, List and Instances.
+func (c Calls) Reads() int64 { return c.reads }
+
+// Writes returns the calls that change an object or an instance.
+func (c Calls) Writes() int64 { return c.writes }
+
+// Watches returns the calls of Watch.
+func (c Calls) Watches() int64 { return c.watches }
+
+// Calls returns the counts so far.
+func (c *Client) Calls() Calls {
+	return Calls{c.reads.Load(), c.writes.Load(), c.watches.Load()}
+}
+
+// Object is one versioned value.
+type Object struct {
+	name    string
+	version uint64
+	value   []byte
+	deleted bool
+}
+
+// NewObject returns an object for fakes and for relays that pass one on.
+func NewObject(name string, version uint64, value []byte) Object {
+	return Object{name: name, version: version, value: value}
+}
+
+// Name returns the name within the kind.
+func (o Object) Name() string { return o.name }
+
+// Version returns the version that wrote the value.
+func (o Object) Version() uint64 { return o.version }
+
+// Value returns the value; callers must not change it.
+func (o Object) Value() []byte { return o.value }
+
+// Deleted tells that a watch saw the object's deletion.
+func (o Object) Deleted() bool { return o.deleted }
+
+// Listing is the state of a kind, or its changes, up to a version.
+type Listing struct {
+	objects []Object
+	version uint64
+}
+
+// NewListing returns a listing for fakes.
+func NewListing(objects []Object, version uint64) Listing { return Listing{objects, version} }
+
+// Objects returns the objects; callers must not change the slice.
+func (l Listing) Objects() []Object { return l.objects }
+
+// Version returns the store's version that the listing reflects.
+func (l Listing) Version() uint64 { return l.version }
+
+// Get returns one object.
+func (c *Client) Get(ctx context.Context, kind, name string) (Object, error) {
+	c.reads.Add(1)
+	a, err := c.call(ctx, http.MethodGet, objectPath(kind, name), nil, nil)
+	if err != nil {
+		return Object{}, err
+	}
+	version, err := a.version()
+	if err != nil {
+		return Object{}, err
+	}
+	return Object{name: name, version: version, value: a.body}, nil
+}
+
+// Update replaces a value if the object still has the version, and returns the
+// new version.
+func (c *Client) Update(ctx context.Context, kind, name string, version uint64, value []byte) (uint64, error) {
+	return c.put(ctx, kind, name, value, http.Header{"If-Match": {etag(version)}})
+}
+
+// Create writes a value if the object does not exist, and returns its version.
+func (c *Client) Create(ctx context.Context, kind, name string, value []byte) (uint64, error) {
+	return c.put(ctx, kind, name, value, http.Header{"If-None-Match": {"*"}})
+}
+
+// Put writes a value whatever its version, and returns the new one. It is for
+// reports that only one process writes.
+func (c *Client) Put(ctx context.Context, kind, name string, value []byte) (uint64, error) {
+	return c.put(ctx, kind, name, value, nil)
+}
+
+func (c *Client) put(ctx context.Context, kind, name string, value []byte, header http.Header) (uint64, error) {
+	c.writes.Add(1)
+	a, err := c.call(ctx, http.MethodPut, objectPath(kind, name), header, value)
+	if err != nil {
+		return 0, err
+	}
+	return a.version()
+}
+
+// Delete removes an object if it still has the version; version 0 removes any.
+func (c *Client) Delete(ctx context.Context, kind, name string, version uint64) error {
+	c.writes.Add(1)
+	header := http.Header{}
+	if version != 0 {
+		header.Set("If-Match", etag(version))
+	}
+	_, err := c.call(ctx, http.MethodDelete, objectPath(kind, name), header, nil)
+	return err
+}
+
+func objectPath(kind, name string) string {
+	return "/objects/" + url.PathEscape(kind) + "/" + url.PathEscape(name)
+}
+
+func etag(version uint64) string { return `"` + strconv.FormatUint(version, 10) + `"` }
+
+// answer is a response that was read to its end.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// version returns the version in the ETag.
+func (a *answer) version() (uint64, error) {
+	v, err := strconv.ParseUint(strings.Trim(a.header.Get("ETag"), `"`), 10, 64)
+	if err != nil {
+		return 0, errors.Wrapf(ErrAnswer, "ETag %q", a.header.Get("ETag"))
+	}
+	return v, nil
+}
+
+// call makes one call within the client's timeout.
+func (c *Client) call(ctx context.Context, method, path string, header http.Header, body []byte) (*answer, error) {
+	return c.callFor(ctx, c.Timeout, method, path, header, body)
+}
+
+func (c *Client) callFor(ctx context.Context, limit clock.Millis, method, path string, header http.Header, body []byte) (*answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit.Duration())
+	defer cancel()
+	a, err := c.exchange(ctx, method, path, header, body)
+	if err != nil {
+		return nil, fmt.Errorf("%s %s: %w: %w", method, path, ErrUnavailable, err)
+	}
+	return a, errors.Wrapf(a.failure(), "%s %s", method, path)
+}
+
+func (c *Client) exchange(ctx context.Context, method, path string, header http.Header, body []byte) (*answer, error) {
+	var reader io.Reader
+	if body != nil {
+		reader = bytes.NewReader(body)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, reader)
+	if err != nil {
+		return nil, err
+	}
+	for name, values := range header {
+		req.Header[name] = values
+	}
+	resp, err := c.service.DoRequest(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	read, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return nil, err
+	}
+	return &answer{resp.StatusCode, resp.Header, read}, nil
+}
+
+// failure returns the error that a status stands for.
+func (a *answer) failure() error {
+	switch {
+	case a.status >= 200 && a.status < 300:
+		return nil
+	case a.status == http.StatusNotFound:
+		return ErrNotFound
+	case a.status == http.StatusPreconditionFailed:
+		current, _ := a.version() // no ETag when the object does not exist
+		return &ConflictError{current}
+	case a.status == http.StatusRequestEntityTooLarge:
+		return ErrTooLarge
+	case a.status >= 500 || a.status == http.StatusTooManyRequests:
+		return errors.Wrapf(ErrUnavailable, "status %d", a.status)
+	}
+	return errors.Wrapf(ErrAnswer, "status %d", a.status)
+}
--- /dev/null
+++ b/core/version/text/check.go
@@ -0,0 +1,123 @@
+package text
+
+import (
+	"slices"
+	"strings"
+)
+
+// nameSet maps a name to the offset of its first use.
+type nameSet map[string]int
+
+// unique reports a name that the set has already.
+func (p *parser) unique(seen nameSet, at place, what string) {
+	if at.name == "" {
+		return // the decoder has reported it
+	}
+	if first, taken := seen[at.name]; taken {
+		p.add(at.offset, ErrDuplicateName, "%s %q, first on line %d", what, at.name, p.line(first))
+		return
+	}
+	seen[at.name] = at.offset
+}
+
+// checkService checks the fields of one service against each other.
+func (p *parser) checkService(d *draftService, s *Service) {
+	switch s.kind {
+	case Model:
+		if len(d.routes) > 0 {
+			p.add(d.routes[0].offset, ErrValue, "a model service has no routes; callers name it as model")
+		}
+	case Plain:
+		if len(d.routes) == 0 {
+			p.add(d.offset, ErrMissingField, "a plain service needs \"routes\"")
+		}
+	default:
+		p.add(max(d.kind.offset, d.offset), ErrValue, "kind %q, want %q or %q", s.kind, Model, Plain)
+	}
+	if s.coldLimit > s.warmLimit {
+		p.add(d.offset, ErrValue, "coldLimit %d is above warmLimit %d", s.coldLimit, s.warmLimit)
+	}
+	if (s.bytesPerToken == 0) != (s.memoryBudget == 0) {
+		p.add(d.offset, ErrValue, "memoryPerTokenBytes and memoryBudgetBytes go together")
+	}
+}
+
+// checkRoute refuses methods and paths that no request can have.
+func (p *parser) checkRoute(r draftRoute) {
+	if r.method.name == "" || strings.Trim(r.method.name, methodBytes) != "" {
+		p.add(max(r.method.offset, r.offset), ErrValue, "method %q, want capital letters", r.method.name)
+	}
+	if !validPath(r.path.name) {
+		p.add(max(r.path.offset, r.offset), ErrValue, "path %q", r.path.name)
+	}
+}
+
+const methodBytes = "ABCDEFGHIJKLMNOPQRSTUVWXYZ"
+
+// validPath accepts an absolute path in its shortest form, with "*" only as its
+// last segment.
+func validPath(path string) bool {
+	rest, ok := strings.CutPrefix(path, "/")
+	if !ok || strings.ContainsAny(rest, "?#\\ \t\r\n") {
+		return false
+	}
+	rest = strings.TrimSuffix("/"+rest, prefixMark)
+	if strings.Contains(rest, "*") || strings.Contains(rest, "//") {
+		return false
+	}
+	segments := strings.Split(rest, "/")
+	return !slices.Contains(segments, ".") && !slices.Contains(segments, "..")
+}
+
+// checkDependencies refuses unknown names and cycles among services.
+func (p *parser) checkDependencies() {
+	byName := make(map[string]*draftService, len(p.services))
+	for i := range p.services {
+		byName[p.services[i].name.name] = &p.services[i]
+	}
+	for i := range p.services {
+		for _, dep := range p.services[i].dependsOn {
+			if byName[dep.name] == nil {
+				p.add(dep.offset, ErrUnknownName, "service %q", dep.name)
+			}
+		}
+	}
+	w := walk{p, byName, make(map[string]progress, len(byName))}
+	for i := range p.services {
+		w.visit(p.services[i].name.name, nil)
+	}
+}
+
+// progress of the walk through the dependencies of a service.
+type progress int
+
+const (
+	unseen progress = iota
+	open
+	closed
+)
+
+// walk finds cycles depth first; a service met while open closes one.
+type walk struct {
+	p      *parser
+	byName map[string]*draftService
+	state  map[string]progress
+}
+
+func (w *walk) visit(name string, path []string) {
+	s := w.byName[name]
+	if s == nil || w.state[name] == closed {
+		return
+	}
+	w.state[name] = open
+	path = append(path, name)
+	for _, dep := range s.dependsOn {
+		if w.state[dep.name] == open {
+			cycle := append(slices.Clone(path[slices.Index(path, dep.name):]), dep.name)
+			w.p.add(dep.offset, ErrCycle, "%s", strings.Join(cycle, " -> "))
+			continue
+		}
+		w.visit(dep.name, path)
+	}
+	w.state[name] = closed
+}
--- /dev/null
+++ b/core/version/text/decode.go
@@ -0,0 +1,176 @@
+package text
+
+import (
+	"encoding/hex"
+	"encoding/json"
+	"math"
+	"strings"
+
+	"github.com/tailscale/hujson"
+)
+
+// Bounds of values.
+const (
+	maxNameBytes = 100
+	maxCount     = 1_000_000
+	maxPriority  = 1000
+	maxMemory    = 1 << 50
+	maxSpanMs    = 24 * 60 * 60 * 1000
+	maxPercent   = 100
+	digestDigits = 64
+)
+
+// place is a decoded string with its offset in bytes, kept for the checks that
+// compare names across the text.
+type place struct {
+	offset int
+	name   string
+}
+
+// decoder turns the syntax tree into draft values and reports faults of form.
+type decoder struct {
+	report
+}
+
+// member is one field that an object may have.
+type member struct {
+	name     string
+	required bool
+	decode   func(v *hujson.Value)
+}
+
+// object decodes the fields of an object and refuses unknown, repeated and
+// missing ones.
+func (d *decoder) object(v *hujson.Value, members ...member) {
+	obj, ok := v.Value.(*hujson.Object)
+	if !ok {
+		d.add(v.StartOffset, ErrValue, "want an object")
+		return
+	}
+	seen := make(map[string]bool, len(members))
+	for i := range obj.Members {
+		name := &obj.Members[i].Name
+		d.field(name, &obj.Members[i].Value, members, seen)
+	}
+	for _, m := range members {
+		if m.required && !seen[m.name] {
+			d.add(v.StartOffset, ErrMissingField, "%q", m.name)
+		}
+	}
+}
+
+func (d *decoder) field(name, value *hujson.Value, members []member, seen map[string]bool) {
+	key := name.Value.(hujson.Literal).String()
+	if seen[key] {
+		d.add(name.StartOffset, ErrDuplicateField, "%q", key)
+		return
+	}
+	seen[key] = true
+	for _, m := range members {
+		if m.name == key {
+			m.decode(value)
+			return
+		}
+	}
+	d.add(name.StartOffset, ErrUnknownField, "%q", key)
+}
+
+// list calls decode for each element of an array.
+func (d *decoder) list(decode func(v *hujson.Value)) func(*hujson.Value) {
+	return func(v *hujson.Value) {
+		arr, ok := v.Value.(*hujson.Array)
+		if !ok {
+			d.add(v.StartOffset, ErrValue, "want a list")
+			return
+		}
+		for i := range arr.Elements {
+			decode(&arr.Elements[i])
+		}
+	}
+}
+
+// text decodes a string.
+func (d *decoder) text(to *place) func(*hujson.Value) {
+	return func(v *hujson.Value) {
+		var s string
+		lit, ok := v.Value.(hujson.Literal)
+		if !ok || lit.Kind() != '"' || json.Unmarshal(lit, &s) != nil {
+			d.add(v.StartOffset, ErrValue, "want a string")
+			return
+		}
+		*to = place{v.StartOffset, s}
+	}
+}
+
+// name decodes a string that can stand in a URL path, a log line and a mark.
+func (d *decoder) name(to *place) func(*hujson.Value) {
+	return func(v *hujson.Value) {
+		d.text(to)(v)
+		if to.name == "" || len(to.name) > maxNameBytes || strings.Trim(to.name, nameBytes) != "" {
+			d.add(v.StartOffset, ErrValue, "want a name of 1 to %d letters, digits, '-', '_' or '.'", maxNameBytes)
+		}
+	}
+}
+
+const nameBytes = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_."
+
+// names decodes a list of names.
+func (d *decoder) names(to *[]place) func(*hujson.Value) {
+	return d.list(func(v *hujson.Value) {
+		var p place
+		d.name(&p)(v)
+		*to = append(*to, p)
+	})
+}
+
+// number decodes a number between low and high.
+func (d *decoder) number(to *float64, low, high float64) func(*hujson.Value) {
+	return func(v *hujson.Value) {
+		var n float64
+		lit, ok := v.Value.(hujson.Literal)
+		if !ok || lit.Kind() != '0' || json.Unmarshal(lit, &n) != nil || n < low || n > high {
+			d.add(v.StartOffset, ErrValue, "want a number from %g to %g", low, high)
+			return
+		}
+		*to = n
+	}
+}
+
+// whole decodes a whole number between low and high.
+func (d *decoder) whole(to *int64, low, high int64) func(*hujson.Value) {
+	return func(v *hujson.Value) {
+		var n float64
+		d.number(&n, float64(low), float64(high))(v)
+		if n != math.Trunc(n) {
+			d.add(v.StartOffset, ErrValue, "want a whole number")
+			return
+		}
+		*to = int64(n)
+	}
+}
+
+// truth decodes true or false.
+func (d *decoder) truth(to *bool) func(*hujson.Value) {
+	return func(v *hujson.Value) {
+		lit, ok := v.Value.(hujson.Literal)
+		if !ok || (lit.Kind() != 't' && lit.Kind() != 'f') {
+			d.add(v.StartOffset, ErrValue, "want true or false")
+			return
+		}
+		*to = lit.Bool()
+	}
+}
+
+// digests decodes a list of SHA-256 hashes in hexadecimal digits.
+func (d *decoder) digests(to *[]place) func(*hujson.Value) {
+	return d.list(func(v *hujson.Value) {
+		var p place
+		d.text(&p)(v)
+		p.name = strings.ToLower(p.name)
+		if _, err := hex.DecodeString(p.name); err != nil || len(p.name) != digestDigits {
+			d.add(v.StartOffset, ErrValue, "want a SHA-256 hash of %d hexadecimal digits", digestDigits)
+			return
+		}
+		*to = append(*to, p)
+	})
+}
--- /dev/null
+++ b/core/version/text/parse.go
@@ -0,0 +1,294 @@
+package text
+
+import (
+	"encoding/hex"
+	"regexp"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/tailscale/hujson"
+
+	"goldcrestshore/core/process/clock"
+)
+
+// Parse returns the checked text, or Problems.
+func Parse(raw []byte) (*Text, error) {
+	d := &decoder{report{raw: raw}}
+	if len(raw) > MaxBytes {
+		d.add(MaxBytes, ErrTooLarge, "%d bytes, at most %d", len(raw), MaxBytes)
+		return nil, d.problems
+	}
+	if at := tooDeep(raw); at >= 0 {
+		d.add(at, ErrSyntax, "more than %d brackets within each other", maxNesting)
+		return nil, d.problems
+	}
+	root, err := hujson.Parse(raw)
+	if err != nil {
+		d.syntax(err)
+		return nil, d.problems
+	}
+	p := &parser{decoder: d}
+	p.root(&root)
+	t := p.build()
+	if len(d.problems) > 0 {
+		return nil, d.problems
+	}
+	t.hash = xxhash.Sum64(raw)
+	return t, nil
+}
+
+// syntaxError splits the message of hujson, which gives the position only as text.
+var syntaxError = regexp.MustCompile(`^hujson: line (\d+), column (\d+): (?s:(.*))$`)
+
+func (d *decoder) syntax(err error) {
+	problem := &Problem{line: 1, column: 1, cause: ErrSyntax, detail: err.Error()}
+	if m := syntaxError.FindStringSubmatch(err.Error()); m != nil {
+		problem.line, _ = strconv.Atoi(m[1])
+		problem.column, _ = strconv.Atoi(m[2])
+		problem.detail = m[3]
+	}
+	d.problems = append(d.problems, problem)
+}
+
+// parser holds the decoded parts until the checks across them.
+type parser struct {
+	*decoder
+	dataCentres []draftDataCentre
+	services    []draftService
+	customers   []draftCustomer
+	models      []place
+	adapters    []draftAdapter
+}
+
+type draftDataCentre struct {
+	name, region place
+}
+
+type draftRoute struct {
+	offset     int
+	method     place
+	path       place
+	idempotent bool
+}
+
+type draftService struct {
+	name                              place
+	kind                              place
+	routes                            []draftRoute
+	dependsOn                         []place
+	firstToken, betweenTokens         int64
+	percent                           float64
+	coldLimit, warmLimit              int64
+	memoryPerToken, memoryBudgetBytes int64
+	checksFencing                     bool
+	groupRanks                        int64
+	offset                            int
+}
+
+type draftCustomer struct {
+	name                         place
+	keyHashes                    []place
+	weight, concurrent, priority int64
+	rate                         float64
+}
+
+type draftAdapter struct {
+	name, model place
+}
+
+func (p *parser) root(v *hujson.Value) {
+	p.object(v,
+		member{"dataCentres", true, p.list(p.dataCentre)},
+		member{"services", true, p.list(p.service)},
+		member{"customers", false, p.list(p.customer)},
+		member{"models", false, p.list(p.model)},
+		member{"adapters", false, p.list(p.adapter)},
+	)
+}
+
+func (p *parser) dataCentre(v *hujson.Value) {
+	var d draftDataCentre
+	p.object(v,
+		member{"name", true, p.name(&d.name)},
+		member{"region", true, p.name(&d.region)},
+	)
+	p.dataCentres = append(p.dataCentres, d)
+}
+
+func (p *parser) service(v *hujson.Value) {
+	s := draftService{offset: v.StartOffset, warmLimit: defaultWarmLimit, coldLimit: defaultColdLimit}
+	p.object(v,
+		member{"name", true, p.name(&s.name)},
+		member{"kind", true, p.text(&s.kind)},
+		member{"routes", false, p.list(func(v *hujson.Value) { s.routes = append(s.routes, p.route(v)) })},
+		member{"dependsOn", false, p.names(&s.dependsOn)},
+		member{"objective", false, func(v *hujson.Value) { p.objective(v, &s) }},
+		member{"coldLimit", false, p.whole(&s.coldLimit, 1, maxCount)},
+		member{"warmLimit", false, p.whole(&s.warmLimit, 1, maxCount)},
+		member{"memoryPerTokenBytes", false, p.whole(&s.memoryPerToken, 0, maxMemory)},
+		member{"memoryBudgetBytes", false, p.whole(&s.memoryBudgetBytes, 0, maxMemory)},
+		member{"checksFencing", false, p.truth(&s.checksFencing)},
+		member{"groupRanks", false, p.whole(&s.groupRanks, 0, maxCount)},
+	)
+	p.services = append(p.services, s)
+}
+
+// Limits of a service whose text gives none: a cold upstream takes one request
+// at a time until completions raise its limit.
+const (
+	defaultColdLimit = 1
+	defaultWarmLimit = 64
+)
+
+func (p *parser) route(v *hujson.Value) draftRoute {
+	r := draftRoute{offset: v.StartOffset}
+	p.object(v,
+		member{"method", true, p.text(&r.method)},
+		member{"path", true, p.text(&r.path)},
+		member{"idempotent", false, p.truth(&r.idempotent)},
+	)
+	return r
+}
+
+func (p *parser) objective(v *hujson.Value, s *draftService) {
+	p.object(v,
+		member{"firstTokenMs", true, p.whole(&s.firstToken, 1, maxSpanMs)},
+		member{"betweenTokensMs", false, p.whole(&s.betweenTokens, 0, maxSpanMs)},
+		member{"percent", true, p.number(&s.percent, 0, maxPercent)},
+	)
+}
+
+func (p *parser) customer(v *hujson.Value) {
+	c := draftCustomer{weight: 1}
+	p.object(v,
+		member{"name", true, p.name(&c.name)},
+		member{"keyHashes", true, p.digests(&c.keyHashes)},
+		member{"weight", false, p.whole(&c.weight, 1, maxCount)},
+		member{"requestsPerSecond", false, p.number(&c.rate, 0, maxCount)},
+		member{"concurrent", false, p.whole(&c.concurrent, 0, maxCount)},
+		member{"priority", false, p.whole(&c.priority, -maxPriority, maxPriority)},
+	)
+	p.customers = append(p.customers, c)
+}
+
+func (p *parser) model(v *hujson.Value) {
+	var name place
+	p.object(v, member{"name", true, p.name(&name)})
+	p.models = append(p.models, name)
+}
+
+func (p *parser) adapter(v *hujson.Value) {
+	var a draftAdapter
+	p.object(v,
+		member{"name", true, p.name(&a.name)},
+		member{"model", true, p.name(&a.model)},
+	)
+	p.adapters = append(p.adapters, a)
+}
+
+// build checks across the parts and returns the typed text.
+func (p *parser) build() *Text {
+	t := &Text{
+		serviceByName: make(map[string]*Service, len(p.services)),
+		keys:          make(map[uint64][]keyed, len(p.customers)),
+		routes:        routeTable{},
+	}
+	p.buildDataCentres(t)
+	p.buildServices(t)
+	p.buildCustomers(t)
+	p.buildModels(t)
+	p.checkDependencies()
+	return t
+}
+
+func (p *parser) buildDataCentres(t *Text) {
+	seen := make(nameSet)
+	for _, d := range p.dataCentres {
+		p.unique(seen, d.name, "data centre")
+		t.dataCentres = append(t.dataCentres, &DataCentre{d.name.name, d.region.name})
+	}
+}
+
+func (p *parser) buildServices(t *Text) {
+	seen := make(nameSet)
+	for i := range p.services {
+		d := &p.services[i]
+		p.unique(seen, d.name, "service")
+		s := d.typed()
+		p.checkService(d, s)
+		p.buildRoutes(t, d, s)
+		t.services = append(t.services, s)
+		t.serviceByName[s.name] = s
+	}
+}
+
+func (d *draftService) typed() *Service {
+	s := &Service{
+		name:          d.name.name,
+		kind:          Kind(d.kind.name),
+		table:         routeTable{},
+		objective:     Objective{clock.Millis(d.firstToken), clock.Millis(d.betweenTokens), d.percent},
+		coldLimit:     int(d.coldLimit),
+		warmLimit:     int(d.warmLimit),
+		bytesPerToken: d.memoryPerToken,
+		memoryBudget:  d.memoryBudgetBytes,
+		checksFencing: d.checksFencing,
+		groupRanks:    int(d.groupRanks),
+	}
+	for _, name := range d.dependsOn {
+		s.dependsOn = append(s.dependsOn, name.name)
+	}
+	return s
+}
+
+func (p *parser) buildRoutes(t *Text, d *draftService, s *Service) {
+	for _, dr := range d.routes {
+		p.checkRoute(dr)
+		r := Route{dr.method.name, dr.path.name, dr.idempotent}
+		if !t.routes.add(s, r) || (r.method == ModelMethod && r.path == ModelPath) {
+			p.add(dr.offset, ErrDuplicateRoute, "%s %s", r.method, r.path)
+		}
+		s.table.add(s, r)
+		s.routes = append(s.routes, r)
+	}
+}
+
+func (p *parser) buildCustomers(t *Text) {
+	seen, hashes := make(nameSet), make(nameSet)
+	for _, d := range p.customers {
+		p.unique(seen, d.name, "customer")
+		c := &Customer{d.name.name, int(d.weight), d.rate, int(d.concurrent), int(d.priority)}
+		t.customers = append(t.customers, c)
+		for _, h := range d.keyHashes {
+			p.buildKey(t, hashes, h, c)
+		}
+	}
+}
+
+func (p *parser) buildKey(t *Text, seen nameSet, h place, c *Customer) {
+	if first, taken := seen[h.name]; taken {
+		p.add(h.offset, ErrDuplicateKey, "first on line %d", p.line(first))
+		return
+	}
+	seen[h.name] = h.offset
+	k := keyed{customer: c}
+	// The decoder has checked the digits and their number.
+	_, _ = hex.Decode(k.digest[:], []byte(h.name))
+	prefix := digestPrefix(k.digest)
+	t.keys[prefix] = append(t.keys[prefix], k)
+}
+
+func (p *parser) buildModels(t *Text) {
+	models, adapters := make(nameSet), make(nameSet)
+	for _, m := range p.models {
+		p.unique(models, m, "model")
+		t.models = append(t.models, m.name)
+	}
+	for _, a := range p.adapters {
+		p.unique(adapters, a.name, "adapter")
+		if _, ok := models[a.model.name]; !ok && a.model.name != "" {
+			p.add(a.model.offset, ErrUnknownName, "model %q", a.model.name)
+		}
+		t.adapters = append(t.adapters, &Adapter{a.name.name, a.model.name})
+	}
+}
--- /dev/null
+++ b/core/version/text/route.go
@@ -0,0 +1,58 @@
+package text
+
+import "strings"
+
+// prefixMark ends a path that stands for everything below it.
+const prefixMark = "/*"
+
+// Route is a method and a path of a plain service.
+type Route struct {
+	method     string
+	path       string
+	idempotent bool
+}
+
+// Method returns the HTTP method.
+func (r Route) Method() string { return r.method }
+
+// Path returns the path; one that ends in /* is a prefix.
+func (r Route) Path() string { return r.path }
+
+// Idempotent tells whether the call may be repeated.
+func (r Route) Idempotent() bool { return r.idempotent }
+
+type routeKey struct {
+	method string
+	path   string
+}
+
+type routed struct {
+	service *Service
+	route   Route
+}
+
+// routeTable finds routes by method and path.
+type routeTable map[routeKey]routed
+
+// add reports whether the method and path were free.
+func (t routeTable) add(s *Service, r Route) bool {
+	key := routeKey{r.method, r.path}
+	if _, taken := t[key]; taken {
+		return false
+	}
+	t[key] = routed{s, r}
+	return true
+}
+
+// find looks up the exact path, then each prefix from the longest to "/*".
+func (t routeTable) find(method, path string) (*Service, Route, bool) {
+	if found, ok := t[routeKey{method, path}]; ok && !strings.HasSuffix(path, prefixMark) {
+		return found.service, found.route, true
+	}
+	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
+		if found, ok := t[routeKey{method, path[:end] + prefixMark}]; ok {
+			return found.service, found.route, true
+		}
+	}
+	return nil, Route{}, false
+}
--- /dev/null
+++ b/core/version/text/text.go
@@ -0,0 +1,219 @@
+// Package text parses and checks the operators' configuration text, JSON with
+// comments, into a typed value that cannot be changed.
+package text
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/binary"
+	"slices"
+
+	"goldcrestshore/core/process/clock"
+)
+
+// MaxBytes bounds a text. The platform stores at most 1 MB in a value, and the
+// rest is left for the write id that goldcrestctl appends.
+const MaxBytes = 900 << 10
+
+// Kind tells how a service is called.
+type Kind string
+
+// Kinds of services.
+const (
+	Model Kind = "model" // POST /v1/chat/completions with the service as model
+	Plain Kind = "plain" // the methods and paths of its routes
+)
+
+// ModelMethod and ModelPath are the route that all model services share.
+const (
+	ModelMethod = "POST"
+	ModelPath   = "/v1/chat/completions"
+)
+
+// Text is one checked configuration text.
+type Text struct {
+	hash        uint64
+	dataCentres []*DataCentre
+	services    []*Service
+	customers   []*Customer
+	models      []string
+	adapters    []*Adapter
+
+	serviceByName map[string]*Service
+	keys          map[uint64][]keyed
+	routes        routeTable
+}
+
+// keyed is a customer's key hash in the index of Customer lookups.
+type keyed struct {
+	digest   [sha256.Size]byte
+	customer *Customer
+}
+
+// Hash returns xxhash64 of the bytes that were parsed.
+func (t *Text) Hash() uint64 { return t.hash }
+
+// DataCentres returns the data centres in the order of the text.
+func (t *Text) DataCentres() []*DataCentre { return slices.Clone(t.dataCentres) }
+
+// Services returns the services in the order of the text.
+func (t *Text) Services() []*Service { return slices.Clone(t.services) }
+
+// Customers returns the customers in the order of the text.
+func (t *Text) Customers() []*Customer { return slices.Clone(t.customers) }
+
+// Models returns the names of the models.
+func (t *Text) Models() []string { return slices.Clone(t.models) }
+
+// Adapters returns the adapters in the order of the text.
+func (t *Text) Adapters() []*Adapter { return slices.Clone(t.adapters) }
+
+// Service returns the service with this name.
+func (t *Text) Service(name string) (*Service, bool) {
+	s, ok := t.serviceByName[name]
+	return s, ok
+}
+
+// Customer returns the customer that a caller's key belongs to. The index uses
+// a part of the key's SHA-256 digest, which a caller cannot steer, and the whole
+// digest is compared in constant time.
+func (t *Text) Customer(key string) (*Customer, bool) {
+	digest := sha256.Sum256([]byte(key))
+	var found *Customer
+	for _, k := range t.keys[digestPrefix(digest)] {
+		if subtle.ConstantTimeCompare(k.digest[:], digest[:]) == 1 {
+			found = k.customer
+		}
+	}
+	return found, found != nil
+}
+
+func digestPrefix(digest [sha256.Size]byte) uint64 { return binary.BigEndian.Uint64(digest[:8]) }
+
+// Route returns the plain service that takes a call, and its route. An exact
+// path goes before a prefix, a longer prefix before a shorter one.
+func (t *Text) Route(method, path string) (*Service, Route, bool) {
+	return t.routes.find(method, path)
+}
+
+// DataCentre is a place that can be taken out of service as a whole.
+type DataCentre struct {
+	name   string
+	region string
+}
+
+// Name returns the name.
+func (d *DataCentre) Name() string { return d.name }
+
+// Region returns the region that it stands in.
+func (d *DataCentre) Region() string { return d.region }
+
+// Service is one service and its limits.
+type Service struct {
+	name          string
+	kind          Kind
+	routes        []Route
+	table         routeTable
+	dependsOn     []string
+	objective     Objective
+	coldLimit     int
+	warmLimit     int
+	bytesPerToken int64
+	memoryBudget  int64
+	checksFencing bool
+	groupRanks    int
+}
+
+// Name returns the name.
+func (s *Service) Name() string { return s.name }
+
+// Kind tells how the service is called.
+func (s *Service) Kind() Kind { return s.kind }
+
+// Routes returns the routes of a plain service.
+func (s *Service) Routes() []Route { return slices.Clone(s.routes) }
+
+// Route returns the route of this service that takes a call.
+func (s *Service) Route(method, path string) (Route, bool) {
+	_, r, ok := s.table.find(method, path)
+	return r, ok
+}
+
+// DependsOn returns the names of the services that it needs.
+func (s *Service) DependsOn() []string { return slices.Clone(s.dependsOn) }
+
+// Objective returns the service level that operators promise.
+func (s *Service) Objective() Objective { return s.objective }
+
+// ColdLimit returns how many requests an upstream in a cold start may hold.
+func (s *Service) ColdLimit() int { return s.coldLimit }
+
+// WarmLimit returns how many requests a warm upstream may hold.
+func (s *Service) WarmLimit() int { return s.warmLimit }
+
+// MemoryPerTokenBytes returns the upstream memory that a token takes, 0 when
+// memory is not reserved.
+func (s *Service) MemoryPerTokenBytes() int64 { return s.bytesPerToken }
+
+// MemoryBudgetBytes returns the upstream memory for held requests, 0 when
+// memory is not reserved.
+func (s *Service) MemoryBudgetBytes() int64 { return s.memoryBudget }
+
+// ChecksFencing tells whether the upstream itself refuses a stale fencing token.
+func (s *Service) ChecksFencing() bool { return s.checksFencing }
+
+// GroupRanks returns the ranks of a lock-step group, 0 for none.
+func (s *Service) GroupRanks() int { return s.groupRanks }
+
+// Objective is a service level. A span of 0 is not promised.
+type Objective struct {
+	firstToken    clock.Millis
+	betweenTokens clock.Millis
+	percent       float64
+}
+
+// FirstToken returns the time to the first token, or to the whole answer of a
+// plain service.
+func (o Objective) FirstToken() clock.Millis { return o.firstToken }
+
+// BetweenTokens returns the time between two tokens.
+func (o Objective) BetweenTokens() clock.Millis { return o.betweenTokens }
+
+// Percent returns the share of requests that must keep the times.
+func (o Objective) Percent() float64 { return o.percent }
+
+// Customer is an organisation or department that calls services.
+type Customer struct {
+	name       string
+	weight     int
+	rate       float64
+	concurrent int
+	priority   int
+}
+
+// Name returns the name.
+func (c *Customer) Name() string { return c.name }
+
+// Weight returns the share under saturation, at least 1.
+func (c *Customer) Weight() int { return c.weight }
+
+// RequestsPerSecond returns the rate limit over all entries, 0 for none.
+func (c *Customer) RequestsPerSecond() float64 { return c.rate }
+
+// Concurrent returns the limit of held requests over all entries, 0 for none.
+func (c *Customer) Concurrent() int { return c.concurrent }
+
+// Priority returns the priority; higher goes first.
+func (c *Customer) Priority() int { return c.priority }
+
+// Adapter is a variant of a model.
+type Adapter struct {
+	name  string
+	model string
+}
+
+// Name returns the name.
+func (a *Adapter) Name() string { return a.name }
+
+// Model returns the name of the model it adapts.
+func (a *Adapter) Model() string { return a.model }
