Add authenticated peer connections and message accessors

Cause: entries, agents and relays need one transport with detection of silent connections. Change: mutual HMAC-SHA256 handshake, heartbeats, a write queue bounded in frames and bytes, closure after 2 s of silence; decoder tests and a fuzz target. Conclusion: the request path can be built on it.

--- /dev/null
+++ b/core/connection/frame/accessors.go
@@ -0,0 +1,364 @@
+package frame
+
+// NewField returns a Field with the given fields.
+func NewField(name string, value string) Field {
+	return Field{name, value}
+}
+
+// Name returns the header name in canonical form.
+func (f Field) Name() string { return f.name }
+
+// Value returns the header value.
+func (f Field) Value() string { return f.value }
+
+// NewHello returns a Hello with the given fields.
+func NewHello(role string, instance string, dataCentre string, incarnation uint64, nonce []byte) *Hello {
+	return &Hello{role, instance, dataCentre, incarnation, nonce}
+}
+
+// Role returns the kind of program, such as "entry" or "agent".
+func (h *Hello) Role() string { return h.role }
+
+// Instance returns the name of the sending instance.
+func (h *Hello) Instance() string { return h.instance }
+
+// DataCentre returns the data centre from the sender's settings.
+func (h *Hello) DataCentre() string { return h.dataCentre }
+
+// Incarnation returns the random number drawn when the process started.
+func (h *Hello) Incarnation() uint64 { return h.incarnation }
+
+// Nonce returns the random bytes that make the proof unique.
+func (h *Hello) Nonce() []byte { return h.nonce }
+
+// NewProof returns a Proof with the given fields.
+func NewProof(mac []byte) *Proof {
+	return &Proof{mac}
+}
+
+// MAC returns the HMAC-SHA256 over both greetings.
+func (p *Proof) MAC() []byte { return p.mac }
+
+// NewOccupancy returns an Occupancy with the given fields.
+func NewOccupancy(held int, limit int, reservedBytes int64, budgetBytes int64) Occupancy {
+	return Occupancy{held, limit, reservedBytes, budgetBytes}
+}
+
+// Held returns the number of admitted requests.
+func (o Occupancy) Held() int { return o.held }
+
+// Limit returns how many requests the upstream may hold now.
+func (o Occupancy) Limit() int { return o.limit }
+
+// ReservedBytes returns the upstream memory reserved by held requests.
+func (o Occupancy) ReservedBytes() int64 { return o.reservedBytes }
+
+// BudgetBytes returns the upstream memory that may be reserved.
+func (o Occupancy) BudgetBytes() int64 { return o.budgetBytes }
+
+// NewCondition returns a Condition with the given fields.
+func NewCondition(cold bool, leaving bool, incarnation uint64, crashes uint64) Condition {
+	return Condition{cold, leaving, incarnation, crashes}
+}
+
+// Cold tells whether the limit is below the warm limit.
+func (c Condition) Cold() bool { return c.cold }
+
+// Leaving tells that the upstream takes no new work.
+func (c Condition) Leaving() bool { return c.leaving }
+
+// Incarnation returns the upstream's incarnation as the agent last saw it.
+func (c Condition) Incarnation() uint64 { return c.incarnation }
+
+// Crashes returns how often the upstream was replaced since the agent started.
+func (c Condition) Crashes() uint64 { return c.crashes }
+
+// NewPace returns a Pace with the given fields.
+func NewPace(queueMs int64, firstTokenMs int64) Pace {
+	return Pace{queueMs, firstTokenMs}
+}
+
+// QueueMs returns the longest present wait for admission in milliseconds.
+func (p Pace) QueueMs() int64 { return p.queueMs }
+
+// FirstTokenMs returns the recent mean time to the first token in milliseconds.
+func (p Pace) FirstTokenMs() int64 { return p.firstTokenMs }
+
+// NewLoad returns a Load with the given fields.
+func NewLoad(service string, occupancy Occupancy, condition Condition, pace Pace) Load {
+	return Load{service, occupancy, condition, pace}
+}
+
+// Service returns the service of the upstream.
+func (l Load) Service() string { return l.service }
+
+// Occupancy returns how much of the upstream is in use.
+func (l Load) Occupancy() Occupancy { return l.occupancy }
+
+// Condition returns the state of the upstream.
+func (l Load) Condition() Condition { return l.condition }
+
+// Pace returns how fast the upstream answers.
+func (l Load) Pace() Pace { return l.pace }
+
+// NewHeartbeat returns a Heartbeat with the given fields.
+func NewHeartbeat(configVersion uint64, load Load) *Heartbeat {
+	return &Heartbeat{configVersion, load}
+}
+
+// ConfigVersion returns the sender's configuration version in force.
+func (h *Heartbeat) ConfigVersion() uint64 { return h.configVersion }
+
+// Load returns the upstream load; it is zero unless the sender is an agent.
+func (h *Heartbeat) Load() Load { return h.load }
+
+// NewCall returns a Call with the given fields.
+func NewCall(method string, path string, header []Field, body []byte) Call {
+	return Call{method, path, header, body}
+}
+
+// Method returns the HTTP method.
+func (c Call) Method() string { return c.method }
+
+// Path returns the path with its query.
+func (c Call) Path() string { return c.path }
+
+// Header returns the header lines to forward.
+func (c Call) Header() []Field { return c.header }
+
+// Body returns the whole request body.
+func (c Call) Body() []byte { return c.body }
+
+// NewTerms returns a Terms with the given fields.
+func NewTerms(deadlineMs int64, priority int, idempotent bool, stream bool, claimKey string) Terms {
+	return Terms{deadlineMs, priority, idempotent, stream, claimKey}
+}
+
+// DeadlineMs returns the time left in milliseconds when the frame was sent.
+func (t Terms) DeadlineMs() int64 { return t.deadlineMs }
+
+// Priority returns the customer's priority; a higher one goes first.
+func (t Terms) Priority() int { return t.priority }
+
+// Idempotent tells whether the call may run more than once.
+func (t Terms) Idempotent() bool { return t.idempotent }
+
+// Stream tells whether the caller asked for server-sent events.
+func (t Terms) Stream() bool { return t.stream }
+
+// ClaimKey returns the key of the durable claim, empty for unkeyed calls.
+func (t Terms) ClaimKey() string { return t.claimKey }
+
+// NewSize returns a Size with the given fields.
+func NewSize(promptTokens int, maxTokens int) Size {
+	return Size{promptTokens, maxTokens}
+}
+
+// PromptTokens returns the estimated prompt length.
+func (s Size) PromptTokens() int { return s.promptTokens }
+
+// MaxTokens returns the largest possible output length.
+func (s Size) MaxTokens() int { return s.maxTokens }
+
+// NewSubmit returns a Submit with the given fields.
+func NewSubmit(service string, customer string, call Call, terms Terms, size Size, configVersion uint64) *Submit {
+	return &Submit{service, customer, call, terms, size, configVersion}
+}
+
+// Service returns the service that the call is for.
+func (s *Submit) Service() string { return s.service }
+
+// Customer returns the authenticated customer.
+func (s *Submit) Customer() string { return s.customer }
+
+// Call returns the HTTP request.
+func (s *Submit) Call() Call { return s.call }
+
+// Terms returns the conditions of the call.
+func (s *Submit) Terms() Terms { return s.terms }
+
+// Size returns the memory estimate.
+func (s *Submit) Size() Size { return s.size }
+
+// ConfigVersion returns the configuration version that the entry applied.
+func (s *Submit) ConfigVersion() uint64 { return s.configVersion }
+
+// NewAccepted returns an Accepted with the given fields.
+func NewAccepted(incarnation uint64) *Accepted {
+	return &Accepted{incarnation}
+}
+
+// Incarnation returns the upstream's incarnation.
+func (a *Accepted) Incarnation() uint64 { return a.incarnation }
+
+// NewRefused returns a Refused with the given fields.
+func NewRefused(code string, retryAfterMs int64, notRun bool) *Refused {
+	return &Refused{code, retryAfterMs, notRun}
+}
+
+// Code returns the refusal code of package outcome.
+func (r *Refused) Code() string { return r.code }
+
+// RetryAfterMs returns the suggested wait in milliseconds, 0 for none.
+func (r *Refused) RetryAfterMs() int64 { return r.retryAfterMs }
+
+// NotRun tells that the upstream cannot have started the call.
+func (r *Refused) NotRun() bool { return r.notRun }
+
+// NewAnswerHead returns an AnswerHead with the given fields.
+func NewAnswerHead(status int, header []Field) *AnswerHead {
+	return &AnswerHead{status, header}
+}
+
+// Status returns the HTTP status.
+func (a *AnswerHead) Status() int { return a.status }
+
+// Header returns the header lines of the answer.
+func (a *AnswerHead) Header() []Field { return a.header }
+
+// NewData returns a Data with the given fields.
+func NewData(offset int64, bytes []byte) *Data {
+	return &Data{offset, bytes}
+}
+
+// Offset returns the position of the first byte in the answer body.
+func (d *Data) Offset() int64 { return d.offset }
+
+// Bytes returns the body bytes.
+func (d *Data) Bytes() []byte { return d.bytes }
+
+// NewEnd returns an End with the given fields.
+func NewEnd(length int64, checksum uint64, ok bool, code string) *End {
+	return &End{length, checksum, ok, code}
+}
+
+// Length returns the number of body bytes.
+func (e *End) Length() int64 { return e.length }
+
+// Checksum returns xxhash64 over the whole body.
+func (e *End) Checksum() uint64 { return e.checksum }
+
+// OK tells that the answer is complete.
+func (e *End) OK() bool { return e.ok }
+
+// Code returns the refusal code when OK is false.
+func (e *End) Code() string { return e.code }
+
+// NewCredit returns a Credit with the given fields.
+func NewCredit(offset int64) *Credit {
+	return &Credit{offset}
+}
+
+// Offset returns how many body bytes the caller has taken.
+func (c *Credit) Offset() int64 { return c.offset }
+
+// NewResume returns a Resume with the given fields.
+func NewResume(offset int64) *Resume {
+	return &Resume{offset}
+}
+
+// Offset returns the position of the next body byte wanted.
+func (r *Resume) Offset() int64 { return r.offset }
+
+// NewGone returns a Gone with the given fields.
+func NewGone(incarnation uint64) *Gone {
+	return &Gone{incarnation}
+}
+
+// Incarnation returns the agent's incarnation.
+func (g *Gone) Incarnation() uint64 { return g.incarnation }
+
+// NewClaimQuery returns a ClaimQuery with the given fields.
+func NewClaimQuery(claimKey string) *ClaimQuery {
+	return &ClaimQuery{claimKey}
+}
+
+// ClaimKey returns the key of the claim asked for.
+func (c *ClaimQuery) ClaimKey() string { return c.claimKey }
+
+// NewClaimState returns a ClaimState with the given fields.
+func NewClaimState(state string, incarnation uint64, status int, header []Field, body []byte) *ClaimState {
+	return &ClaimState{state, incarnation, status, header, body}
+}
+
+// State returns "never", "running" or "done".
+func (c *ClaimState) State() string { return c.state }
+
+// Incarnation returns the agent's incarnation.
+func (c *ClaimState) Incarnation() uint64 { return c.incarnation }
+
+// Status returns the HTTP status of a stored answer.
+func (c *ClaimState) Status() int { return c.status }
+
+// Header returns the header lines of a stored answer.
+func (c *ClaimState) Header() []Field { return c.header }
+
+// Body returns the body of a stored answer.
+func (c *ClaimState) Body() []byte { return c.body }
+
+// NewSubscribe returns a Subscribe with the given fields.
+func NewSubscribe(configVersion uint64, outVersion uint64, listVersion uint64) *Subscribe {
+	return &Subscribe{configVersion, outVersion, listVersion}
+}
+
+// ConfigVersion returns the newest configuration version held.
+func (s *Subscribe) ConfigVersion() uint64 { return s.configVersion }
+
+// OutVersion returns the newest version of the out marks held.
+func (s *Subscribe) OutVersion() uint64 { return s.outVersion }
+
+// ListVersion returns the newest version of the instance list held.
+func (s *Subscribe) ListVersion() uint64 { return s.listVersion }
+
+// NewVersion returns a Version with the given fields.
+func NewVersion(kind string, version uint64, value []byte) *Version {
+	return &Version{kind, version, value}
+}
+
+// Kind returns the kind of object.
+func (v *Version) Kind() string { return v.kind }
+
+// Version returns the platform's version of the value.
+func (v *Version) Version() uint64 { return v.version }
+
+// Value returns the whole value.
+func (v *Version) Value() []byte { return v.value }
+
+// NewShares returns a Shares with the given fields.
+func NewShares(customers []Share, suspects []Suspect) *Shares {
+	return &Shares{customers, suspects}
+}
+
+// Customers returns the rates measured at the sending entry.
+func (s *Shares) Customers() []Share { return s.customers }
+
+// Suspects returns the unexpired suspects known to the sender.
+func (s *Shares) Suspects() []Suspect { return s.suspects }
+
+// NewShare returns a Share with the given fields.
+func NewShare(customer string, perMille int64, held int) Share {
+	return Share{customer, perMille, held}
+}
+
+// Customer returns the customer's name.
+func (s Share) Customer() string { return s.customer }
+
+// PerMille returns the request rate in thousandths of a request per second.
+func (s Share) PerMille() int64 { return s.perMille }
+
+// Held returns the number of requests in flight.
+func (s Share) Held() int { return s.held }
+
+// NewSuspect returns a Suspect with the given fields.
+func NewSuspect(fingerprint uint64, crashes int, expiresMs int64) Suspect {
+	return Suspect{fingerprint, crashes, expiresMs}
+}
+
+// Fingerprint returns the hash over customer and body.
+func (s Suspect) Fingerprint() uint64 { return s.fingerprint }
+
+// Crashes returns how many upstreams crashed while running the request.
+func (s Suspect) Crashes() int { return s.crashes }
+
+// ExpiresMs returns the time left until the verdict lapses, in milliseconds.
+func (s Suspect) ExpiresMs() int64 { return s.expiresMs }
--- /dev/null
+++ b/core/connection/frame/frame_test.go
@@ -0,0 +1,98 @@
+package frame
+
+import (
+	"bytes"
+	"encoding/binary"
+	"io"
+	"testing"
+
+	"goldcrestshore/core/process/check"
+)
+
+func encoded(t testing.TB, m Message) []byte {
+	t.Helper()
+	b, err := Append(nil, NewID(7, 9), m)
+	check.NoError(t, "Append", err)
+	return b
+}
+
+// Guards against a message that loses a field on its way.
+func TestRoundTrip(t *testing.T) {
+	sent := NewSubmit("asistente", "taller",
+		NewCall("POST", "/v1/chat/completions", []Field{NewField("Accept", "text/event-stream")}, []byte("{}")),
+		NewTerms(1500, 2, true, true, "k"), NewSize(10, 20), 4)
+	id, m, err := Read(bytes.NewReader(encoded(t, sent)))
+	check.NoError(t, "Read", err)
+	check.Equal(t, "id", id, NewID(7, 9))
+	got, ok := m.(*Submit)
+	if !ok {
+		t.Fatalf("message: got %T, want *Submit", m)
+	}
+	check.Equal(t, "service", got.Service(), "asistente")
+	check.Equal(t, "body", string(got.Call().Body()), "{}")
+	check.Equal(t, "header", got.Call().Header()[0], NewField("Accept", "text/event-stream"))
+	check.Equal(t, "terms", got.Terms(), sent.Terms())
+	check.Equal(t, "size", got.Size(), sent.Size())
+}
+
+// Guards against bad frames that crash the reader, allocate without bound, or
+// pass as another message.
+func TestReadRefuses(t *testing.T) {
+	good := encoded(t, NewData(3, []byte("abc")))
+	edit := func(f func(b []byte)) []byte {
+		b := bytes.Clone(good)
+		f(b)
+		return b
+	}
+	cases := []struct {
+		name string
+		in   []byte
+		want error
+	}{
+		{"unknown version", edit(func(b []byte) { b[4] = 9 }), ErrVersion},
+		{"oversized", edit(func(b []byte) { binary.BigEndian.PutUint32(b, MaxBodyBytes+1) }), ErrTooLarge},
+		{"unknown kind", edit(func(b []byte) { b[5] = 200 }), ErrUnknownKind},
+		{"malformed body", edit(func(b []byte) { b[HeaderBytes] = 0xc1 }), ErrMalformed},
+		{"truncated header", good[:10], io.ErrUnexpectedEOF},
+		{"truncated body", good[:len(good)-1], io.ErrUnexpectedEOF},
+		{"empty", nil, io.EOF},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, _, err := Read(bytes.NewReader(c.in))
+			check.Is(t, "Read", err, c.want)
+		})
+	}
+}
+
+// Guards against a reader that loses its place after an unknown kind.
+func TestUnknownKindIsSkipped(t *testing.T) {
+	first := encoded(t, NewData(3, []byte("abc")))
+	first[5] = 200
+	r := bytes.NewReader(append(first, encoded(t, NewCredit(8))...))
+	_, _, err := Read(r)
+	check.Is(t, "first Read", err, ErrUnknownKind)
+	_, m, err := Read(r)
+	check.NoError(t, "second Read", err)
+	check.Equal(t, "offset", m.(*Credit).Offset(), 8)
+}
+
+// FuzzRead guards against input that makes the decoder panic or accept a frame
+// that does not encode to itself.
+func FuzzRead(f *testing.F) {
+	f.Add(encoded(f, NewHello("entry", "e1", "bilbao", 1, []byte{1})))
+	f.Add(encoded(f, NewData(3, []byte("abc"))))
+	f.Add(encoded(f, NewEnd(3, 4, true, "")))
+	f.Add([]byte{0, 0, 0, 1, 1, 8})
+	f.Fuzz(func(t *testing.T, in []byte) {
+		id, m, err := Read(bytes.NewReader(in))
+		if err != nil {
+			return
+		}
+		again, err := Append(nil, id, m)
+		check.NoError(t, "Append of a decoded frame", err)
+		id2, _, err := Read(bytes.NewReader(again))
+		check.NoError(t, "Read of an encoded frame", err)
+		check.Equal(t, "id", id2, id)
+	})
+}
--- a/core/connection/frame/kind.go
+++ b/core/connection/frame/kind.go
@@ -103,7 +103,7 @@
 	m := P(new(T))
 	rest, err := m.UnmarshalMsg(body)
 	if err != nil {
-		return nil, errors.Mark(errors.Wrap(err, "decode frame body"), ErrMalformed)
+		return nil, errors.Wrapf(ErrMalformed, "decode: %v", err)
 	}
 	if len(rest) != 0 {
 		return nil, errors.Wrapf(ErrMalformed, "%d bytes after the body", len(rest))
--- a/core/connection/frame/messages.go
+++ b/core/connection/frame/messages.go
@@ -22,19 +22,34 @@
 	mac []byte
 }
 
-// Load is an agent's report on its upstream.
-type Load struct {
-	service       string
+// Occupancy is how much of an upstream is in use.
+type Occupancy struct {
 	held          int
 	limit         int
-	cold          bool
 	reservedBytes int64
 	budgetBytes   int64
-	queueMs       int64
-	leaving       bool
-	incarnation   uint64
-	firstTokenMs  int64
-	crashes       uint64
+}
+
+// Condition is the state of an upstream as its agent sees it.
+type Condition struct {
+	cold        bool
+	leaving     bool
+	incarnation uint64
+	crashes     uint64
+}
+
+// Pace is how fast an upstream answers.
+type Pace struct {
+	queueMs      int64
+	firstTokenMs int64
+}
+
+// Load is an agent's report on its upstream.
+type Load struct {
+	service   string
+	occupancy Occupancy
+	condition Condition
+	pace      Pace
 }
 
 // Heartbeat proves that the connection is alive and carries the sender's
--- a/core/connection/frame/messages_gen.go
+++ b/core/connection/frame/messages_gen.go
@@ -502,6 +502,85 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *Condition) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 4
+	// string "cold"
+	o = append(o, 0x84, 0xa4, 0x63, 0x6f, 0x6c, 0x64)
+	o = msgp.AppendBool(o, z.cold)
+	// string "leaving"
+	o = append(o, 0xa7, 0x6c, 0x65, 0x61, 0x76, 0x69, 0x6e, 0x67)
+	o = msgp.AppendBool(o, z.leaving)
+	// string "incarnation"
+	o = append(o, 0xab, 0x69, 0x6e, 0x63, 0x61, 0x72, 0x6e, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendUint64(o, z.incarnation)
+	// string "crashes"
+	o = append(o, 0xa7, 0x63, 0x72, 0x61, 0x73, 0x68, 0x65, 0x73)
+	o = msgp.AppendUint64(o, z.crashes)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Condition) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "cold":
+			z.cold, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "cold")
+				return
+			}
+		case "leaving":
+			z.leaving, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "leaving")
+				return
+			}
+		case "incarnation":
+			z.incarnation, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "incarnation")
+				return
+			}
+		case "crashes":
+			z.crashes, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "crashes")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Condition) Msgsize() (s int) {
+	s = 1 + 5 + msgp.BoolSize + 8 + msgp.BoolSize + 12 + msgp.Uint64Size + 8 + msgp.Uint64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z Credit) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -963,45 +1042,146 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Load) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 11
+	// map header, size 4
 	// string "service"
-	o = append(o, 0x8b, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+	o = append(o, 0x84, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
 	o = msgp.AppendString(o, z.service)
+	// string "occupancy"
+	o = append(o, 0xa9, 0x6f, 0x63, 0x63, 0x75, 0x70, 0x61, 0x6e, 0x63, 0x79)
+	o, err = z.occupancy.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "occupancy")
+		return
+	}
+	// string "condition"
+	o = append(o, 0xa9, 0x63, 0x6f, 0x6e, 0x64, 0x69, 0x74, 0x69, 0x6f, 0x6e)
+	o, err = z.condition.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "condition")
+		return
+	}
+	// string "pace"
+	o = append(o, 0xa4, 0x70, 0x61, 0x63, 0x65)
+	// map header, size 2
+	// string "queueMs"
+	o = append(o, 0x82, 0xa7, 0x71, 0x75, 0x65, 0x75, 0x65, 0x4d, 0x73)
+	o = msgp.AppendInt64(o, z.pace.queueMs)
+	// string "firstTokenMs"
+	o = append(o, 0xac, 0x66, 0x69, 0x72, 0x73, 0x74, 0x54, 0x6f, 0x6b, 0x65, 0x6e, 0x4d, 0x73)
+	o = msgp.AppendInt64(o, z.pace.firstTokenMs)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Load) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "service":
+			z.service, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "service")
+				return
+			}
+		case "occupancy":
+			bts, err = z.occupancy.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "occupancy")
+				return
+			}
+		case "condition":
+			bts, err = z.condition.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "condition")
+				return
+			}
+		case "pace":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "pace")
+				return
+			}
+			for zb0002 > 0 {
+				zb0002--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "pace")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "queueMs":
+					z.pace.queueMs, bts, err = msgp.ReadInt64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "pace", "queueMs")
+						return
+					}
+				case "firstTokenMs":
+					z.pace.firstTokenMs, bts, err = msgp.ReadInt64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "pace", "firstTokenMs")
+						return
+					}
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "pace")
+						return
+					}
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Load) Msgsize() (s int) {
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.service) + 10 + z.occupancy.Msgsize() + 10 + z.condition.Msgsize() + 5 + 1 + 8 + msgp.Int64Size + 13 + msgp.Int64Size
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Occupancy) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 4
 	// string "held"
-	o = append(o, 0xa4, 0x68, 0x65, 0x6c, 0x64)
+	o = append(o, 0x84, 0xa4, 0x68, 0x65, 0x6c, 0x64)
 	o = msgp.AppendInt(o, z.held)
 	// string "limit"
 	o = append(o, 0xa5, 0x6c, 0x69, 0x6d, 0x69, 0x74)
 	o = msgp.AppendInt(o, z.limit)
-	// string "cold"
-	o = append(o, 0xa4, 0x63, 0x6f, 0x6c, 0x64)
-	o = msgp.AppendBool(o, z.cold)
 	// string "reservedBytes"
 	o = append(o, 0xad, 0x72, 0x65, 0x73, 0x65, 0x72, 0x76, 0x65, 0x64, 0x42, 0x79, 0x74, 0x65, 0x73)
 	o = msgp.AppendInt64(o, z.reservedBytes)
 	// string "budgetBytes"
 	o = append(o, 0xab, 0x62, 0x75, 0x64, 0x67, 0x65, 0x74, 0x42, 0x79, 0x74, 0x65, 0x73)
 	o = msgp.AppendInt64(o, z.budgetBytes)
-	// string "queueMs"
-	o = append(o, 0xa7, 0x71, 0x75, 0x65, 0x75, 0x65, 0x4d, 0x73)
-	o = msgp.AppendInt64(o, z.queueMs)
-	// string "leaving"
-	o = append(o, 0xa7, 0x6c, 0x65, 0x61, 0x76, 0x69, 0x6e, 0x67)
-	o = msgp.AppendBool(o, z.leaving)
-	// string "incarnation"
-	o = append(o, 0xab, 0x69, 0x6e, 0x63, 0x61, 0x72, 0x6e, 0x61, 0x74, 0x69, 0x6f, 0x6e)
-	o = msgp.AppendUint64(o, z.incarnation)
-	// string "firstTokenMs"
-	o = append(o, 0xac, 0x66, 0x69, 0x72, 0x73, 0x74, 0x54, 0x6f, 0x6b, 0x65, 0x6e, 0x4d, 0x73)
-	o = msgp.AppendInt64(o, z.firstTokenMs)
-	// string "crashes"
-	o = append(o, 0xa7, 0x63, 0x72, 0x61, 0x73, 0x68, 0x65, 0x73)
-	o = msgp.AppendUint64(o, z.crashes)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Load) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *Occupancy) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -1018,12 +1198,6 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "service":
-			z.service, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "service")
-				return
-			}
 		case "held":
 			z.held, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
@@ -1036,12 +1210,6 @@
 				err = msgp.WrapError(err, "limit")
 				return
 			}
-		case "cold":
-			z.cold, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "cold")
-				return
-			}
 		case "reservedBytes":
 			z.reservedBytes, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
@@ -1054,22 +1222,59 @@
 				err = msgp.WrapError(err, "budgetBytes")
 				return
 			}
-		case "queueMs":
-			z.queueMs, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "queueMs")
-				return
-			}
-		case "leaving":
-			z.leaving, bts, err = msgp.ReadBoolBytes(bts)
+		default:
+			bts, err = msgp.Skip(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "leaving")
+				err = msgp.WrapError(err)
 				return
 			}
-		case "incarnation":
-			z.incarnation, bts, err = msgp.ReadUint64Bytes(bts)
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Occupancy) Msgsize() (s int) {
+	s = 1 + 5 + msgp.IntSize + 6 + msgp.IntSize + 14 + msgp.Int64Size + 12 + msgp.Int64Size
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z Pace) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "queueMs"
+	o = append(o, 0x82, 0xa7, 0x71, 0x75, 0x65, 0x75, 0x65, 0x4d, 0x73)
+	o = msgp.AppendInt64(o, z.queueMs)
+	// string "firstTokenMs"
+	o = append(o, 0xac, 0x66, 0x69, 0x72, 0x73, 0x74, 0x54, 0x6f, 0x6b, 0x65, 0x6e, 0x4d, 0x73)
+	o = msgp.AppendInt64(o, z.firstTokenMs)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Pace) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "queueMs":
+			z.queueMs, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "incarnation")
+				err = msgp.WrapError(err, "queueMs")
 				return
 			}
 		case "firstTokenMs":
@@ -1078,12 +1283,6 @@
 				err = msgp.WrapError(err, "firstTokenMs")
 				return
 			}
-		case "crashes":
-			z.crashes, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "crashes")
-				return
-			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1097,8 +1296,8 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Load) Msgsize() (s int) {
-	s = 1 + 8 + msgp.StringPrefixSize + len(z.service) + 5 + msgp.IntSize + 6 + msgp.IntSize + 5 + msgp.BoolSize + 14 + msgp.Int64Size + 12 + msgp.Int64Size + 8 + msgp.Int64Size + 8 + msgp.BoolSize + 12 + msgp.Uint64Size + 13 + msgp.Int64Size + 8 + msgp.Uint64Size
+func (z Pace) Msgsize() (s int) {
+	s = 1 + 8 + msgp.Int64Size + 13 + msgp.Int64Size
 	return
 }
 
--- /dev/null
+++ b/core/connection/peer/conn.go
@@ -0,0 +1,256 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/semaphore"
+
+	"goldcrestshore/core/connection/frame"
+	"goldcrestshore/core/process/clock"
+	"goldcrestshore/core/process/ring"
+)
+
+// Errors that end a connection.
+var (
+	ErrClosed = errors.New("peer connection is closed")
+	ErrSilent = errors.New("peer connection is silent")
+)
+
+const (
+	// DefaultInterval is the time between heartbeats.
+	DefaultInterval = 1 * clock.Second
+	// DefaultSilence is the time without any frame after which a connection is
+	// taken as dead: something between the ends may have lost track of it.
+	DefaultSilence = 2 * clock.Second
+
+	handshakeTimeout = 2 * clock.Second
+	// sendQueueFrames and sendQueueBytes bound what waits for a slow peer.
+	sendQueueFrames = 1024
+	sendQueueBytes  = 2 * frame.MaxBodyBytes
+	bufferBytes     = 16 << 10
+)
+
+// Handler receives the frames of one connection in order. It must not block on
+// the peer.
+type Handler func(id frame.ID, m frame.Message)
+
+// Conn is an authenticated connection. Exported fields are set before Run.
+type Conn struct {
+	// Handle receives every frame except heartbeats.
+	Handle Handler
+	// OnHeartbeat receives the peer's heartbeats; it may be nil.
+	OnHeartbeat func(*frame.Heartbeat)
+	// Heartbeat makes the next heartbeat; nil sends an empty one.
+	Heartbeat func() *frame.Heartbeat
+	// OnUnknownKind is told of each skipped frame; it may be nil.
+	OnUnknownKind func(error)
+	// Interval is the time between heartbeats.
+	Interval clock.Millis
+	// Silence is the time without a frame after which the connection is closed.
+	Silence clock.Millis
+
+	conn     net.Conn
+	peer     Identity
+	queue    *ring.Ring[[]byte]
+	bytes    *semaphore.Weighted
+	done     chan struct{}
+	close    sync.Once
+	received atomic.Uint64
+}
+
+// Dial connects to a listener and authenticates both ends.
+func Dial(ctx context.Context, address string, self Identity, key []byte) (*Conn, error) {
+	dialer := net.Dialer{Timeout: handshakeTimeout.Duration()}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "dial %s", address)
+	}
+	return authenticate(conn, self, key, true)
+}
+
+// Accept authenticates a connection that a listener has accepted.
+func Accept(conn net.Conn, self Identity, key []byte) (*Conn, error) {
+	return authenticate(conn, self, key, false)
+}
+
+func authenticate(conn net.Conn, self Identity, key []byte, dialer bool) (*Conn, error) {
+	_ = conn.SetDeadline(time.Now().Add(handshakeTimeout.Duration()))
+	theirs, err := greet(conn, self, key, dialer)
+	if err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	_ = conn.SetDeadline(time.Time{})
+	return &Conn{
+		Interval: DefaultInterval,
+		Silence:  DefaultSilence,
+		conn:     conn,
+		peer:     theirs,
+		queue:    ring.New[[]byte](sendQueueFrames),
+		bytes:    semaphore.NewWeighted(sendQueueBytes),
+		done:     make(chan struct{}),
+	}, nil
+}
+
+// Peer returns the identity that the other end has proved.
+func (c *Conn) Peer() Identity { return c.peer }
+
+// Done is closed when the connection has ended.
+func (c *Conn) Done() <-chan struct{} { return c.done }
+
+// Close ends the connection; Run then returns.
+func (c *Conn) Close() {
+	c.close.Do(func() {
+		close(c.done)
+		_ = c.conn.Close()
+	})
+}
+
+// Send queues m, waiting while the queue is full. It returns ErrClosed when the
+// connection has ended; a nil error does not mean that the peer received m.
+func (c *Conn) Send(id frame.ID, m frame.Message) error {
+	b, err := frame.Append(nil, id, m)
+	if err != nil {
+		return err
+	}
+	if err := c.acquire(int64(len(b))); err != nil {
+		return err
+	}
+	if !c.queue.Put(c.done, b) {
+		return ErrClosed
+	}
+	return nil
+}
+
+// acquire waits for n queued bytes to be free.
+func (c *Conn) acquire(n int64) error {
+	if c.bytes.TryAcquire(n) {
+		return nil
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		select {
+		case <-c.done:
+			cancel()
+		case <-stop:
+		}
+	}()
+	if err := c.bytes.Acquire(ctx, n); err != nil {
+		return ErrClosed
+	}
+	return nil
+}
+
+// Run reads, writes and watches the connection until it ends or ctx is done,
+// and returns the reason.
+func (c *Conn) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(c.readFrames)
+	group.Go(c.writeFrames)
+	group.Go(func() error { return c.watch(ctx) })
+	group.Go(func() error {
+		<-ctx.Done()
+		c.Close()
+		return ctx.Err()
+	})
+	err := group.Wait()
+	c.Close()
+	return err
+}
+
+func (c *Conn) readFrames() error {
+	r := bufio.NewReaderSize(c.conn, bufferBytes)
+	for {
+		id, m, err := frame.Read(r)
+		if errors.Is(err, frame.ErrUnknownKind) {
+			c.received.Add(1)
+			if c.OnUnknownKind != nil {
+				c.OnUnknownKind(err)
+			}
+			continue
+		}
+		if err != nil {
+			return errors.Wrap(err, "read frame")
+		}
+		c.received.Add(1)
+		c.dispatch(id, m)
+	}
+}
+
+func (c *Conn) dispatch(id frame.ID, m frame.Message) {
+	beat, ok := m.(*frame.Heartbeat)
+	if !ok {
+		c.Handle(id, m)
+		return
+	}
+	if c.OnHeartbeat != nil {
+		c.OnHeartbeat(beat)
+	}
+}
+
+func (c *Conn) writeFrames() error {
+	w := bufio.NewWriterSize(c.conn, bufferBytes)
+	for {
+		var b []byte
+		select {
+		case <-c.done:
+			return ErrClosed
+		case b = <-c.queue.Items():
+		}
+		_ = c.conn.SetWriteDeadline(time.Now().Add(c.Silence.Duration()))
+		_, err := w.Write(b)
+		c.bytes.Release(int64(len(b)))
+		if err == nil && c.queue.Len() == 0 {
+			err = w.Flush()
+		}
+		if err != nil {
+			return errors.Wrap(err, "write frame")
+		}
+	}
+}
+
+// watch sends heartbeats and ends the connection when the peer is silent.
+func (c *Conn) watch(ctx context.Context) error {
+	ticker := time.NewTicker(c.Interval.Duration())
+	defer ticker.Stop()
+	seen, since := c.received.Load(), time.Now()
+	if err := c.sendHeartbeat(); err != nil {
+		return err
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-c.done:
+			return ErrClosed
+		case <-ticker.C:
+		}
+		if n := c.received.Load(); n != seen {
+			seen, since = n, time.Now()
+		}
+		if time.Since(since) >= c.Silence.Duration() {
+			return ErrSilent
+		}
+		if err := c.sendHeartbeat(); err != nil {
+			return err
+		}
+	}
+}
+
+func (c *Conn) sendHeartbeat() error {
+	beat := frame.NewHeartbeat(0, frame.Load{})
+	if c.Heartbeat != nil {
+		beat = c.Heartbeat()
+	}
+	return c.Send(frame.ID{}, beat)
+}
--- /dev/null
+++ b/core/connection/peer/failure.go
@@ -0,0 +1,27 @@
+package peer
+
+import (
+	"github.com/cockroachdb/errors"
+
+	"goldcrestshore/core/connection/frame"
+	"goldcrestshore/core/process/event"
+)
+
+// LogEnd writes the event that describes why a connection ended.
+func LogEnd(log *event.Log, err error, peer string) {
+	log.Error(failureEvent(err), err, event.Fields{"peer": peer})
+}
+
+func failureEvent(err error) event.Event {
+	switch {
+	case errors.Is(err, ErrAuthentication):
+		return event.PeerRefusedKey
+	case errors.Is(err, ErrSilent):
+		return event.PeerSilent
+	case errors.Is(err, frame.ErrVersion):
+		return event.PeerUnknownVersion
+	case errors.Is(err, frame.ErrMalformed), errors.Is(err, frame.ErrTooLarge):
+		return event.PeerMalformed
+	}
+	return event.PeerLost
+}
--- /dev/null
+++ b/core/connection/peer/listener.go
@@ -0,0 +1,55 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/net/netutil"
+
+	"goldcrestshore/core/process/event"
+)
+
+// maxConnections bounds the connections of one listener: 350 entries, some
+// peers of other duties, and room for half-open ones.
+const maxConnections = 1024
+
+// Listener accepts authenticated connections. Exported fields are set before Run.
+type Listener struct {
+	Self Identity
+	Key  []byte
+	Log  *event.Log
+	// Serve sets the fields of a new connection and runs it.
+	Serve func(ctx context.Context, c *Conn)
+}
+
+// Run accepts connections from l until ctx is done, then waits for all of them
+// to end.
+func (s *Listener) Run(ctx context.Context, l net.Listener) error {
+	limited := netutil.LimitListener(l, maxConnections)
+	stop := context.AfterFunc(ctx, func() { _ = limited.Close() })
+	defer stop()
+	var serving sync.WaitGroup
+	defer serving.Wait()
+	for {
+		conn, err := limited.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return errors.Wrap(err, "accept peer connection")
+		}
+		serving.Go(func() { s.serve(ctx, conn) })
+	}
+}
+
+func (s *Listener) serve(ctx context.Context, conn net.Conn) {
+	c, err := Accept(conn, s.Self, s.Key)
+	if err != nil {
+		s.Log.Error(failureEvent(err), err, event.Fields{"address": conn.RemoteAddr().String()})
+		return
+	}
+	defer c.Close()
+	s.Serve(ctx, c)
+}
--- /dev/null
+++ b/core/connection/peer/peer_test.go
@@ -0,0 +1,98 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"testing"
+
+	"goldcrestshore/core/connection/frame"
+	"goldcrestshore/core/process/check"
+	"goldcrestshore/core/process/clock"
+)
+
+type ends struct {
+	dialer, listener *Conn
+	dialErr, listErr error
+}
+
+// connect authenticates two ends over an in-memory pipe.
+func connect(t *testing.T, dialKey, listenKey string) ends {
+	t.Helper()
+	a, b := tcpPair(t)
+	var e ends
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		e.listener, e.listErr = Accept(b, NewIdentity("agent", "a1", "bilbao"), []byte(listenKey))
+	}()
+	e.dialer, e.dialErr = authenticate(a, NewIdentity("entry", "e1", "oviedo"), []byte(dialKey), true)
+	<-done
+	return e
+}
+
+func tcpPair(t *testing.T) (net.Conn, net.Conn) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	check.NoError(t, "Listen", err)
+	defer l.Close()
+	a, err := net.Dial("tcp", l.Addr().String())
+	check.NoError(t, "Dial", err)
+	b, err := l.Accept()
+	check.NoError(t, "Accept", err)
+	t.Cleanup(func() { _ = a.Close(); _ = b.Close() })
+	return a, b
+}
+
+func TestHandshake(t *testing.T) {
+	t.Run("same key", func(t *testing.T) {
+		e := connect(t, "k", "k")
+		check.NoError(t, "dialer", e.dialErr)
+		check.NoError(t, "listener", e.listErr)
+		check.Equal(t, "listener sees", e.listener.Peer().Instance(), "e1")
+		check.Equal(t, "dialer sees", e.dialer.Peer().DataCentre(), "bilbao")
+	})
+	t.Run("wrong key is refused by both ends", func(t *testing.T) {
+		e := connect(t, "k", "other")
+		check.Is(t, "dialer", e.dialErr, ErrAuthentication)
+		check.Is(t, "listener", e.listErr, ErrAuthentication)
+	})
+	t.Run("a proof returned to its maker is refused", func(t *testing.T) {
+		h, err := newHello(NewIdentity("entry", "e1", "x"))
+		check.NoError(t, "newHello", err)
+		b, err := frame.Append(nil, frame.ID{}, h)
+		check.NoError(t, "Append", err)
+		check.Equal(t, "equal proofs", bytes.Equal(mac([]byte("k"), dialerLabel, b, b), mac([]byte("k"), listenerLabel, b, b)), false)
+	})
+}
+
+func TestRunCarriesFramesInOrder(t *testing.T) {
+	e := connect(t, "k", "k")
+	got := make(chan int64, 100)
+	e.listener.Handle = func(_ frame.ID, m frame.Message) { got <- m.(*frame.Credit).Offset() }
+	e.dialer.Handle = func(frame.ID, frame.Message) {}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{}, 2)
+	for _, c := range []*Conn{e.dialer, e.listener} {
+		go func() { _ = c.Run(ctx); ended <- struct{}{} }()
+	}
+	for i := range int64(100) {
+		check.NoError(t, "Send", e.dialer.Send(frame.NewID(1, 1), frame.NewCredit(i)))
+	}
+	for i := range int64(100) {
+		check.Equal(t, "offset", <-got, i)
+	}
+	cancel()
+	<-ended
+	<-ended
+	check.Is(t, "Send after the end", e.dialer.Send(frame.ID{}, frame.NewCredit(1)), ErrClosed)
+}
+
+// Guards against a connection that stays in use after it went silent: the peer
+// neither closes nor answers.
+func TestSilentPeerEndsRun(t *testing.T) {
+	e := connect(t, "k", "k")
+	e.dialer.Handle = func(frame.ID, frame.Message) {}
+	e.dialer.Interval, e.dialer.Silence = 5*clock.Millis(1), 20*clock.Millis(1)
+	check.Is(t, "Run", e.dialer.Run(context.Background()), ErrSilent)
+}
--- a/core/process/settings/settings.go
+++ b/core/process/settings/settings.go
@@ -36,11 +36,11 @@
 	}
 	plain, err := hujson.Standardize(raw)
 	if err != nil {
-		return errors.Mark(errors.Wrap(err, "settings file"), ErrSyntax)
+		return errors.Wrapf(ErrSyntax, "%v", err)
 	}
 	var fields map[string]json.RawMessage
 	if err := json.Unmarshal(plain, &fields); err != nil {
-		return errors.Mark(errors.Wrap(err, "settings file"), ErrSyntax)
+		return errors.Wrapf(ErrSyntax, "%v", err)
 	}
 	for name, value := range fields {
 		if err := setAll(name, value, set); err != nil {
@@ -58,7 +58,7 @@
 	}
 	for _, item := range list {
 		if err := set(name, scalar(item)); err != nil {
-			return errors.Mark(errors.Wrapf(err, "setting %q", name), ErrUnknown)
+			return errors.Wrapf(ErrUnknown, "%q: %v", name, err)
 		}
 	}
 	return nil
