Add the agent's answer stream and upstream client

Cause: the agent needs bounded answers that survive a lost connection, and calls that the HTTP library never repeats.

--- a/agent/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package agent is the root of its module.
-package agent
--- /dev/null
+++ b/agent/request/upstream/client.go
@@ -0,0 +1,188 @@
+// Package upstream runs calls on the engine or plain service beside the agent.
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/zeromicro/go-zero/core/breaker"
+	"github.com/zeromicro/go-zero/rest/httpc"
+
+	"goldcrestshore/core/connection/frame"
+)
+
+// Errors of Run.
+var (
+	// ErrNotStarted reports a call that the upstream cannot have received.
+	ErrNotStarted = errors.New("upstream did not receive the call")
+	// ErrBroken reports an answer that ended before it was complete.
+	ErrBroken = errors.New("upstream broke off the answer")
+	// ErrMalformed reports an event stream that does not follow its format.
+	ErrMalformed = errors.New("upstream sent a malformed event stream")
+)
+
+const (
+	dialTimeout = 1 * time.Second
+	// idleConnections bounds the kept-alive connections to the upstream.
+	idleConnections = 64
+	copyBytes       = 4 << 10
+)
+
+// Headers of the engine's interface.
+const (
+	requestIDHeader    = "X-Request-Id"
+	priorityHeader     = "X-Priority"
+	resumeHeader       = "X-Resume-Offset"
+	incarnationHeader  = "X-Incarnation"
+	eventStreamType    = "text/event-stream"
+	contentTypeHeader  = "Content-Type"
+	contentLenHeader   = "Content-Length"
+	idempotencyHeader  = "Idempotency-Key"
+	idempotencyHeaderX = "X-Idempotency-Key"
+)
+
+// hopHeaders belong to one connection and are not passed on.
+var hopHeaders = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Te": true, "Trailer": true,
+	"Transfer-Encoding": true, "Upgrade": true, contentLenHeader: true,
+}
+
+// Answer receives the upstream's answer.
+type Answer interface {
+	Head(head *frame.AnswerHead)
+	io.Writer
+}
+
+// Client calls one upstream.
+type Client struct {
+	address    string
+	repeatable httpc.Service
+	single     httpc.Service
+}
+
+// New returns a client of the upstream at address, an IP and a port.
+//
+// Non-idempotent calls use a transport without kept-alive connections: on a
+// reused connection http.Transport may send a request a second time by itself.
+// The library's circuit breaker is switched off because a refusal to call an
+// upstream is a decision of admission.
+func New(address string) *Client {
+	name := "upstream " + address
+	breaker.NoBreakerFor(name)
+	dial := (&net.Dialer{Timeout: dialTimeout}).DialContext
+	repeatable := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: idleConnections, DisableCompression: true}
+	single := &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}
+	return &Client{
+		address:    address,
+		repeatable: httpc.NewServiceWithClient(name, &http.Client{Transport: repeatable, CheckRedirect: noRedirect}),
+		single:     httpc.NewServiceWithClient(name, &http.Client{Transport: single, CheckRedirect: noRedirect}),
+	}
+}
+
+// noRedirect hands a redirection to the caller; following it could run the
+// call a second time.
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+// Run performs the call of m as request id and copies the answer. A streamed
+// answer that breaks off is resumed where the engine still holds it.
+func (c *Client) Run(ctx context.Context, id string, m *frame.Submit, answer Answer) error {
+	response, err := c.send(ctx, id, m, 0)
+	if err != nil {
+		return err
+	}
+	answer.Head(frame.NewAnswerHead(response.StatusCode, forwardHeader(response.Header)))
+	if !isEventStream(response) {
+		defer response.Body.Close()
+		return copyWhole(answer, response)
+	}
+	return c.copyEvents(ctx, id, m, answer, response)
+}
+
+func (c *Client) send(ctx context.Context, id string, m *frame.Submit, resumeAt int) (*http.Response, error) {
+	request, err := c.newRequest(ctx, id, m, resumeAt)
+	if err != nil {
+		return nil, errors.Wrapf(ErrNotStarted, "build request: %v", err)
+	}
+	service := c.single
+	if m.Terms().Idempotent() {
+		service = c.repeatable
+	}
+	response, err := service.DoRequest(request)
+	if err != nil {
+		return nil, classify(err)
+	}
+	return response, nil
+}
+
+func (c *Client) newRequest(ctx context.Context, id string, m *frame.Submit, resumeAt int) (*http.Request, error) {
+	call := m.Call()
+	url := "http://" + c.address + call.Path()
+	request, err := http.NewRequestWithContext(ctx, call.Method(), url, bytes.NewReader(call.Body()))
+	if err != nil {
+		return nil, err
+	}
+	for _, f := range call.Header() {
+		request.Header.Add(f.Name(), f.Value())
+	}
+	request.Header.Set(requestIDHeader, id)
+	request.Header.Set(priorityHeader, strconv.Itoa(m.Terms().Priority()))
+	if resumeAt > 0 {
+		request.Header.Set(resumeHeader, strconv.Itoa(resumeAt))
+	}
+	if !m.Terms().Idempotent() {
+		request.GetBody = nil
+		request.Header.Del(idempotencyHeader)
+		request.Header.Del(idempotencyHeaderX)
+	}
+	return request, nil
+}
+
+// classify tells a call that never reached the upstream from one that may have.
+func classify(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return errors.Wrapf(ErrNotStarted, "%v", err)
+	}
+	return errors.Wrapf(ErrBroken, "%v", err)
+}
+
+func forwardHeader(h http.Header) []frame.Field {
+	var fields []frame.Field
+	for name, values := range h {
+		if hopHeaders[name] {
+			continue
+		}
+		for _, v := range values {
+			fields = append(fields, frame.NewField(name, v))
+		}
+	}
+	return fields
+}
+
+func isEventStream(r *http.Response) bool {
+	return strings.HasPrefix(r.Header.Get(contentTypeHeader), eventStreamType)
+}
+
+func copyWhole(answer Answer, r *http.Response) error {
+	n, err := io.CopyBuffer(answerOnly{answer}, r.Body, make([]byte, copyBytes))
+	if err != nil {
+		return errors.Wrapf(ErrBroken, "after %d bytes: %v", n, err)
+	}
+	return nil
+}
+
+// answerOnly hides other methods of an Answer from io.CopyBuffer.
+type answerOnly struct{ io.Writer }
+
+// RequestID formats a request id for the upstream's header.
+func RequestID(id frame.ID) string {
+	return fmt.Sprintf("%016x-%d", id.Incarnation(), id.Sequence())
+}
--- /dev/null
+++ b/agent/request/upstream/events.go
@@ -0,0 +1,109 @@
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"goldcrestshore/core/connection/frame"
+)
+
+const (
+	// maxEventBytes bounds one line of an event stream.
+	maxEventBytes = 64 << 10
+	// maxResumes bounds how often one answer is taken up again after a broken
+	// connection to an engine that is still the same.
+	maxResumes = 3
+)
+
+var (
+	dataPrefix = []byte("data:")
+	doneMarker = []byte("[DONE]")
+)
+
+// copyEvents copies a checked event stream without its final [DONE] event,
+// which the entry adds once it has verified the whole answer.
+func (c *Client) copyEvents(ctx context.Context, id string, m *frame.Submit, answer Answer, response *http.Response) error {
+	incarnation := response.Header.Get(incarnationHeader)
+	copied := 0
+	for attempt := 0; ; attempt++ {
+		n, err := copyEventsOnce(answer, response.Body)
+		_ = response.Body.Close()
+		copied += n
+		if err == nil || !errors.Is(err, ErrBroken) || ctx.Err() != nil {
+			return err
+		}
+		if attempt == maxResumes || incarnation == "" || copied == 0 {
+			return err
+		}
+		next, sendErr := c.send(ctx, id, m, copied)
+		if sendErr != nil {
+			return errors.Wrapf(ErrBroken, "resume at %d: %v", copied, sendErr)
+		}
+		// Another incarnation may continue with different text, so its part
+		// must not be joined to what the caller already has.
+		if next.StatusCode != response.StatusCode || next.Header.Get(incarnationHeader) != incarnation {
+			_ = next.Body.Close()
+			return errors.Wrapf(ErrBroken, "engine was replaced after %d events", copied)
+		}
+		response = next
+	}
+}
+
+// copyEventsOnce copies whole events and returns how many.
+func copyEventsOnce(answer Answer, body io.Reader) (int, error) {
+	lines := bufio.NewScanner(body)
+	lines.Buffer(make([]byte, 0, copyBytes), maxEventBytes)
+	events := 0
+	var event []byte
+	for lines.Scan() {
+		line := lines.Bytes()
+		if len(line) > 0 {
+			done, err := checkLine(line)
+			if err != nil {
+				return events, err
+			}
+			if done {
+				return events, nil
+			}
+			event = append(append(event, line...), '\n')
+			continue
+		}
+		if len(event) == 0 {
+			continue
+		}
+		if _, err := answer.Write(append(event, '\n')); err != nil {
+			return events, err
+		}
+		event = event[:0]
+		events++
+	}
+	if errors.Is(lines.Err(), bufio.ErrTooLong) {
+		return events, errors.Wrapf(ErrMalformed, "line over %d bytes", maxEventBytes)
+	}
+	return events, errors.Wrapf(ErrBroken, "after %d events: %v", events, lines.Err())
+}
+
+// checkLine reports whether line is the final event.
+func checkLine(line []byte) (bool, error) {
+	if line[0] == ':' {
+		return false, nil
+	}
+	data, ok := bytes.CutPrefix(line, dataPrefix)
+	if !ok {
+		return false, errors.Wrap(ErrMalformed, "line is neither data nor a comment")
+	}
+	data = bytes.TrimSpace(data)
+	if bytes.Equal(data, doneMarker) {
+		return true, nil
+	}
+	if !json.Valid(data) {
+		return false, errors.Wrap(ErrMalformed, "data is not JSON")
+	}
+	return false, nil
+}
--- /dev/null
+++ b/agent/request/upstream/upstream_test.go
@@ -0,0 +1,164 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"goldcrestshore/core/connection/frame"
+	"goldcrestshore/core/process/check"
+)
+
+type recorded struct {
+	status int
+	body   bytes.Buffer
+}
+
+func (r *recorded) Head(h *frame.AnswerHead)    { r.status = h.Status() }
+func (r *recorded) Write(p []byte) (int, error) { return r.body.Write(p) }
+
+func call(method string, idempotent bool) *frame.Submit {
+	c := frame.NewCall(method, "/x", []frame.Field{frame.NewField(idempotencyHeader, "k")}, []byte("body"))
+	return frame.NewSubmit("s", "c", c, frame.NewTerms(1000, 0, idempotent, false, ""), frame.NewSize(1, 1), 1)
+}
+
+func run(t *testing.T, address string, m *frame.Submit) (*recorded, error) {
+	t.Helper()
+	var r recorded
+	err := New(address).Run(context.Background(), "id", m, &r)
+	return &r, err
+}
+
+func serve(t *testing.T, h http.HandlerFunc) string {
+	t.Helper()
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+func events(lines ...string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(contentTypeHeader, eventStreamType)
+		for _, l := range lines {
+			_, _ = io.WriteString(w, l+"\n\n")
+		}
+	}
+}
+
+func TestWholeAnswer(t *testing.T) {
+	r, err := run(t, serve(t, func(w http.ResponseWriter, q *http.Request) {
+		check.Equal(t, "Idempotency-Key", q.Header.Get(idempotencyHeader), "")
+		w.WriteHeader(http.StatusTeapot)
+		_, _ = io.WriteString(w, "hello")
+	}), call("POST", false))
+	check.NoError(t, "Run", err)
+	check.Equal(t, "status", r.status, http.StatusTeapot)
+	check.Equal(t, "body", r.body.String(), "hello")
+}
+
+func TestEventStream(t *testing.T) {
+	t.Run("the final event is withheld", func(t *testing.T) {
+		r, err := run(t, serve(t, events(`data: {"a":1}`, ": comment", "data: [DONE]")), call("POST", true))
+		check.NoError(t, "Run", err)
+		check.Equal(t, "body", r.body.String(), "data: {\"a\":1}\n\n: comment\n\n")
+	})
+	cases := []struct {
+		name string
+		line string
+		want error
+	}{
+		{"not JSON", "data: {", ErrMalformed},
+		{"not a field", "dat: {}", ErrMalformed},
+		{"oversized line", "data: \"" + strings.Repeat("x", maxEventBytes) + "\"", ErrMalformed},
+		{"no final event", `data: {}`, ErrBroken},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := run(t, serve(t, events(c.line)), call("POST", true))
+			check.Is(t, "Run", err, c.want)
+		})
+	}
+}
+
+// Guards against an answer spliced from two incarnations of an engine.
+func TestResumeOnlyOnTheSameIncarnation(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		second string
+		want   error
+	}{{"same", "1", nil}, {"replaced", "2", ErrBroken}} {
+		t.Run(c.name, func(t *testing.T) {
+			var calls atomic.Int32
+			address := serve(t, func(w http.ResponseWriter, q *http.Request) {
+				w.Header().Set(contentTypeHeader, eventStreamType)
+				if calls.Add(1) == 1 {
+					w.Header().Set(incarnationHeader, "1")
+					_, _ = io.WriteString(w, "data: 1\n\n")
+					return
+				}
+				check.Equal(t, "resume offset", q.Header.Get(resumeHeader), "1")
+				w.Header().Set(incarnationHeader, c.second)
+				_, _ = io.WriteString(w, "data: 2\n\ndata: [DONE]\n\n")
+			})
+			r, err := run(t, address, call("POST", true))
+			check.Is(t, "Run", err, c.want)
+			if c.want == nil {
+				check.Equal(t, "body", r.body.String(), "data: 1\n\ndata: 2\n\n")
+			}
+		})
+	}
+}
+
+// Guards against http.Transport sending a non-idempotent call twice when a
+// kept-alive connection breaks after the upstream has read it.
+func TestNonIdempotentCallIsSentOnce(t *testing.T) {
+	for _, method := range []string{"GET", "POST", "PUT"} {
+		t.Run(method, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			check.NoError(t, "Listen", err)
+			var seen atomic.Int32
+			s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+				_, _ = io.ReadAll(q.Body)
+				if seen.Add(1) == 1 {
+					return
+				}
+				conn, _, err := http.NewResponseController(w).Hijack()
+				check.NoError(t, "Hijack", err)
+				_ = conn.Close()
+			})}
+			go func() { _ = s.Serve(l) }()
+			t.Cleanup(func() { _ = s.Close() })
+			client := New(l.Addr().String())
+			var r recorded
+			check.NoError(t, "first Run", client.Run(context.Background(), "1", call(method, false), &r))
+			check.Is(t, "second Run", client.Run(context.Background(), "2", call(method, false), &r), ErrBroken)
+			check.Equal(t, "calls seen", seen.Load(), 2)
+		})
+	}
+}
+
+func TestRefusedConnectionIsNotStarted(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	check.NoError(t, "Listen", err)
+	address := l.Addr().String()
+	_ = l.Close()
+	_, err = run(t, address, call("POST", false))
+	check.Is(t, "Run", err, ErrNotStarted)
+}
+
+// Guards against the library's circuit breaker refusing calls after a run of
+// 5xx answers.
+func TestNoBreakerAfterServerErrors(t *testing.T) {
+	address := serve(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) })
+	for range 200 {
+		r, err := run(t, address, call("POST", false))
+		check.NoError(t, "Run", err)
+		check.Equal(t, "status", r.status, http.StatusInternalServerError)
+	}
+}
