Refuse to send on a peer connection that has ended

Cause: TestRunCarriesFramesInOrder failed once in make test: Send returned nil after the end, because its select chose the free queue over the closed channel.

Change: Send checks for the end before it queues.

Conclusion: a sender learns at once that the connection has ended.

--- a/core/connection/peer/conn.go
+++ b/core/connection/peer/conn.go
@@ -116,6 +116,11 @@
 // Send queues m, waiting while the queue is full. It returns ErrClosed when the
 // connection has ended; a nil error does not mean that the peer received m.
 func (c *Conn) Send(id frame.ID, m frame.Message) error {
+	select {
+	case <-c.done:
+		return ErrClosed
+	default:
+	}
 	b, err := frame.Append(nil, id, m)
 	if err != nil {
 		return err
