Add adoption of versions and a first relay client

Cause: the programs need one place that holds the configuration, the out marks and the instance list, and a rule for what to adopt and when to serve.

Change: core/version/adopt decides without I/O; core/version/mark names the marks; relay.Client gives Current and Changed. This first client watches the platform itself; relays follow behind the same calls.

Figures: 200 seeded sequences of 100 offers each; the version in force was always the highest offered one.

Conclusion: the programs can be wired against relay.Client.

--- /dev/null
+++ b/core/version/adopt/adopt.go
@@ -0,0 +1,179 @@
+// Package adopt decides which configuration version a process has in force and
+// when it may serve. It has no I/O and no clock of its own.
+package adopt
+
+import (
+	"goldcrestshore/core/process/clock"
+	"goldcrestshore/core/version/text"
+)
+
+const (
+	// Confirmations is the number of relays whose word replaces the platform's.
+	Confirmations = 2
+	// HearWindow is how long a process listens for a second relay while the
+	// platform is down. It is the bound within which an accepted change must be
+	// in force.
+	HearWindow = 3 * clock.Second
+	// maxRelays bounds the relays that are remembered before the process is ready.
+	maxRelays = 64
+)
+
+// Event is what a process learns about configuration versions.
+type Event interface {
+	event()
+}
+
+// Offer is a whole text with its version, from the platform or from a relay.
+type Offer struct {
+	At      clock.Millis
+	Relay   string // the relay's instance, empty for the platform
+	Version uint64
+	Value   []byte
+}
+
+// Told is a version that a relay says it has in force.
+type Told struct {
+	At      clock.Millis
+	Relay   string
+	Version uint64
+}
+
+// PlatformFailed is a failed call to the platform.
+type PlatformFailed struct {
+	At clock.Millis
+}
+
+// Tick lets time pass.
+type Tick struct {
+	At clock.Millis
+}
+
+func (Offer) event()          {}
+func (Told) event()           {}
+func (PlatformFailed) event() {}
+func (Tick) event()           {}
+
+// Action is what the process does in response.
+type Action interface {
+	action()
+}
+
+// Adopt puts a text in force.
+type Adopt struct {
+	Version uint64
+	Text    *text.Text
+}
+
+// Reject reports a version that failed its check; the version before it stays.
+type Reject struct {
+	Version uint64
+	Err     error
+}
+
+// Ready tells that the version in force is confirmed and the process may serve.
+type Ready struct{}
+
+func (Adopt) action()  {}
+func (Reject) action() {}
+func (Ready) action()  {}
+
+// Adopter holds the version in force. The zero value holds none.
+type Adopter struct {
+	version  uint64 // in force
+	rejected uint64 // highest version that failed its check
+	known    uint64 // highest version that anyone has spoken of
+	ready    bool
+
+	platformTold bool
+	failingSince clock.Millis
+	failing      bool
+	relays       map[string]bool
+}
+
+// Version returns the version in force, 0 for none.
+func (a *Adopter) Version() uint64 { return a.version }
+
+// Ready tells whether the version in force is confirmed.
+func (a *Adopter) Ready() bool { return a.ready }
+
+// Behind tells whether a version above the one in force was spoken of and has
+// neither arrived nor been rejected.
+func (a *Adopter) Behind() bool { return a.known > a.version && a.known > a.rejected }
+
+// Step takes one event and returns the actions to carry out in order.
+func (a *Adopter) Step(e Event) []Action {
+	switch e := e.(type) {
+	case Offer:
+		return a.offer(e)
+	case Told:
+		a.hear(e.Relay, e.Version)
+		return a.confirm(e.At)
+	case PlatformFailed:
+		a.fail(e.At)
+		return a.confirm(e.At)
+	case Tick:
+		return a.confirm(e.At)
+	}
+	return nil
+}
+
+func (a *Adopter) offer(o Offer) []Action {
+	if o.Relay == "" {
+		a.platformTold, a.failing = true, false
+		a.known = max(a.known, o.Version)
+	} else {
+		a.hear(o.Relay, o.Version)
+	}
+	return append(a.take(o), a.confirm(o.At)...)
+}
+
+// take adopts a higher version. Each version is checked once: a version names
+// one text for all time.
+func (a *Adopter) take(o Offer) []Action {
+	if o.Version <= a.version || o.Version <= a.rejected {
+		return nil
+	}
+	parsed, err := text.Parse(o.Value)
+	if err != nil {
+		a.rejected = o.Version
+		return []Action{Reject{o.Version, err}}
+	}
+	a.version = o.Version
+	return []Action{Adopt{o.Version, parsed}}
+}
+
+// hear counts a relay towards readiness once it has a version to tell.
+func (a *Adopter) hear(relay string, version uint64) {
+	if version == 0 {
+		return
+	}
+	a.known = max(a.known, version)
+	if a.ready || len(a.relays) >= maxRelays {
+		return
+	}
+	if a.relays == nil {
+		a.relays = make(map[string]bool)
+	}
+	a.relays[relay] = true
+}
+
+func (a *Adopter) fail(at clock.Millis) {
+	if !a.failing {
+		a.failing, a.failingSince = true, at
+	}
+}
+
+func (a *Adopter) confirm(at clock.Millis) []Action {
+	if a.ready || a.version == 0 || a.Behind() || !a.confirmed(at) {
+		return nil
+	}
+	a.ready, a.relays = true, nil
+	return []Action{Ready{}}
+}
+
+func (a *Adopter) confirmed(at clock.Millis) bool {
+	if a.platformTold || len(a.relays) >= Confirmations {
+		return true
+	}
+	return a.failing && len(a.relays) > 0 && at-a.failingSince >= HearWindow
+}
--- /dev/null
+++ b/core/version/adopt/adopt_test.go
@@ -0,0 +1,124 @@
+package adopt
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"goldcrestshore/core/process/check"
+	"goldcrestshore/core/process/clock"
+	"goldcrestshore/core/version/text"
+)
+
+// valid returns a text that differs for each version.
+func valid(version uint64) []byte {
+	return fmt.Appendf(nil, `{"dataCentres":[],"services":[],"models":[{"name":"v%d"}]}`, version)
+}
+
+func assertActions(t *testing.T, what string, got []Action, want ...string) {
+	t.Helper()
+	check.Equal(t, what+": number of actions", len(got), len(want))
+	for i := range min(len(got), len(want)) {
+		check.Equal(t, what, describe(got[i]), want[i])
+	}
+}
+
+func describe(a Action) string {
+	switch a := a.(type) {
+	case Adopt:
+		return fmt.Sprintf("adopt %d", a.Version)
+	case Reject:
+		return fmt.Sprintf("reject %d", a.Version)
+	case Ready:
+		return "ready"
+	}
+	return "unknown"
+}
+
+// Guards against serving on a configuration that nobody has confirmed.
+func TestReadiness(t *testing.T) {
+	t.Run("platform", func(t *testing.T) {
+		var a Adopter
+		assertActions(t, "offer", a.Step(Offer{0, "", 5, valid(5)}), "adopt 5", "ready")
+	})
+	t.Run("two relays", func(t *testing.T) {
+		var a Adopter
+		assertActions(t, "first", a.Step(Offer{0, "r1", 5, valid(5)}), "adopt 5")
+		assertActions(t, "same relay again", a.Step(Offer{0, "r1", 5, valid(5)}))
+		assertActions(t, "second", a.Step(Told{0, "r2", 5}), "ready")
+	})
+	t.Run("second relay knows a higher version", func(t *testing.T) {
+		var a Adopter
+		a.Step(Offer{0, "r1", 5, valid(5)})
+		assertActions(t, "told", a.Step(Told{0, "r2", 6}))
+		check.Equal(t, "behind", a.Behind(), true)
+		assertActions(t, "offer", a.Step(Offer{0, "r2", 6, valid(6)}), "adopt 6", "ready")
+	})
+	t.Run("platform down and one relay", func(t *testing.T) {
+		var a Adopter
+		a.Step(PlatformFailed{100})
+		assertActions(t, "offer", a.Step(Offer{200, "r1", 5, valid(5)}), "adopt 5")
+		assertActions(t, "early", a.Step(Tick{100 + HearWindow - 1}))
+		assertActions(t, "later failure", a.Step(PlatformFailed{100 + HearWindow - 1}))
+		assertActions(t, "in time", a.Step(Tick{100 + HearWindow}), "ready")
+	})
+	t.Run("one relay while the platform is not known to be down", func(t *testing.T) {
+		var a Adopter
+		a.Step(Offer{0, "r1", 5, valid(5)})
+		assertActions(t, "tick", a.Step(Tick{clock.Hour}))
+	})
+	t.Run("relays without a configuration", func(t *testing.T) {
+		var a Adopter
+		a.Step(Told{0, "r1", 0})
+		assertActions(t, "told", a.Step(Told{0, "r2", 0}))
+	})
+}
+
+// Guards against a configuration that reverts: a late peer or a lagging reader
+// of the platform offers an old version.
+func TestOldVersionIsNotAdopted(t *testing.T) {
+	for _, relay := range []string{"", "r1"} {
+		t.Run("from "+relay, func(t *testing.T) {
+			var a Adopter
+			a.Step(Offer{0, "", 7, valid(7)})
+			assertActions(t, "older", a.Step(Offer{1, relay, 6, valid(6)}))
+			assertActions(t, "same", a.Step(Offer{1, relay, 7, valid(6)}))
+			check.Equal(t, "version", a.Version(), uint64(7))
+		})
+	}
+}
+
+// Guards against a bad text that replaces a good one or is parsed on each offer.
+func TestRejected(t *testing.T) {
+	var a Adopter
+	a.Step(Offer{0, "", 7, valid(7)})
+	actions := a.Step(Offer{1, "", 8, []byte("{")})
+	assertActions(t, "bad text", actions, "reject 8")
+	check.Is(t, "cause", actions[0].(Reject).Err, text.ErrSyntax)
+	assertActions(t, "again", a.Step(Offer{1, "r1", 8, []byte("{")}))
+	check.Equal(t, "version", a.Version(), uint64(7))
+	check.Equal(t, "behind", a.Behind(), false)
+	assertActions(t, "next", a.Step(Offer{1, "", 9, valid(9)}), "adopt 9")
+}
+
+// Guards against any order of offers that lowers the version in force or
+// withdraws readiness.
+func TestSeededOffers(t *testing.T) {
+	for seed := range uint64(200) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		var a Adopter
+		var highest uint64
+		wasReady := false
+		for at := range clock.Millis(100) {
+			version := random.Uint64N(50)
+			relay := []string{"", "r1", "r2", "r3"}[random.IntN(4)]
+			before := a.Version()
+			a.Step(Offer{at, relay, version, valid(version)})
+			highest = max(highest, version)
+			check.Equal(t, "reverted", a.Version() < before, false)
+			check.Equal(t, "not ready again", wasReady && !a.Ready(), false)
+			wasReady = a.Ready()
+		}
+		check.Equal(t, "in force", a.Version(), highest)
+	}
+}
--- /dev/null
+++ b/core/version/mark/mark_test.go
@@ -0,0 +1,21 @@
+package mark
+
+import (
+	"testing"
+
+	"goldcrestshore/core/process/check"
+)
+
+// Guards against a mark that is lost or changes its meaning between processes.
+func TestEncodeAndParse(t *testing.T) {
+	s := NewSet(DataCentre("oviedo"), Instance("oviedo"), DataCentre("bilbao"))
+	got, err := Parse(s.Encode())
+	check.NoError(t, "parse", err)
+	check.Equal(t, "encoding", string(got.Encode()), `["datacentre.bilbao","datacentre.oviedo","instance.oviedo"]`)
+	check.Equal(t, "data centre out", got.DataCentreOut("bilbao"), true)
+	check.Equal(t, "instance out", got.InstanceOut("bilbao"), false)
+	check.Equal(t, "data centres", len(got.DataCentres()), 2)
+	check.Equal(t, "instances", got.Instances()[0], "oviedo")
+	_, err = Parse([]byte("{"))
+	check.Is(t, "malformed", err, ErrMalformed)
+}
--- /dev/null
+++ b/core/version/relay/snapshot.go
@@ -0,0 +1,76 @@
+package relay
+
+import (
+	"bytes"
+	"encoding/json"
+	"slices"
+	"strings"
+
+	"goldcrestshore/core/connection/platform"
+	"goldcrestshore/core/version/mark"
+	"goldcrestshore/core/version/text"
+)
+
+// Snapshot is what a process holds at one moment. It does not change.
+type Snapshot struct {
+	ready     bool
+	config    held
+	text      *text.Text
+	out       held
+	marks     mark.Set
+	list      held
+	instances []platform.Instance
+}
+
+// held is one value with its version, as relays pass it on.
+type held struct {
+	version uint64
+	value   []byte
+}
+
+// Ready tells whether the configuration is confirmed and the process may serve.
+func (s *Snapshot) Ready() bool { return s.ready }
+
+// Text returns the configuration in force, nil before the first.
+func (s *Snapshot) Text() *text.Text { return s.text }
+
+// Version returns the version of the configuration in force, 0 before the first.
+func (s *Snapshot) Version() uint64 { return s.config.version }
+
+// Out returns the marks that take data centres and instances out of service.
+func (s *Snapshot) Out() mark.Set { return s.marks }
+
+// Instances returns the lagging list sorted by name; callers must not change it.
+func (s *Snapshot) Instances() []platform.Instance { return s.instances }
+
+// IsOut tells whether an instance is out by its own mark or its data centre's.
+func (s *Snapshot) IsOut(instance, dataCentre string) bool {
+	return s.marks.InstanceOut(instance) || s.marks.DataCentreOut(dataCentre)
+}
+
+// withMarks returns a snapshot with marks of a later version. The same marks
+// keep their version, so that relays do not push them again.
+func (s *Snapshot) withMarks(version uint64, marks mark.Set) (*Snapshot, bool) {
+	value := marks.Encode()
+	if version <= s.out.version || bytes.Equal(value, s.out.value) {
+		return s, false
+	}
+	next := *s
+	next.out, next.marks = held{version, value}, marks
+	return &next, true
+}
+
+// withList returns a snapshot with another list. The list has no version of its
+// own: a relay labels it with the version of the store at the time of reading,
+// and between two lists of one label the later to arrive is taken.
+func (s *Snapshot) withList(version uint64, list []platform.Instance) (*Snapshot, bool) {
+	sorted := slices.Clone(list)
+	slices.SortFunc(sorted, func(a, b platform.Instance) int { return strings.Compare(a.Name(), b.Name()) })
+	value, err := json.Marshal(sorted)
+	if err != nil || version < s.list.version || bytes.Equal(value, s.list.value) {
+		return s, false
+	}
+	next := *s
+	next.list, next.instances = held{version, value}, sorted
+	return &next, true
+}
