Add connections between entries and agents with resumable requests

Cause: a lost or silent connection must neither lose an answer nor produce a false "not run". Change: request table of the agent, exchange and link of the entry. The agent answers an unknown id with Gone and refuses it from then on; a horizon per entry incarnation keeps that answer true after the ids themselves are forgotten. Conclusion: kept; a bound by the entry's clock was weighed and dropped, because buffered heartbeats make a paused entry believe that it heard the agent lately.

--- /dev/null
+++ b/agent/connection/entry/server.go
@@ -0,0 +1,222 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"goldcrestshore/agent/request/stream"
+	"goldcrestshore/agent/request/upstream"
+	"goldcrestshore/core/connection/frame"
+	"goldcrestshore/core/connection/peer"
+	"goldcrestshore/core/process/clock"
+	"goldcrestshore/core/process/event"
+	"goldcrestshore/core/request/outcome"
+)
+
+const (
+	// heartbeatInterval is short so that entries route by fresh load reports.
+	heartbeatInterval = 250 * clock.Millis(1)
+	expiryInterval    = 1 * clock.Second
+)
+
+// Gate decides which requests enter the upstream.
+type Gate interface {
+	// Submit asks for admission; decide is called once, with nil to admit.
+	Submit(id frame.ID, m *frame.Submit, decide func(*outcome.Refusal))
+	// FirstByte reports that the answer has begun.
+	FirstByte(id frame.ID)
+	// Done reports that an admitted request has left the upstream.
+	Done(id frame.ID, err error)
+	// Withdraw gives up a request that may still wait for admission.
+	Withdraw(id frame.ID)
+}
+
+// Upstream runs admitted requests.
+type Upstream interface {
+	Run(ctx context.Context, id string, m *frame.Submit, answer upstream.Answer) error
+}
+
+// Server holds the requests of all entries. Exported fields are set before Run.
+type Server struct {
+	Clock    *clock.Clock
+	Log      *event.Log
+	Gate     Gate
+	Upstream Upstream
+	// Heartbeat makes the load report.
+	Heartbeat func() *frame.Heartbeat
+	// OnHeartbeat receives the entries' heartbeats.
+	OnHeartbeat func(*frame.Heartbeat)
+	// Incarnation is that of this agent.
+	Incarnation uint64
+	// MaxStreamBytes bounds the answer bytes that all requests together hold.
+	MaxStreamBytes int64
+
+	table *table
+	ctx   context.Context
+}
+
+// Run expires abandoned requests until ctx is done.
+func (s *Server) Run(ctx context.Context) {
+	ticker := time.NewTicker(expiryInterval.Duration())
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		for _, id := range s.table.expire(s.Clock.Now()) {
+			s.drop(id)
+		}
+	}
+}
+
+// Start prepares the server for Serve and Run. Requests run under ctx.
+func (s *Server) Start(ctx context.Context) { s.table, s.ctx = newTable(), ctx }
+
+// Held returns the number of requests that are not finished.
+func (s *Server) Held() int { return s.table.len() }
+
+// Serve runs one connection until it ends.
+func (s *Server) Serve(ctx context.Context, c *peer.Conn) {
+	c.Handle = func(id frame.ID, m frame.Message) { s.handle(c, id, m) }
+	c.Heartbeat, c.OnHeartbeat = s.Heartbeat, s.OnHeartbeat
+	c.Interval = heartbeatInterval
+	c.OnUnknownKind = func(err error) { s.Log.Error(event.PeerUnknownKind, err, nil) }
+	s.Log.Emit(event.PeerConnected, event.Fields{"peer": c.Peer().Instance()})
+	err := c.Run(ctx)
+	if ctx.Err() == nil {
+		peer.LogEnd(s.Log, err, c.Peer().Instance())
+	}
+	for _, r := range s.table.all() {
+		r.answer.Detach(c)
+	}
+}
+
+func (s *Server) handle(c *peer.Conn, id frame.ID, m frame.Message) {
+	switch m := m.(type) {
+	case *frame.Submit:
+		s.submit(c, id, m)
+	case *frame.Credit:
+		s.credit(id, m)
+	case *frame.Cancel:
+		s.drop(id)
+	case *frame.Resume:
+		s.resume(c, id, m)
+	default:
+		s.stray(id)
+	}
+}
+
+func (s *Server) stray(id frame.ID) {
+	s.Log.Emit(event.PeerStrayFrame, event.Fields{"request": upstream.RequestID(id)})
+}
+
+func (s *Server) submit(c *peer.Conn, id frame.ID, m *frame.Submit) {
+	if int64(s.table.len()+1)*stream.WindowBytes > s.MaxStreamBytes {
+		s.table.lookup(id, s.Clock.Now())
+		s.refuse(c, id, outcome.Refuse(outcome.StreamMemoryFull, outcome.NotRun, int64(clock.Second)))
+		return
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, clock.Millis(m.Terms().DeadlineMs()).Duration())
+	r := &request{submit: m, answer: stream.New(id, c), cancel: cancel}
+	switch s.table.insert(id, r) {
+	case verdictDuplicate:
+		cancel()
+		s.stray(id)
+	case verdictRefused:
+		cancel()
+		s.refuse(c, id, outcome.Refuse(outcome.ConnectionLost, outcome.NotRun, 0))
+	case verdictNew:
+		s.Gate.Submit(id, m, func(refusal *outcome.Refusal) { s.decided(ctx, c, id, r, refusal) })
+	}
+}
+
+// decided starts an admitted request or refuses it.
+func (s *Server) decided(ctx context.Context, c *peer.Conn, id frame.ID, r *request, refusal *outcome.Refusal) {
+	if refusal != nil {
+		s.table.remove(id, s.Clock.Now())
+		r.cancel()
+		s.refuse(c, id, refusal)
+		return
+	}
+	if !s.table.admit(id) {
+		s.Gate.Done(id, nil)
+		return
+	}
+	go r.answer.Run(s.ctx)
+	go s.run(ctx, c, id, r)
+}
+
+func (s *Server) refuse(c *peer.Conn, id frame.ID, r *outcome.Refusal) {
+	// A lost connection makes the entry ask again by Resume, answered by Gone.
+	_ = c.Send(id, frame.NewRefused(string(r.Code()), r.RetryAfterMs(), r.Outcome() == outcome.NotRun))
+}
+
+// run performs an admitted request.
+func (s *Server) run(ctx context.Context, c *peer.Conn, id frame.ID, r *request) {
+	_ = c.Send(id, frame.NewAccepted(s.Incarnation))
+	answer := &observed{Stream: r.answer, first: func() { s.Gate.FirstByte(id) }}
+	err := s.Upstream.Run(ctx, upstream.RequestID(id), r.submit, answer)
+	s.Gate.Done(id, err)
+	r.answer.Close(err == nil, string(endCode(ctx, err)))
+}
+
+// endCode names the reason why an answer is not complete.
+func endCode(ctx context.Context, err error) outcome.Code {
+	switch {
+	case err == nil:
+		return ""
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return outcome.DeadlineExceeded
+	case errors.Is(err, upstream.ErrNotStarted):
+		return outcome.NoUpstream
+	}
+	return outcome.UpstreamFailed
+}
+
+func (s *Server) credit(id frame.ID, m *frame.Credit) {
+	r := s.table.get(id)
+	if r == nil || r.answer.Ack(m.Offset()) != nil {
+		s.stray(id)
+	}
+}
+
+// resume continues an answer on a new connection. An id that is not held is
+// refused from then on, so that the answer Gone stays true.
+func (s *Server) resume(c *peer.Conn, id frame.ID, m *frame.Resume) {
+	r, ran := s.table.lookup(id, s.Clock.Now())
+	if r == nil || r.answer.Attach(c, m.Offset()) != nil {
+		_ = c.Send(id, frame.NewGone(s.Incarnation, ran))
+		return
+	}
+	s.Log.Emit(event.StreamResumed, event.Fields{"request": upstream.RequestID(id), "offset": m.Offset()})
+}
+
+// drop ends a request that nobody waits for any more.
+func (s *Server) drop(id frame.ID) {
+	r := s.table.remove(id, s.Clock.Now())
+	if r == nil {
+		return
+	}
+	s.Gate.Withdraw(id)
+	r.cancel()
+	r.answer.Cancel()
+}
+
+// observed reports the first body byte of an answer.
+type observed struct {
+	*stream.Stream
+	first func()
+}
+
+// Write reports the first part and passes p on.
+func (o *observed) Write(p []byte) (int, error) {
+	if o.first != nil {
+		o.first()
+		o.first = nil
+	}
+	return o.Stream.Write(p)
+}
--- a/core/connection/frame/accessors.go
+++ b/core/connection/frame/accessors.go
@@ -261,13 +261,16 @@
 func (r *Resume) Offset() int64 { return r.offset }
 
 // NewGone returns a Gone with the given fields.
-func NewGone(incarnation uint64) *Gone {
-	return &Gone{incarnation}
+func NewGone(incarnation uint64, ran bool) *Gone {
+	return &Gone{incarnation, ran}
 }
 
 // Incarnation returns the agent's incarnation.
 func (g *Gone) Incarnation() uint64 { return g.incarnation }
 
+// Ran tells that the request was admitted before it was given up.
+func (g *Gone) Ran() bool { return g.ran }
+
 // NewClaimQuery returns a ClaimQuery with the given fields.
 func NewClaimQuery(claimKey string) *ClaimQuery {
 	return &ClaimQuery{claimKey}
--- a/core/connection/frame/messages.go
+++ b/core/connection/frame/messages.go
@@ -134,10 +134,11 @@
 	offset int64
 }
 
-// Gone tells that the request id is not known to the agent, which will refuse
-// it if it arrives later.
+// Gone tells that the agent does not hold the request id and will refuse it if
+// it arrives later.
 type Gone struct {
 	incarnation uint64
+	ran         bool
 }
 
 // ClaimQuery asks whether the agent has run the request with this claim. An
--- a/core/connection/frame/messages_gen.go
+++ b/core/connection/frame/messages_gen.go
@@ -837,10 +837,13 @@
 // MarshalMsg implements msgp.Marshaler
 func (z Gone) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 1
+	// map header, size 2
 	// string "incarnation"
-	o = append(o, 0x81, 0xab, 0x69, 0x6e, 0x63, 0x61, 0x72, 0x6e, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+	o = append(o, 0x82, 0xab, 0x69, 0x6e, 0x63, 0x61, 0x72, 0x6e, 0x61, 0x74, 0x69, 0x6f, 0x6e)
 	o = msgp.AppendUint64(o, z.incarnation)
+	// string "ran"
+	o = append(o, 0xa3, 0x72, 0x61, 0x6e)
+	o = msgp.AppendBool(o, z.ran)
 	return
 }
 
@@ -868,6 +871,12 @@
 				err = msgp.WrapError(err, "incarnation")
 				return
 			}
+		case "ran":
+			z.ran, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ran")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -882,7 +891,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z Gone) Msgsize() (s int) {
-	s = 1 + 12 + msgp.Uint64Size
+	s = 1 + 12 + msgp.Uint64Size + 4 + msgp.BoolSize
 	return
 }
 
--- /dev/null
+++ b/entry/connection/agent/exchange.go
@@ -0,0 +1,221 @@
+// Package agent keeps the entry's connections to agents and the requests that
+// run on them.
+package agent
+
+import (
+	"context"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	"goldcrestshore/core/connection/frame"
+	"goldcrestshore/core/request/outcome"
+)
+
+const (
+	// maxPendingBytes is the agent's credit window; an agent that sends more is
+	// not following the protocol.
+	maxPendingBytes = 16 << 10
+	// creditBytes is how much a caller takes before the agent is told.
+	creditBytes = 4 << 10
+)
+
+// Event is one step of an exchange, in the order in which they happen:
+// Accepted, Head, any number of Data, and then End; or Refused or Lost.
+type Event interface{ exchangeEvent() }
+
+// Accepted tells that the upstream may have started the request.
+type Accepted struct{}
+
+// Refused tells that the agent did not admit the request.
+type Refused struct{ refusal *outcome.Refusal }
+
+// Head carries the status line and header of the answer.
+type Head struct{ head *frame.AnswerHead }
+
+// Data carries the next body bytes.
+type Data struct{ bytes []byte }
+
+// End closes the answer; Complete tells whether every byte has arrived intact.
+type End struct {
+	complete bool
+	code     outcome.Code
+}
+
+// Lost tells that the request's fate is not known, unless notRun is set.
+type Lost struct{ notRun bool }
+
+func (Accepted) exchangeEvent() {}
+func (Refused) exchangeEvent()  {}
+func (Head) exchangeEvent()     {}
+func (Data) exchangeEvent()     {}
+func (End) exchangeEvent()      {}
+func (Lost) exchangeEvent()     {}
+
+// Refusal returns the agent's reason.
+func (r Refused) Refusal() *outcome.Refusal { return r.refusal }
+
+// Status returns the HTTP status.
+func (h Head) Status() int { return h.head.Status() }
+
+// Header returns the header lines.
+func (h Head) Header() []frame.Field { return h.head.Header() }
+
+// Bytes returns the body bytes; they stay valid until the next call of Next.
+func (d Data) Bytes() []byte { return d.bytes }
+
+// Complete tells whether length and checksum match and the upstream ended well.
+func (e End) Complete() bool { return e.complete }
+
+// Code returns the reason when the answer is not complete.
+func (e End) Code() outcome.Code { return e.code }
+
+// NotRun tells that the agent has refused the request for good.
+func (l Lost) NotRun() bool { return l.notRun }
+
+// Exchange is one request submitted to an agent.
+type Exchange struct {
+	id   frame.ID
+	link *Link
+
+	mu       sync.Mutex
+	queue    []Event // control events before and after the body
+	pending  []byte  // body bytes received and not yet taken
+	received int64
+	consumed int64
+	credited int64
+	digest   *xxhash.Digest
+	headSeen bool
+	ended    bool
+	notify   chan struct{}
+}
+
+func newExchange(id frame.ID, link *Link) *Exchange {
+	return &Exchange{id: id, link: link, digest: xxhash.New(), notify: make(chan struct{}, 1)}
+}
+
+// Next returns the next event, or the error of ctx.
+func (e *Exchange) Next(ctx context.Context) (Event, error) {
+	for {
+		if event := e.take(); event != nil {
+			return event, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-e.notify:
+		}
+	}
+}
+
+// take returns nil when nothing has arrived. Body bytes go before End and Lost.
+func (e *Exchange) take() Event {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.queue) > 0 && (len(e.pending) == 0 || !closes(e.queue[0])) {
+		event := e.queue[0]
+		e.queue = e.queue[1:]
+		return event
+	}
+	if len(e.pending) == 0 {
+		return nil
+	}
+	bytes := e.pending
+	e.pending = nil
+	return Data{bytes}
+}
+
+func closes(event Event) bool {
+	switch event.(type) {
+	case End, Lost:
+		return true
+	}
+	return false
+}
+
+// Consumed tells that the caller has taken n more bytes, which lets the agent
+// send further ones.
+func (e *Exchange) Consumed(n int) {
+	e.mu.Lock()
+	e.consumed += int64(n)
+	due := e.consumed-e.credited >= creditBytes
+	if due {
+		e.credited = e.consumed
+	}
+	offset := e.consumed
+	e.mu.Unlock()
+	if due {
+		e.link.send(e.id, frame.NewCredit(offset))
+	}
+}
+
+// Close ends the exchange. The agent forgets the request and stops it if it
+// still runs.
+func (e *Exchange) Close() { e.link.close(e) }
+
+// position returns the offset of the next body byte wanted.
+func (e *Exchange) position() int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.received
+}
+
+// push queues a control event; nothing follows one that closes the exchange.
+func (e *Exchange) push(event Event) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.ended {
+		return
+	}
+	switch event := event.(type) {
+	case Head:
+		if e.headSeen {
+			return // sent again after a resume
+		}
+		e.headSeen = true
+	case End, Lost, Refused:
+		_ = event
+		e.ended = true
+	}
+	e.queue = append(e.queue, event)
+	e.wake()
+}
+
+// wake must be called with mu held.
+func (e *Exchange) wake() {
+	select {
+	case e.notify <- struct{}{}:
+	default:
+	}
+}
+
+// data adds body bytes. It returns false for bytes that do not continue the
+// body or exceed the window.
+func (e *Exchange) data(m *frame.Data) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.ended || m.Offset() != e.received || !e.headSeen {
+		return false
+	}
+	if int64(len(m.Bytes()))+e.received-e.consumed > maxPendingBytes {
+		return false
+	}
+	_, _ = e.digest.Write(m.Bytes())
+	e.pending = append(e.pending, m.Bytes()...)
+	e.received += int64(len(m.Bytes()))
+	e.wake()
+	return true
+}
+
+// end checks the answer against the agent's length and checksum.
+func (e *Exchange) end(m *frame.End) (matches bool) {
+	e.mu.Lock()
+	matches = m.Length() == e.received && m.Checksum() == e.digest.Sum64()
+	e.mu.Unlock()
+	code := outcome.Code(m.Code())
+	if !matches {
+		code = outcome.ConnectionLost
+	}
+	e.push(End{complete: m.OK() && matches, code: code})
+	return matches
+}
--- a/entry/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package entry is the root of its module.
-package entry
