Add the stand-ins for platform, engine and plain service

Change: goldcrest-standin with the subcommands platform (conditional writes, watch, lagging list, faults), engine (deterministic answers, cold start, memory, batch timing, prefix cache, orders, stream faults) and service (echo with ledger, faults); package answer computes the engine's text for both sides. Conclusion: entry and agent can be wired against these.

--- a/core/process/event/catalogue.go
+++ b/core/process/event/catalogue.go
@@ -61,3 +61,9 @@
 	UpstreamCrashed = define(1403, logrus.WarnLevel, "upstream process was replaced; held requests are lost")
 	OrderFenced     = define(1404, logrus.WarnLevel, "order with a stale fencing token refused")
 )
+
+// Events of the stand-ins, 1900-1999.
+var (
+	StandInFailed    = define(1900, logrus.WarnLevel, "modelled upstream failed; it refuses connections until it restarts")
+	StandInRestarted = define(1901, logrus.InfoLevel, "modelled upstream restarted cold with a new incarnation")
+)
--- /dev/null
+++ b/standin/process/command/command.go
@@ -0,0 +1,93 @@
+// Package command has the subcommands of goldcrest-standin.
+package command
+
+import (
+	"context"
+	"flag"
+	"io"
+	"net"
+	"os"
+
+	"github.com/cockroachdb/errors"
+
+	"goldcrestshore/core/process/event"
+	"goldcrestshore/core/process/settings"
+)
+
+// errUsage reports a command line that names no subcommand.
+var errUsage = errors.New("usage: goldcrest-standin platform|engine|service|weights|load [flags]")
+
+// subcommand is one stand-in.
+type subcommand struct {
+	name string
+	run  func(ctx context.Context, args []string, out io.Writer) error
+}
+
+var subcommands = []subcommand{
+	{"platform", runPlatform},
+	{"engine", runEngine},
+	{"service", runService},
+}
+
+// Run runs the subcommand named by the first argument until it is done or ctx ends.
+func Run(ctx context.Context, args []string, out io.Writer) error {
+	if len(args) == 0 {
+		return errUsage
+	}
+	for _, s := range subcommands {
+		if s.name == args[0] {
+			return s.run(ctx, args[1:], out)
+		}
+	}
+	return errors.Wrapf(errUsage, "unknown subcommand %q", args[0])
+}
+
+// common are the flags of every stand-in that listens.
+type common struct {
+	listen   *string
+	instance *string
+	level    *string
+}
+
+func commonFlags(fs *flag.FlagSet) common {
+	return common{
+		listen:   fs.String("listen", "127.0.0.1:0", "address and port to listen on"),
+		instance: fs.String("instance", "", "instance name in logs; the address when empty"),
+		level:    fs.String("logLevel", "info", "lowest level of log lines"),
+	}
+}
+
+// open parses args, listens and starts the log.
+func (c common) open(fs *flag.FlagSet, args []string) (net.Listener, *event.Log, error) {
+	if err := settings.Parse(fs, args); err != nil {
+		return nil, nil, errors.Wrap(err, "settings")
+	}
+	listener, err := net.Listen("tcp", *c.listen)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "listen")
+	}
+	if *c.instance == "" {
+		*c.instance = listener.Addr().String()
+	}
+	log, err := event.NewLog(os.Stderr, *c.level, fs.Name(), *c.instance)
+	if err != nil {
+		return nil, nil, errors.CombineErrors(err, listener.Close())
+	}
+	log.Emit(event.ProcessStarted, event.Fields{"listen": listener.Addr().String()})
+	return listener, log, nil
+}
+
+// logStop writes an event as soon as a stop is requested.
+func logStop(ctx context.Context, log *event.Log) {
+	context.AfterFunc(ctx, func() { log.Emit(event.ProcessStopping, nil) })
+}
+
+// finish logs how the process ended.
+func finish(log *event.Log, err error) error {
+	if err != nil {
+		log.Error(event.ProcessFailed, err, nil)
+		return err
+	}
+	log.Emit(event.ProcessStopped, nil)
+	return nil
+}
--- /dev/null
+++ b/standin/process/command/service.go
@@ -0,0 +1,49 @@
+package command
+
+import (
+	"context"
+	"flag"
+	"io"
+
+	"github.com/cockroachdb/errors"
+
+	"goldcrestshore/core/process/clock"
+	"goldcrestshore/standin/process/server"
+	"goldcrestshore/standin/process/service"
+)
+
+// errServiceCrashed ends the process of a service that ran a call with the crash marker.
+var errServiceCrashed = errors.New("a call crashed the service")
+
+func runService(ctx context.Context, args []string, _ io.Writer) error {
+	fs := flag.NewFlagSet("service", flag.ContinueOnError)
+	c := commonFlags(fs)
+	delay := fs.Int64("delayMs", 5, "time before a call is executed")
+	answerDelay := fs.Int64("answerDelayMs", 0, "time between the execution and its answer")
+	marker := fs.String("crashMarker", "", "text in a body that ends the process")
+	ledgerPath := fs.String("ledger", "", "file that keeps the ledger; in memory when empty")
+	listener, log, err := c.open(fs, args)
+	if err != nil {
+		return err
+	}
+	logStop(ctx, log)
+	ledger := service.NewLedger()
+	if *ledgerPath != "" {
+		if ledger, err = service.OpenLedger(*ledgerPath); err != nil {
+			return finish(log, err)
+		}
+	}
+	s := service.New(service.Options{
+		DelayMs:       clock.Millis(*delay),
+		AnswerDelayMs: clock.Millis(*answerDelay),
+		CrashMarker:   *marker,
+	}, ledger)
+	ended := make(chan error, 1)
+	go func() { ended <- (&server.Server{Handler: s}).Run(ctx, listener) }()
+	select {
+	case err = <-ended:
+	case <-s.Crashed():
+		err = errServiceCrashed
+	}
+	return finish(log, err)
+}
--- /dev/null
+++ b/standin/process/engine/cache.go
@@ -0,0 +1,122 @@
+package engine
+
+import (
+	"container/list"
+	"math/rand/v2"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"goldcrestshore/core/process/clock"
+)
+
+// CacheBlockBytes is the size of one block of the prefix cache, in bytes of prompt.
+const CacheBlockBytes = 256
+
+// maxCacheEvents bounds the events kept for readers; older ones are lost.
+const maxCacheEvents = 8192
+
+// CacheEvent tells that a prefix entered or left the cache. PrefixHash is the
+// xxhash64, in hexadecimal, of the prompt's first bytes up to a block boundary.
+type CacheEvent struct {
+	Seq        uint64 `json:"seq"`
+	PrefixHash string `json:"prefixHash"`
+	Stored     bool   `json:"stored"`
+}
+
+// cache is a prefix cache with least-recently-used eviction.
+type cache struct {
+	limit   int
+	blocks  map[uint64]*list.Element
+	recency *list.List
+	events  []lateEvent
+	seq     uint64
+	gap     int
+	random  *rand.Rand
+}
+
+type lateEvent struct {
+	at    clock.Millis
+	event CacheEvent
+}
+
+func newCache(o *Options) *cache {
+	c := &cache{limit: o.CacheBlocks, gap: o.CacheGapPercent, random: rand.New(rand.NewPCG(o.Seed, 2))}
+	c.clear()
+	return c
+}
+
+// clear empties the cache without events, as a failure does.
+func (c *cache) clear() {
+	c.blocks = map[uint64]*list.Element{}
+	c.recency = list.New()
+}
+
+// PrefixHashes returns the hash of each block-aligned prefix of a prompt, shortest first.
+func PrefixHashes(prompt string) []uint64 {
+	var digest xxhash.Digest
+	digest.Reset()
+	hashes := make([]uint64, 0, len(prompt)/CacheBlockBytes)
+	for end := CacheBlockBytes; end <= len(prompt); end += CacheBlockBytes {
+		_, _ = digest.WriteString(prompt[end-CacheBlockBytes : end])
+		hashes = append(hashes, digest.Sum64())
+	}
+	return hashes
+}
+
+// use looks a prompt up, stores its prefixes and returns the number of bytes found.
+func (c *cache) use(prompt string, now clock.Millis) int {
+	hashes := PrefixHashes(prompt)
+	found := 0
+	for _, h := range hashes {
+		if c.blocks[h] == nil {
+			break
+		}
+		found++
+	}
+	for _, h := range hashes {
+		c.touch(h, now)
+	}
+	return found * CacheBlockBytes
+}
+
+func (c *cache) touch(hash uint64, now clock.Millis) {
+	if e := c.blocks[hash]; e != nil {
+		c.recency.MoveToFront(e)
+		return
+	}
+	if c.limit == 0 {
+		return
+	}
+	c.blocks[hash] = c.recency.PushFront(hash)
+	c.emit(hash, true, now)
+	if c.recency.Len() > c.limit {
+		oldest := c.recency.Remove(c.recency.Back()).(uint64)
+		delete(c.blocks, oldest)
+		c.emit(oldest, false, now)
+	}
+}
+
+// emit records an event; a lost one leaves a gap in the sequence.
+func (c *cache) emit(hash uint64, stored bool, now clock.Millis) {
+	c.seq++
+	if c.random.IntN(100) < c.gap {
+		return
+	}
+	if len(c.events) == maxCacheEvents {
+		c.events = append(c.events[:0], c.events[1:]...)
+	}
+	c.events = append(c.events, lateEvent{now, CacheEvent{c.seq, strconv.FormatUint(hash, 16), stored}})
+}
+
+// after returns the events with a higher sequence number that happened before
+// an instant.
+func (c *cache) after(seq uint64, instant clock.Millis) []CacheEvent {
+	out := []CacheEvent{}
+	for _, e := range c.events {
+		if e.event.Seq > seq && e.at <= instant {
+			out = append(out, e.event)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/standin/process/engine/chat.go
@@ -0,0 +1,175 @@
+package engine
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"goldcrestshore/standin/request/answer"
+)
+
+// maxBodyBytes is the limit on a request body.
+const maxBodyBytes = 8 << 20
+
+// defaultMaxTokens is the length of an answer when the request gives none.
+const defaultMaxTokens = 16
+
+// errMalformed reports a chat request that the engine cannot read.
+var errMalformed = errors.New("malformed chat request")
+
+// chat is a request in the engine's own terms.
+type chat struct {
+	model    string
+	prompt   string
+	tokens   int
+	resume   int
+	stream   bool
+	id       string
+	priority int
+	text     *answer.Text
+	// answerID depends on the prompt alone, so that a resumed stream continues
+	// with the same bytes.
+	answerID string
+}
+
+// chatBody is the OpenAI style request body.
+type chatBody struct {
+	Model    string `json:"model"`
+	Messages []struct {
+		Role    string `json:"role"`
+		Content string `json:"content"`
+	} `json:"messages"`
+	MaxTokens *int `json:"max_tokens"`
+	Stream    bool `json:"stream"`
+}
+
+// parseChat reads a request.
+func parseChat(r *http.Request) (*chat, error) {
+	var body chatBody
+	raw, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
+	if err != nil {
+		return nil, errors.Mark(err, errMalformed)
+	}
+	if err := json.Unmarshal(raw, &body); err != nil {
+		return nil, errors.Mark(err, errMalformed)
+	}
+	if len(body.Messages) == 0 {
+		return nil, errors.Wrap(errMalformed, "no messages")
+	}
+	contents := make([]string, len(body.Messages))
+	for i, m := range body.Messages {
+		contents[i] = m.Content
+	}
+	c := &chat{model: body.Model, prompt: answer.Prompt(contents), tokens: defaultMaxTokens, stream: body.Stream}
+	if body.MaxTokens != nil {
+		c.tokens = *body.MaxTokens
+	}
+	return c, c.finish(r.Header)
+}
+
+// finish reads the headers and derives the answer.
+func (c *chat) finish(h http.Header) error {
+	var err error
+	if c.resume, err = number(h.Get("X-Resume-Offset")); err != nil {
+		return err
+	}
+	if c.priority, err = number(h.Get("X-Priority")); err != nil {
+		return err
+	}
+	if c.tokens < 0 || c.resume < 0 || c.resume > c.tokens {
+		return errors.Wrap(errMalformed, "token count or resume offset out of range")
+	}
+	c.id = h.Get("X-Request-Id")
+	c.text = answer.New(c.prompt)
+	c.answerID = "chatcmpl-" + strconv.FormatUint(xxhash.Sum64String(c.prompt), 16)
+	return nil
+}
+
+func number(text string) (int, error) {
+	if text == "" {
+		return 0, nil
+	}
+	n, err := strconv.Atoi(text)
+	if err != nil {
+		return 0, errors.Mark(err, errMalformed)
+	}
+	return n, nil
+}
+
+// usage is the OpenAI style account of tokens.
+type usage struct {
+	Prompt     int           `json:"prompt_tokens"`
+	Completion int           `json:"completion_tokens"`
+	Total      int           `json:"total_tokens"`
+	Details    promptDetails `json:"prompt_tokens_details"`
+}
+
+type promptDetails struct {
+	Cached int `json:"cached_tokens"`
+}
+
+func (c *chat) usage(cached int) *usage {
+	prompt := answer.PromptTokens(c.prompt)
+	return &usage{prompt, c.tokens, prompt + c.tokens, promptDetails{cached}}
+}
+
+// completion is a whole answer or one chunk of a streamed one.
+type completion struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+	Usage   *usage   `json:"usage,omitempty"`
+}
+
+type choice struct {
+	Index        int      `json:"index"`
+	Delta        *message `json:"delta,omitempty"`
+	Message      *message `json:"message,omitempty"`
+	FinishReason *string  `json:"finish_reason"`
+}
+
+type message struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content,omitempty"`
+}
+
+// finishLength is the reason of an answer that ends at max_tokens.
+const finishLength = "length"
+
+// chunk returns the event for one token.
+func (c *chat) chunk(index int) []byte {
+	delta := &message{Content: c.text.Token(index)}
+	if index == 0 {
+		delta.Role = "assistant"
+	}
+	return c.event(choice{Delta: delta}, nil)
+}
+
+// last returns the events that end a streamed answer.
+func (c *chat) last(cached int) []byte {
+	reason := finishLength
+	out := c.event(choice{Delta: &message{}, FinishReason: &reason}, c.usage(cached))
+	return append(out, "data: [DONE]\n\n"...)
+}
+
+func (c *chat) event(only choice, u *usage) []byte {
+	raw, _ := json.Marshal(completion{c.answerID, "chat.completion.chunk", c.model, []choice{only}, u})
+	out := append([]byte("data: "), raw...)
+	return append(out, "\n\n"...)
+}
+
+// whole returns the body of an answer that is not streamed.
+func (c *chat) whole(cached int) []byte {
+	reason := finishLength
+	only := choice{
+		Message:      &message{Role: "assistant", Content: c.text.Range(c.resume, c.tokens)},
+		FinishReason: &reason,
+	}
+	raw, _ := json.Marshal(completion{c.answerID, "chat.completion", c.model, []choice{only}, c.usage(cached)})
+	return raw
+}
--- /dev/null
+++ b/standin/process/engine/engine.go
@@ -0,0 +1,262 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"sync"
+
+	"goldcrestshore/core/process/clock"
+	"goldcrestshore/standin/process/lagged"
+	"goldcrestshore/standin/request/answer"
+)
+
+// Load is the lagging load report.
+type Load struct {
+	Held           int    `json:"held"`
+	HeldTokens     int    `json:"heldTokens"`
+	Cold           bool   `json:"cold"`
+	Incarnation    uint64 `json:"incarnation"`
+	CapacityTokens int64  `json:"capacityTokens"`
+}
+
+// Order changes the role of an engine or what it has loaded.
+type Order struct {
+	Fence    uint64 `json:"fence"`
+	Order    string `json:"order"`
+	Argument string `json:"argument"`
+}
+
+// Engine is the stand-in. Create it with New.
+type Engine struct {
+	options Options
+	clock   *clock.Clock
+	mux     *http.ServeMux
+
+	mu     sync.Mutex
+	state  *state
+	cache  *cache
+	load   lagged.Value[Load]
+	fault  Fault
+	stall  clock.Millis
+	life   *life
+	active map[string]context.CancelFunc
+	orders []Order
+	fence  uint64
+}
+
+// life spans one incarnation of the engine; its context ends when the engine fails.
+type life struct {
+	ctx  context.Context
+	fail context.CancelFunc
+}
+
+// New returns a cold engine.
+func New(o Options, c *clock.Clock) *Engine {
+	e := &Engine{options: o, clock: c, mux: http.NewServeMux(), active: map[string]context.CancelFunc{}}
+	e.state = newState(&e.options)
+	e.cache = newCache(&e.options)
+	e.mux.HandleFunc("POST /v1/chat/completions", e.chat)
+	e.mux.HandleFunc("POST /v1/cancel", e.cancel)
+	e.mux.HandleFunc("GET /load", e.getLoad)
+	e.mux.HandleFunc("GET /cacheEvents", e.getCacheEvents)
+	e.mux.HandleFunc("POST /orders", e.postOrder)
+	e.mux.HandleFunc("GET /orders", e.getOrders)
+	e.mux.HandleFunc("PUT /fault", e.putFault)
+	e.mux.HandleFunc("GET /counts", e.getCounts)
+	e.begin()
+	return e
+}
+
+// ServeHTTP serves the engine. A failed engine aborts every connection.
+func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if e.present().ctx.Err() != nil {
+		panic(http.ErrAbortHandler)
+	}
+	e.mux.ServeHTTP(w, r)
+}
+
+// Counts returns the totals since the process started.
+func (e *Engine) Counts() Counts {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.state.counts
+}
+
+// begin starts an incarnation on the present state.
+func (e *Engine) begin() {
+	ctx, fail := context.WithCancel(context.Background())
+	e.life = &life{ctx, fail}
+	e.report()
+}
+
+// restart brings a failed engine back, cold and with a new incarnation.
+func (e *Engine) restart() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.state.restart()
+	e.cache.clear()
+	e.fence = 0
+	e.orders = nil
+	e.begin()
+}
+
+func (e *Engine) present() *life {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.life
+}
+
+// crash fails the engine; the caller holds the lock.
+func (e *Engine) crash(why reason) {
+	if e.life.ctx.Err() != nil {
+		return
+	}
+	e.state.counts.Crashes++
+	e.state.counts.LastCrash = why
+	e.life.fail()
+}
+
+// report records the load for later readers; the caller holds the lock.
+func (e *Engine) report() {
+	e.load.Set(e.clock.Now(), Load{
+		Held:           e.state.held,
+		HeldTokens:     e.state.heldTokens,
+		Cold:           e.state.cold(),
+		Incarnation:    e.state.incarnation,
+		CapacityTokens: e.options.MemoryBytes / max(1, e.options.BytesPerToken),
+	})
+}
+
+// cancel ends a held request by its id.
+func (e *Engine) cancel(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		RequestID string `json:"requestId"`
+	}
+	if !decode(w, r, &body) {
+		return
+	}
+	e.mu.Lock()
+	end, held := e.active[body.RequestID]
+	if held {
+		e.state.counts.Cancelled++
+	}
+	e.mu.Unlock()
+	if !held {
+		http.Error(w, "no such request", http.StatusNotFound)
+		return
+	}
+	end()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Engine) getLoad(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	l := e.load.At(e.clock.Now() - e.options.LoadLagMs)
+	if l.Incarnation == 0 {
+		// Before the first lag has passed there is no earlier report.
+		l.Incarnation = e.state.incarnation
+		l.Cold = true
+		l.CapacityTokens = e.options.MemoryBytes / max(1, e.options.BytesPerToken)
+	}
+	e.mu.Unlock()
+	reply(w, l)
+}
+
+func (e *Engine) getCacheEvents(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	e.mu.Lock()
+	events := e.cache.after(after, e.clock.Now()-e.options.CacheLagMs)
+	e.mu.Unlock()
+	reply(w, struct {
+		Events []CacheEvent `json:"events"`
+	}{events})
+}
+
+// postOrder obeys an order unless the engine checks fencing tokens and a higher
+// one was seen.
+func (e *Engine) postOrder(w http.ResponseWriter, r *http.Request) {
+	var o Order
+	if !decode(w, r, &o) {
+		return
+	}
+	e.mu.Lock()
+	stale := e.options.ChecksFencing && o.Fence < e.fence
+	if !stale {
+		e.fence = max(e.fence, o.Fence)
+		e.orders = append(e.orders, o)
+	}
+	e.mu.Unlock()
+	if stale {
+		http.Error(w, "stale fencing token", http.StatusConflict)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Engine) getOrders(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	orders := append([]Order{}, e.orders...)
+	e.mu.Unlock()
+	reply(w, struct {
+		Orders []Order `json:"orders"`
+	}{orders})
+}
+
+func (e *Engine) getCounts(w http.ResponseWriter, _ *http.Request) { reply(w, e.Counts()) }
+
+func (e *Engine) putFault(w http.ResponseWriter, r *http.Request) {
+	var f Fault
+	if !decode(w, r, &f) {
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+	e.SetFault(f)
+}
+
+// SetFault injects a failure.
+func (e *Engine) SetFault(f Fault) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.fault = f
+	e.stall = e.clock.Now() + clock.Millis(f.StallMs)
+	if f.Cold {
+		e.state.chill()
+		e.report()
+	}
+	if f.Crash {
+		e.crash(faultOrdered)
+	}
+}
+
+// promptUse is what the prefix cache knows of a prompt, in tokens.
+type promptUse struct {
+	tokens int
+	cached int
+}
+
+func (e *Engine) usePrompt(prompt string) promptUse {
+	u := promptUse{tokens: answer.PromptTokens(prompt)}
+	u.cached = min(u.tokens, answer.PromptTokens(prompt[:e.cache.use(prompt, e.clock.Now())]))
+	if u.cached == 1 {
+		// An empty prefix counts as one token in the estimate.
+		u.cached = 0
+	}
+	e.state.counts.PromptTokens += uint64(u.tokens)
+	e.state.counts.CachedTokens += uint64(u.cached)
+	return u
+}
+
+func decode(w http.ResponseWriter, r *http.Request, into any) bool {
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(into); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func reply(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
--- /dev/null
+++ b/standin/process/engine/serve.go
@@ -0,0 +1,80 @@
+package engine
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"goldcrestshore/standin/process/server"
+)
+
+// relistenPause spaces attempts to take the address again after a failure.
+const relistenPause = 20 * time.Millisecond
+
+// Observer hears of failures and restarts.
+type Observer interface {
+	// Crashed is called when the engine failed and refuses connections.
+	Crashed(c Counts)
+	// Restarted is called when it listens again.
+	Restarted()
+}
+
+// Run serves on listener until ctx ends, then finishes the held requests. While
+// the engine has failed, its address refuses connections.
+func (e *Engine) Run(ctx context.Context, listener net.Listener, o Observer) error {
+	address := listener.Addr().String()
+	for {
+		failed, err := e.live(ctx, listener)
+		if !failed {
+			return err
+		}
+		o.Crashed(e.Counts())
+		if !pause(ctx, e.options.RestartMs.Duration()) {
+			return nil
+		}
+		if listener, err = listen(ctx, address); err != nil {
+			return err
+		}
+		e.restart()
+		o.Restarted()
+	}
+}
+
+// live serves one incarnation and reports whether it ended by a failure.
+func (e *Engine) live(ctx context.Context, listener net.Listener) (failed bool, err error) {
+	h := &http.Server{Handler: e, ConnContext: e.limitBuffer}
+	ended := make(chan error, 1)
+	go func() { ended <- h.Serve(listener) }()
+	select {
+	case err := <-ended:
+		return false, errors.Wrap(err, "serve")
+	case <-e.present().ctx.Done():
+		return true, h.Close()
+	case <-ctx.Done():
+		return false, server.Shutdown(h)
+	}
+}
+
+// limitBuffer shrinks a connection's send buffer.
+func (e *Engine) limitBuffer(ctx context.Context, c net.Conn) context.Context {
+	if tcp, ok := c.(*net.TCPConn); ok && e.options.SendBufferBytes > 0 {
+		_ = tcp.SetWriteBuffer(e.options.SendBufferBytes)
+	}
+	return ctx
+}
+
+// listen takes the address of the failed incarnation again.
+func listen(ctx context.Context, address string) (net.Listener, error) {
+	for {
+		listener, err := net.Listen("tcp", address)
+		if err == nil {
+			return listener, nil
+		}
+		if !pause(ctx, relistenPause) {
+			return nil, errors.Wrap(err, "listen again")
+		}
+	}
+}
--- /dev/null
+++ b/standin/process/engine/state_test.go
@@ -0,0 +1,96 @@
+package engine
+
+import (
+	"testing"
+
+	"goldcrestshore/core/process/check"
+)
+
+func coldOptions() Options {
+	o := Defaults()
+	o.ColdCapacity, o.WarmCapacity, o.OverloadPercent = 2, 6, 100
+	o.BytesPerToken, o.MemoryBytes = 1, 1000
+	return o
+}
+
+func admitted(t *testing.T, s *state, tokens int) *job {
+	t.Helper()
+	j, why := s.admit(tokens, 0)
+	check.Equal(t, "failure", why, healthy)
+	return j
+}
+
+// Guards against an engine that warms up without completed work.
+func TestCapacityGrowsWithCompletedWork(t *testing.T) {
+	o := coldOptions()
+	s := newState(&o)
+	for want := 2; want < 6; want++ {
+		check.Equal(t, "capacity", s.capacity(), want)
+		check.Equal(t, "cold", s.cold(), true)
+		s.release(admitted(t, s, 1), false)
+		check.Equal(t, "capacity after broken work", s.capacity(), want)
+		s.release(admitted(t, s, 1), true)
+	}
+	check.Equal(t, "warm capacity", s.capacity(), 6)
+	check.Equal(t, "warm", s.cold(), false)
+}
+
+func TestColdOverloadFails(t *testing.T) {
+	o := coldOptions()
+	s := newState(&o)
+	admitted(t, s, 1)
+	admitted(t, s, 1)
+	_, why := s.admit(1, 0)
+	check.Equal(t, "failure", why, overloaded)
+	check.Equal(t, "over limit", s.counts.OverLimit, 1)
+	before := s.incarnation
+	s.restart()
+	check.Equal(t, "held after restart", s.held+s.heldTokens+s.running, 0)
+	check.Equal(t, "new incarnation", s.incarnation != before, true)
+}
+
+// Guards against work from before a sudden cold that counts as overload or as
+// warming up: no admission control can take it back.
+func TestSuddenCold(t *testing.T) {
+	o := coldOptions()
+	s := newState(&o)
+	for range 4 {
+		s.release(admitted(t, s, 1), true)
+	}
+	var old []*job
+	for range 6 {
+		old = append(old, admitted(t, s, 1))
+	}
+	s.chill()
+	check.Equal(t, "capacity", s.capacity(), 2)
+	admitted(t, s, 1)
+	s.release(old[0], true)
+	check.Equal(t, "capacity after old work", s.capacity(), 2)
+}
+
+func TestMemory(t *testing.T) {
+	o := coldOptions()
+	s := newState(&o)
+	j := admitted(t, s, 999)
+	check.Equal(t, "last token that fits", s.grow(j), healthy)
+	check.Equal(t, "one more token", s.grow(j), memoryFull)
+	s.restart()
+	_, why := s.admit(1001, 0)
+	check.Equal(t, "prompt beyond the memory", why, memoryFull)
+}
+
+func TestBatchIsFilledByPriority(t *testing.T) {
+	o := coldOptions()
+	o.ColdCapacity, o.WarmCapacity = 1, 1
+	s := newState(&o)
+	first := admitted(t, s, 1)
+	low, _ := s.admit(1, 1)
+	high, _ := s.admit(1, 2)
+	gone, _ := s.admit(1, 3)
+	s.release(gone, false)
+	s.release(first, true)
+	check.Equal(t, "high priority runs", high.started, true)
+	check.Equal(t, "low priority waits", low.started, false)
+	s.release(high, true)
+	check.Equal(t, "low priority runs", low.started, true)
+}
--- /dev/null
+++ b/standin/process/platform/platform.go
@@ -0,0 +1,314 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"goldcrestshore/core/process/clock"
+)
+
+// defaultWatch and maxWatch bound a long poll.
+const (
+	defaultWatch = 30 * clock.Second
+	maxWatch     = 5 * clock.Minute
+)
+
+// Fault is the failure to inject from now on.
+type Fault struct {
+	// Down refuses every call of the object API and of the instance list.
+	Down bool `json:"down"`
+	// SlowMs delays every call.
+	SlowMs int64 `json:"slowMs"`
+	// LoseAnswers is the number of writes whose connection is closed after the
+	// write took effect.
+	LoseAnswers int `json:"loseAnswers"`
+	// ListLagMs is the age of the instance list that readers see.
+	ListLagMs int64 `json:"listLagMs"`
+}
+
+// Calls counts the calls that reached the platform. A waiting watch is one call.
+type Calls struct {
+	Reads   uint64 `json:"reads"`
+	Writes  uint64 `json:"writes"`
+	Watches uint64 `json:"watches"`
+}
+
+// Platform is the stand-in. Create it with New.
+type Platform struct {
+	store  *store
+	roster *roster
+	mux    *http.ServeMux
+
+	mu       sync.Mutex
+	fault    Fault
+	faultSet chan struct{}
+	calls    Calls
+}
+
+// New returns an empty platform.
+func New(c *clock.Clock) *Platform {
+	p := &Platform{store: newStore(), roster: newRoster(c), mux: http.NewServeMux(), faultSet: make(chan struct{})}
+	p.route("GET /objects/{kind}/{name}", &p.calls.Reads, p.get)
+	p.route("GET /objects/{kind}", &p.calls.Reads, p.list)
+	p.route("PUT /objects/{kind}/{name}", &p.calls.Writes, p.put)
+	p.route("DELETE /objects/{kind}/{name}", &p.calls.Writes, p.remove)
+	p.route("GET /watch/{kind}", &p.calls.Watches, p.watch)
+	p.route("GET /instances", &p.calls.Reads, p.instances)
+	p.route("PUT /instances/{name}", &p.calls.Writes, p.register)
+	p.route("DELETE /instances/{name}", &p.calls.Writes, p.unregister)
+	p.mux.HandleFunc("PUT /fault", p.putFault)
+	p.mux.HandleFunc("GET /calls", p.getCalls)
+	return p
+}
+
+// ServeHTTP serves the object API, the instance list and the stand-in's control.
+func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) { p.mux.ServeHTTP(w, r) }
+
+// SetFault replaces the injected fault.
+func (p *Platform) SetFault(f Fault) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fault = f
+	close(p.faultSet)
+	p.faultSet = make(chan struct{})
+}
+
+// present returns the fault in force and a channel that is closed when it changes.
+func (p *Platform) present() (Fault, <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.fault, p.faultSet
+}
+
+// Calls returns the counts so far.
+func (p *Platform) Calls() Calls {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.calls
+}
+
+// route serves a pattern under the injected fault and counts its calls.
+func (p *Platform) route(pattern string, count *uint64, serve http.HandlerFunc) {
+	p.mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
+		fault := p.enter(count)
+		if !pause(r.Context(), clock.Millis(fault.SlowMs)) {
+			return
+		}
+		if fault.Down {
+			unavailable(w)
+			return
+		}
+		serve(w, r)
+	})
+}
+
+func (p *Platform) enter(count *uint64) Fault {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	*count++
+	return p.fault
+}
+
+// answerLost reports whether the answer to a write that took effect is to be lost.
+func (p *Platform) answerLost() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.fault.LoseAnswers == 0 {
+		return false
+	}
+	p.fault.LoseAnswers--
+	return true
+}
+
+func (p *Platform) get(w http.ResponseWriter, r *http.Request) {
+	o, err := p.store.get(r.PathValue("kind"), r.PathValue("name"))
+	if err != nil {
+		refuse(w, o, err)
+		return
+	}
+	tag(w, o)
+	w.Header().Set("Content-Type", "application/octet-stream")
+	_, _ = w.Write(o.value)
+}
+
+func (p *Platform) list(w http.ResponseWriter, r *http.Request) {
+	reply(w, p.store.list(r.PathValue("kind"), r.URL.Query().Get("prefix")))
+}
+
+func (p *Platform) put(w http.ResponseWriter, r *http.Request) {
+	cond, err := parseCondition(r.Header)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	value, err := io.ReadAll(io.LimitReader(r.Body, maxValueBytes+1))
+	if err != nil {
+		return
+	}
+	o, err := p.store.put(r.PathValue("kind"), r.PathValue("name"), cond, value)
+	p.finish(w, o, err)
+}
+
+func (p *Platform) remove(w http.ResponseWriter, r *http.Request) {
+	cond, err := parseCondition(r.Header)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	o, err := p.store.remove(r.PathValue("kind"), r.PathValue("name"), cond)
+	p.finish(w, o, err)
+}
+
+// finish answers a write, unless the answer is to be lost.
+func (p *Platform) finish(w http.ResponseWriter, o object, err error) {
+	if err != nil {
+		refuse(w, o, err)
+		return
+	}
+	if p.answerLost() {
+		panic(http.ErrAbortHandler)
+	}
+	tag(w, o)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// watch answers as soon as the kind has changes after the given version.
+func (p *Platform) watch(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	after, _ := strconv.ParseUint(query.Get("after"), 10, 64)
+	limit := clock.Millis(parseInt(query.Get("timeoutMs"), int64(defaultWatch)))
+	ctx, cancel := context.WithTimeout(r.Context(), min(limit, maxWatch).Duration())
+	defer cancel()
+	for {
+		fault, faultSet := p.present()
+		if fault.Down {
+			unavailable(w)
+			return
+		}
+		page, changed := p.store.after(r.PathValue("kind"), after)
+		if len(page.Items) > 0 {
+			reply(w, page)
+			return
+		}
+		select {
+		case <-changed:
+		case <-faultSet:
+		case <-ctx.Done():
+			w.WriteHeader(http.StatusNoContent)
+			return
+		}
+	}
+}
+
+func (p *Platform) instances(w http.ResponseWriter, _ *http.Request) {
+	fault, _ := p.present()
+	reply(w, p.roster.list(clock.Millis(fault.ListLagMs)))
+}
+
+func (p *Platform) register(w http.ResponseWriter, r *http.Request) {
+	var state Instance
+	if err := json.NewDecoder(r.Body).Decode(&state); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	state.Name = r.PathValue("name")
+	p.roster.set(state.Name, &state)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (p *Platform) unregister(w http.ResponseWriter, r *http.Request) {
+	p.roster.set(r.PathValue("name"), nil)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (p *Platform) putFault(w http.ResponseWriter, r *http.Request) {
+	var f Fault
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	p.SetFault(f)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (p *Platform) getCalls(w http.ResponseWriter, _ *http.Request) { reply(w, p.Calls()) }
+
+// parseCondition reads If-Match and If-None-Match.
+func parseCondition(h http.Header) (condition, error) {
+	if h.Get("If-None-Match") == "*" {
+		return condition{create: true}, nil
+	}
+	match := h.Get("If-Match")
+	if match == "" {
+		return condition{}, nil
+	}
+	version, err := strconv.ParseUint(strings.Trim(match, `"`), 10, 64)
+	if err != nil {
+		return condition{}, errors.Wrap(err, "If-Match")
+	}
+	return condition{match: true, version: version}, nil
+}
+
+// tag sets the ETag of a live object.
+func tag(w http.ResponseWriter, o object) {
+	if o.version != 0 {
+		w.Header().Set("ETag", `"`+strconv.FormatUint(o.version, 10)+`"`)
+	}
+}
+
+func unavailable(w http.ResponseWriter) {
+	http.Error(w, "the platform is down", http.StatusServiceUnavailable)
+}
+
+func refuse(w http.ResponseWriter, o object, err error) {
+	tag(w, o)
+	http.Error(w, err.Error(), status(err))
+}
+
+func status(err error) int {
+	switch {
+	case errors.Is(err, errAbsent):
+		return http.StatusNotFound
+	case errors.Is(err, errConflict):
+		return http.StatusPreconditionFailed
+	case errors.Is(err, errTooLarge):
+		return http.StatusRequestEntityTooLarge
+	}
+	return http.StatusInternalServerError
+}
+
+func reply(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+func parseInt(text string, otherwise int64) int64 {
+	n, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		return otherwise
+	}
+	return n
+}
+
+// pause waits and reports whether the caller is still there.
+func pause(ctx context.Context, d clock.Millis) bool {
+	if d <= 0 {
+		return true
+	}
+	timer := time.NewTimer(d.Duration())
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
