Add the rate-limited weight store stand-in

Cause: agents load experts from a store whose rate all ranks share. Conclusion: map changes can be paced by a real process.

--- a/standin/process/command/command.go
+++ b/standin/process/command/command.go
@@ -27,6 +27,7 @@
 	{"platform", runPlatform},
 	{"engine", runEngine},
 	{"service", runService},
+	{"weights", runWeights},
 }
 
 // Run runs the subcommand named by the first argument until it is done or ctx ends.
--- /dev/null
+++ b/standin/process/command/weights.go
@@ -0,0 +1,25 @@
+package command
+
+import (
+	"context"
+	"flag"
+	"io"
+
+	"goldcrestshore/standin/process/server"
+	"goldcrestshore/standin/process/weights"
+)
+
+func runWeights(ctx context.Context, args []string, _ io.Writer) error {
+	fs := flag.NewFlagSet("weights", flag.ContinueOnError)
+	c := commonFlags(fs)
+	var o weights.Options
+	fs.Int64Var(&o.BytesPerSecond, "bytesPerSecond", 64<<20, "rate shared by all readers")
+	fs.Int64Var(&o.ObjectBytes, "objectBytes", 32<<20, "size of an object")
+	listener, log, err := c.open(fs, args)
+	if err != nil {
+		return err
+	}
+	logStop(ctx, log)
+	s := &server.Server{Handler: weights.New(o)}
+	return finish(log, s.Run(ctx, listener))
+}
