Distribute versions through relays

Cause: with each process watching the platform, 6,350 processes at 0.19 changes a second take over 1,000 calls a second.

Change: three or more relays per data centre read the platform; every process subscribes to two by rendezvous hashing, replaces a silent or dead one at once and asks the platform itself when it hears none. Any process that has a subscriber reads the platform, so that differing lists cost reads and no update. Values travel as deltas when the receiver holds the version before. Relays write a status report on their subscribers every 5 s. Calls pass the limiter.

Conclusion: Client.Serve must be given connections of RoleSubscriber by the listener of each process.

--- /dev/null
+++ b/core/connection/platform/fake/fake.go
@@ -0,0 +1,240 @@
+// Package fake is a platform in memory for tests of the packages that call it.
+package fake
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"goldcrestshore/core/connection/platform"
+)
+
+// Platform answers calls of a platform.Client.
+type Platform struct {
+	mu        sync.Mutex
+	version   uint64
+	objects   map[string]object // by "kind/name"
+	instances []platform.Instance
+	changed   chan struct{}
+	down      bool
+	lose      int
+}
+
+type object struct {
+	version uint64
+	value   []byte
+	deleted bool
+}
+
+type item struct {
+	Name    string `json:"name"`
+	Version uint64 `json:"version"`
+	Value   []byte `json:"value"`
+	Deleted bool   `json:"deleted,omitempty"`
+}
+
+type page struct {
+	Items   []item `json:"items"`
+	Version uint64 `json:"version"`
+}
+
+// New returns an empty platform and a client of it.
+func New(t testing.TB) (*Platform, *platform.Client) {
+	t.Helper()
+	p := &Platform{objects: map[string]object{}, changed: make(chan struct{})}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /objects/{kind}/{name}", p.get)
+	mux.HandleFunc("GET /objects/{kind}", p.list)
+	mux.HandleFunc("PUT /objects/{kind}/{name}", p.put)
+	mux.HandleFunc("DELETE /objects/{kind}/{name}", p.remove)
+	mux.HandleFunc("GET /watch/{kind}", p.watch)
+	mux.HandleFunc("GET /instances", p.listInstances)
+	server := httptest.NewServer(p.faulty(mux))
+	t.Cleanup(server.Close)
+	return p, platform.New(server.URL)
+}
+
+// SetDown makes the platform refuse every call, or answer again.
+func (p *Platform) SetDown(down bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.down = down
+	p.wake()
+}
+
+// LoseAnswers closes the connection of the next n writes after they took effect.
+func (p *Platform) LoseAnswers(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lose = n
+}
+
+// SetInstances replaces the instance list.
+func (p *Platform) SetInstances(list ...platform.Instance) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.instances = list
+}
+
+// Set writes an object without a condition and returns its version.
+func (p *Platform) Set(kind, name, value string) uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.write(kind+"/"+name, object{value: []byte(value)})
+}
+
+// Value returns an object's value, empty when there is none.
+func (p *Platform) Value(kind, name string) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return string(p.objects[kind+"/"+name].value)
+}
+
+func (p *Platform) write(key string, o object) uint64 {
+	p.version++
+	o.version = p.version
+	p.objects[key] = o
+	p.wake()
+	return p.version
+}
+
+func (p *Platform) wake() {
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+func (p *Platform) faulty(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		p.mu.Lock()
+		down := p.down
+		p.mu.Unlock()
+		if down {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (p *Platform) get(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	o := p.live(key(r))
+	if o.version == 0 {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	tag(w, o.version)
+	_, _ = w.Write(o.value)
+}
+
+func (p *Platform) put(w http.ResponseWriter, r *http.Request) {
+	value, _ := io.ReadAll(r.Body)
+	p.change(w, r, object{value: value})
+}
+
+func (p *Platform) remove(w http.ResponseWriter, r *http.Request) {
+	p.change(w, r, object{deleted: true})
+}
+
+func (p *Platform) change(w http.ResponseWriter, r *http.Request, o object) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	current := p.live(key(r))
+	match := strings.Trim(r.Header.Get("If-Match"), `"`)
+	conflict := match != "" && match != strconv.FormatUint(current.version, 10)
+	if conflict || (r.Header.Get("If-None-Match") == "*" && current.version != 0) {
+		tag(w, current.version)
+		w.WriteHeader(http.StatusPreconditionFailed)
+		return
+	}
+	if o.deleted && current.version == 0 {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	version := p.write(key(r), o)
+	if p.lose > 0 {
+		p.lose--
+		panic(http.ErrAbortHandler)
+	}
+	tag(w, version)
+}
+
+func key(r *http.Request) string { return r.PathValue("kind") + "/" + r.PathValue("name") }
+
+// live returns an object that is not deleted, or an empty one.
+func (p *Platform) live(key string) object {
+	if o := p.objects[key]; !o.deleted {
+		return o
+	}
+	return object{}
+}
+
+func tag(w http.ResponseWriter, version uint64) {
+	if version != 0 {
+		w.Header().Set("ETag", `"`+strconv.FormatUint(version, 10)+`"`)
+	}
+}
+
+func (p *Platform) list(w http.ResponseWriter, r *http.Request) {
+	prefix := r.URL.Query().Get("prefix")
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(p.selected(r.PathValue("kind"), func(name string, o object) bool {
+		return !o.deleted && strings.HasPrefix(name, prefix)
+	}))
+}
+
+func (p *Platform) selected(kind string, keep func(string, object) bool) page {
+	found := page{Items: []item{}, Version: p.version}
+	for key, o := range p.objects {
+		name, ok := strings.CutPrefix(key, kind+"/")
+		if ok && keep(name, o) {
+			found.Items = append(found.Items, item{name, o.version, o.value, o.deleted})
+		}
+	}
+	sort.Slice(found.Items, func(i, j int) bool { return found.Items[i].Name < found.Items[j].Name })
+	return found
+}
+
+func (p *Platform) watch(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	limit, _ := strconv.Atoi(r.URL.Query().Get("timeoutMs"))
+	timer := time.NewTimer(time.Duration(limit) * time.Millisecond)
+	defer timer.Stop()
+	for {
+		p.mu.Lock()
+		found := p.selected(r.PathValue("kind"), func(_ string, o object) bool { return o.version > after })
+		changed, down := p.changed, p.down
+		p.mu.Unlock()
+		switch {
+		case down:
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		case len(found.Items) > 0:
+			_ = json.NewEncoder(w).Encode(found)
+			return
+		}
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return
+		case <-timer.C:
+			w.WriteHeader(http.StatusNoContent)
+			return
+		}
+	}
+}
+
+func (p *Platform) listInstances(w http.ResponseWriter, _ *http.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(append([]platform.Instance{}, p.instances...))
+}
--- /dev/null
+++ b/core/process/status/status.go
@@ -0,0 +1,136 @@
+// Package status is the report that relays write to the platform on the
+// processes that subscribe to them, for goldcrestctl status.
+package status
+
+import (
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
+
+	"goldcrestshore/core/process/clock"
+)
+
+// Interval is the time between two reports of a relay. 450 relays at full size
+// write 90 times a second, the 15 of a smaller fleet 3 times.
+const Interval = 5 * clock.Second
+
+// ErrMalformed reports a report that Parse cannot read.
+var ErrMalformed = errors.New("status report is malformed")
+
+// Name returns the name of a relay's object under platform.KindStatus.
+func Name(relay string) string { return "relay." + relay }
+
+// Report is what one relay knows of its subscribers and itself.
+type Report struct {
+	relay     string
+	at        clock.Millis
+	processes []Process
+}
+
+// NewReport returns a report; at is the relay's own clock.
+func NewReport(relay string, at clock.Millis, processes []Process) Report {
+	return Report{relay, at, processes}
+}
+
+// Relay returns the instance that wrote the report.
+func (r Report) Relay() string { return r.relay }
+
+// At returns when it was written.
+func (r Report) At() clock.Millis { return r.at }
+
+// Processes returns the subscribers and the relay; callers must not change it.
+func (r Report) Processes() []Process { return r.processes }
+
+// Process is the state of one process.
+type Process struct {
+	instance string
+	version  uint64
+	load     Load
+}
+
+// NewProcess returns the state of a process with a configuration version in
+// force; load is empty for an entry.
+func NewProcess(instance string, version uint64, load Load) Process {
+	return Process{instance, version, load}
+}
+
+// Instance returns the name.
+func (p Process) Instance() string { return p.instance }
+
+// Version returns the configuration version in force.
+func (p Process) Version() uint64 { return p.version }
+
+// Load returns the state of an agent's upstream.
+func (p Process) Load() Load { return p.load }
+
+// Load is what an agent's upstream holds and can bear.
+type Load struct {
+	service string
+	held    int
+	limit   int
+	cold    bool
+	leaving bool
+}
+
+// NewLoad returns the load of an upstream; limit is how many requests it may hold.
+func NewLoad(service string, held, limit int, cold, leaving bool) Load {
+	return Load{service, held, limit, cold, leaving}
+}
+
+// Service returns the upstream's service, empty for an entry.
+func (l Load) Service() string { return l.service }
+
+// Held returns the number of requests that it holds.
+func (l Load) Held() int { return l.held }
+
+// Limit returns the number of requests that it may hold.
+func (l Load) Limit() int { return l.limit }
+
+// Cold tells whether it is in a cold start.
+func (l Load) Cold() bool { return l.cold }
+
+// Leaving tells whether it takes no new work.
+func (l Load) Leaving() bool { return l.leaving }
+
+type reportBody struct {
+	Relay     string        `json:"relay"`
+	AtMs      int64         `json:"atMs"`
+	Processes []processBody `json:"processes"`
+}
+
+type processBody struct {
+	Instance string `json:"instance"`
+	Version  uint64 `json:"version"`
+	Service  string `json:"service,omitempty"`
+	Held     int    `json:"held,omitempty"`
+	Limit    int    `json:"limit,omitempty"`
+	Cold     bool   `json:"cold,omitempty"`
+	Leaving  bool   `json:"leaving,omitempty"`
+}
+
+// Encode returns the value of the object.
+func (r Report) Encode() []byte {
+	body := reportBody{r.relay, int64(r.at), make([]processBody, len(r.processes))}
+	for i, p := range r.processes {
+		l := p.load
+		body.Processes[i] = processBody{p.instance, p.version, l.service, l.held, l.limit, l.cold, l.leaving}
+	}
+	raw, err := json.Marshal(body)
+	if err != nil {
+		panic(err) // these types always have an encoding
+	}
+	return raw
+}
+
+// Parse reads what Encode wrote.
+func Parse(raw []byte) (Report, error) {
+	var body reportBody
+	if err := json.Unmarshal(raw, &body); err != nil {
+		return Report{}, errors.Wrapf(ErrMalformed, "%v", err)
+	}
+	r := Report{body.Relay, clock.Millis(body.AtMs), make([]Process, len(body.Processes))}
+	for i, b := range body.Processes {
+		r.processes[i] = Process{b.Instance, b.Version, Load{b.Service, b.Held, b.Limit, b.Cold, b.Leaving}}
+	}
+	return r, nil
+}
--- a/core/version/relay/client.go
+++ b/core/version/relay/client.go
@@ -1,5 +1,8 @@
 // Package relay distributes the configuration text, the out marks and the
-// instance list among the processes (docs/design.md section 5).
+// instance list among the processes (docs/design.md section 5). A few processes
+// of each data centre read the platform; every process subscribes to two of
+// them. Any process serves those that subscribe to it, so that a list that lags
+// or differs between processes costs a few extra reads and never an update.
 package relay
 
 import (
@@ -10,9 +13,12 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"goldcrestshore/core/connection/frame"
+	"goldcrestshore/core/connection/peer"
 	"goldcrestshore/core/connection/platform"
 	"goldcrestshore/core/process/clock"
 	"goldcrestshore/core/process/event"
+	"goldcrestshore/core/process/limiter"
 	"goldcrestshore/core/process/ring"
 	"goldcrestshore/core/version/adopt"
 	"goldcrestshore/core/version/mark"
@@ -21,23 +27,61 @@
 const (
 	// tickInterval is the resolution of the decisions that wait for time.
 	tickInterval = 250 * clock.Millis(1)
+	// reviewInterval is the time between two looks at the plan without a cause.
+	reviewInterval = 1 * clock.Second
 	// ringSize is the number of received values that wait for the main loop.
 	ringSize = 256
 )
 
-// Client holds the configuration of one process. Exported fields are set
-// before Run.
+// RoleSubscriber is the role that a subscriber gives in its greeting. A listener
+// passes connections of this role to Client.Serve.
+const RoleSubscriber = "subscriber"
+
+// Client holds the configuration of one process and serves it to subscribers.
+// Exported fields are set before Run.
 type Client struct {
 	Platform *platform.Client
 	Log      *event.Log
 	Clock    *clock.Clock
+	// Self names this process, its data centre and its role.
+	Self peer.Identity
+	// Address is where other processes reach this one.
+	Address string
+	// Key authenticates connections between own processes.
+	Key []byte
+	// Contacts are the addresses of some processes, for a start while the
+	// platform is down.
+	Contacts []string
+	// Load reports the state of an agent's upstream; nil for an entry.
+	Load func() frame.Load
 
 	adopter adopt.Adopter
 	inbox   *ring.Ring[input]
 	current atomic.Pointer[Snapshot]
+	// rejected is the version that failed its check last; it is not asked for again.
+	rejected atomic.Uint64
+	planner  planner
+	audience
+	limits limits
 
 	mu      sync.Mutex
 	changed chan struct{}
+
+	// Owned by the main loop.
+	ctx        context.Context
+	group      *errgroup.Group
+	sources    context.CancelFunc // not nil while this process reads the platform
+	listening  map[string]*subscription
+	aloneAt    clock.Millis // when the last subscription ended
+	nextReview clock.Millis
+}
+
+// limits keep the reads of the platform within the parts of three duties.
+type limits struct {
+	start         *limiter.Limiter
+	configuration *limiter.Limiter
+	instances     *limiter.Limiter
+	status        *limiter.Limiter
 }
 
 // input is what the goroutines around the main loop tell it.
@@ -52,16 +96,30 @@
 	value   []byte
 }
 
+// told is the configuration version that a relay has in force.
+type told struct {
+	relay   string
+	version uint64
+}
+
 // marked is the set of out marks at a version.
 type marked struct {
 	version uint64
 	marks   mark.Set
+	relayed bool
 }
 
 // listed is the instance list.
 type listed struct {
 	version uint64
 	list    []platform.Instance
+	relayed bool
+}
+
+// pushed is a value or a delta from a relay.
+type pushed struct {
+	from *subscription
+	v    *frame.Version
 }
 
 // failed is a platform call without an answer.
@@ -69,10 +127,23 @@
 	err error
 }
 
-func (offered) input() {}
-func (marked) input()  {}
-func (listed) input()  {}
-func (failed) input()  {}
+// ended is a subscription whose connection ended or could not be made.
+type ended struct {
+	from *subscription
+	err  error
+}
+
+// audienceChanged tells that the first subscriber came or the last one left.
+type audienceChanged struct{}
+
+func (offered) input()         {}
+func (told) input()            {}
+func (marked) input()          {}
+func (listed) input()          {}
+func (pushed) input()          {}
+func (failed) input()          {}
+func (ended) input()           {}
+func (audienceChanged) input() {}
 
 // Current returns what the process holds now; never nil.
 func (c *Client) Current() *Snapshot {
@@ -104,19 +175,36 @@
 	}
 }
 
+// put hands an input to the main loop.
+func (c *Client) put(in input) bool { return c.inbox.Put(c.ctx.Done(), in) }
+
 // Run keeps Current up to date until ctx is done.
 func (c *Client) Run(ctx context.Context) error {
-	c.inbox = ring.New[input](ringSize)
 	group, ctx := errgroup.WithContext(ctx)
-	source := &source{c.Platform, func(in input) bool { return c.inbox.Put(ctx.Done(), in) }}
+	c.group, c.ctx = group, ctx
+	c.inbox = ring.New[input](ringSize)
+	c.listening = map[string]*subscription{}
+	c.planner = planner{
+		self:       c.Self.Instance(),
+		address:    c.Address,
+		dataCentre: c.Self.DataCentre(),
+		contacts:   c.Contacts,
+	}
+	c.limits = limits{
+		start:         limiter.New(limiter.Start, 1),
+		configuration: limiter.New(limiter.Configuration, relaysPerDataCentre),
+		instances:     limiter.New(limiter.Instances, relaysPerDataCentre),
+		status:        limiter.New(limiter.Status, relaysPerDataCentre),
+	}
+	c.aloneAt = c.Clock.Now()
+	c.audience.start(c.put)
 	group.Go(func() error { return c.decide(ctx) })
-	group.Go(func() error { return source.watchConfiguration(ctx) })
-	group.Go(func() error { return source.watchMarks(ctx) })
-	group.Go(func() error { return source.pollInstances(ctx) })
+	group.Go(func() error { return c.source().first(ctx) })
 	return group.Wait()
 }
 
-// decide is the main loop. It alone changes the adopter and Current.
+// decide is the main loop. It alone changes the adopter and Current, and starts
+// and stops the goroutines that read the platform and relays.
 func (c *Client) decide(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval.Duration())
 	defer ticker.Stop()
@@ -128,6 +216,9 @@
 			c.take(in)
 		case <-ticker.C:
 			c.step(adopt.Tick{At: c.Clock.Now()}, nil)
+			if c.Clock.Now() >= c.nextReview {
+				c.review()
+			}
 		}
 	}
 }
@@ -136,29 +227,50 @@
 	switch in := in.(type) {
 	case offered:
 		c.step(adopt.Offer{At: c.Clock.Now(), Relay: in.relay, Version: in.version, Value: in.value}, in.value)
+	case told:
+		c.step(adopt.Told{At: c.Clock.Now(), Relay: in.relay, Version: in.version}, nil)
 	case marked:
-		if next, changed := c.Current().withMarks(in.version, in.marks); changed {
+		if next, changed := c.Current().withMarks(in); changed {
 			c.publish(next)
 		}
 	case listed:
-		if next, changed := c.Current().withList(in.version, in.list); changed {
+		if next, changed := c.Current().withList(in); changed {
 			c.publish(next)
+			c.review()
 		}
+	case pushed:
+		c.takePushed(in)
 	case failed:
 		c.Log.Error(event.PlatformFailed, in.err, nil)
 		c.step(adopt.PlatformFailed{At: c.Clock.Now()}, nil)
+	case ended:
+		c.end(in)
+	case audienceChanged:
+		c.review()
 	}
 }
 
+// takePushed takes a value from a relay and asks it for whole values when a
+// delta does not fit.
+func (c *Client) takePushed(p pushed) {
+	in, err := c.Current().resolve(p.from.target.name, p.v)
+	if err != nil {
+		p.from.askWhole(p.v.Kind())
+		return
+	}
+	c.take(in)
+}
+
 // step carries out what the adopter decides; value is the text on offer.
 func (c *Client) step(e adopt.Event, value []byte) {
 	for _, a := range c.adopter.Step(e) {
 		next := *c.Current()
 		switch a := a.(type) {
 		case adopt.Adopt:
-			next.config, next.text = held{a.Version, value}, a.Text
+			next.config, next.text = next.config.next(a.Version, value), a.Text
 			c.Log.Emit(event.ConfigAdopted, event.Fields{"version": a.Version})
 		case adopt.Reject:
+			c.rejected.Store(a.Version)
 			c.Log.Error(event.ConfigRejected, a.Err, event.Fields{"version": a.Version})
 			continue
 		case adopt.Ready:
@@ -167,3 +279,110 @@
 		c.publish(&next)
 	}
 }
+
+// review starts and stops reading the platform and subscriptions according to
+// the plan.
+func (c *Client) review() {
+	now, list := c.Clock.Now(), c.Current().Instances()
+	c.nextReview = now + reviewInterval
+	c.reviewSources(now, list)
+	c.reviewSubscriptions(now, list)
+}
+
+// reviewSources reads the platform while this process is a relay, serves a
+// subscriber or hears no relay.
+func (c *Client) reviewSources(now clock.Millis, list []platform.Instance) {
+	alone := c.connected() == 0 && now-c.aloneAt >= relaysHeardAlone
+	serving := c.planner.isRelay(list) || c.audience.size() > 0
+	holders := fleetRelays(list)
+	if alone && !serving {
+		// Every process of a cut-off data centre may be alone at one moment.
+		holders = max(holders, len(list))
+	}
+	c.limits.configuration.Share(now, holders)
+	c.limits.instances.Share(now, holders)
+	c.limits.status.Share(now, holders)
+	switch {
+	case (serving || alone) && c.sources == nil:
+		c.startSources()
+	case !serving && !alone && c.sources != nil:
+		c.sources()
+		c.sources = nil
+	}
+}
+
+func (c *Client) startSources() {
+	ctx, cancel := context.WithCancel(c.ctx)
+	c.sources = cancel
+	s := c.source()
+	for _, run := range []func(context.Context){s.watchConfiguration, s.watchMarks, s.pollInstances, c.reportStatus} {
+		c.group.Go(func() error {
+			run(ctx)
+			return nil
+		})
+	}
+}
+
+// source returns the reader of the platform.
+func (c *Client) source() *source {
+	return &source{platform: c.Platform, clock: c.Clock, limits: c.limits, put: c.put}
+}
+
+// connected returns the number of subscriptions whose connection stands.
+func (c *Client) connected() int {
+	n := 0
+	for _, s := range c.listening {
+		if s.connected.Load() {
+			n++
+		}
+	}
+	return n
+}
+
+// reviewSubscriptions starts missing subscriptions, and ends unwanted ones once
+// the wanted ones stand.
+func (c *Client) reviewSubscriptions(now clock.Millis, list []platform.Instance) {
+	wanted := map[string]bool{}
+	standing := 0
+	for _, t := range c.planner.targets(now, list) {
+		wanted[t.name] = true
+		s := c.listening[t.name]
+		if s == nil {
+			c.subscribe(t)
+		} else if s.connected.Load() {
+			standing++
+		}
+	}
+	for name, s := range c.listening {
+		if !wanted[name] && standing == len(wanted) {
+			s.cancel()
+			delete(c.listening, name)
+		}
+	}
+}
+
+func (c *Client) subscribe(t target) {
+	ctx, cancel := context.WithCancel(c.ctx)
+	s := newSubscription(c, t, cancel)
+	c.listening[t.name] = s
+	c.group.Go(func() error {
+		err := s.run(ctx)
+		c.put(ended{s, err})
+		return nil
+	})
+}
+
+// end forgets a subscription and chooses another relay.
+func (c *Client) end(e ended) {
+	if c.listening[e.from.target.name] != e.from {
+		return // it was replaced on purpose
+	}
+	now := c.Clock.Now()
+	delete(c.listening, e.from.target.name)
+	c.planner.fail(now, e.from.target.name)
+	peer.LogEnd(c.Log, e.err, e.from.target.name)
+	if c.connected() == 0 {
+		c.aloneAt = now
+	}
+	c.review()
+}
--- /dev/null
+++ b/core/version/relay/client_test.go
@@ -0,0 +1,148 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"testing"
+
+	"goldcrestshore/core/connection/peer"
+	"goldcrestshore/core/connection/platform"
+	"goldcrestshore/core/connection/platform/fake"
+	"goldcrestshore/core/process/check"
+	"goldcrestshore/core/process/clock"
+	"goldcrestshore/core/process/event"
+	"goldcrestshore/core/version/mark"
+)
+
+// node is one process of a test: a client with its listener.
+type node struct {
+	*Client
+	instance platform.Instance
+	stop     func()
+}
+
+// startNode runs a client and its listener until the test ends.
+func startNode(t *testing.T, name string, p *platform.Client, contacts ...string) *node {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	check.NoError(t, "listen", err)
+	log, err := event.NewLog(io.Discard, "error", "test", name)
+	check.NoError(t, "log", err)
+	address := l.Addr().String()
+	c := &Client{
+		Platform: p,
+		Log:      log,
+		Clock:    clock.System(),
+		Self:     peer.NewIdentity(platform.RoleAgent, name, "x"),
+		Address:  address,
+		Key:      []byte("key"),
+		Contacts: contacts,
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	listener := &peer.Listener{Self: c.Self, Key: c.Key, Log: log, Serve: c.Serve}
+	done := make(chan struct{}, 2)
+	go func() { _ = c.Run(ctx); done <- struct{}{} }()
+	go func() { _ = listener.Run(ctx, l); done <- struct{}{} }()
+	stop := func() {
+		cancel()
+		<-done
+		<-done
+	}
+	n := &node{c, platform.NewInstance(name, platform.RoleAgent, "x", address), stop}
+	return n
+}
+
+// await returns when the condition holds for what the node has. It never gives
+// up on its own: a test that hangs here has failed.
+func (n *node) await(condition func(*Snapshot) bool) *Snapshot {
+	for {
+		changed := n.Changed()
+		if s := n.Current(); condition(s) {
+			return s
+		}
+		<-changed
+	}
+}
+
+func configText(model string) string {
+	return fmt.Sprintf(`{"dataCentres":[],"services":[],"models":[{"name":"%s"}]}`, model)
+}
+
+func hasModel(model string) func(*Snapshot) bool {
+	return func(s *Snapshot) bool { return s.Ready() && s.Text().Models()[0] == model }
+}
+
+// Guards against a change that does not reach a process through relays: text,
+// marks and list, and all of them again after the first values.
+func TestChangesReachEveryProcess(t *testing.T) {
+	f, p := fake.New(t)
+	f.Set(platform.KindConfiguration, platform.NameRoot, configText("first"))
+	var nodes []*node
+	var list []platform.Instance
+	for i := range 6 {
+		n := startNode(t, fmt.Sprintf("n%d", i), p)
+		defer n.stop()
+		nodes, list = append(nodes, n), append(list, n.instance)
+	}
+	f.SetInstances(list...)
+	for _, n := range nodes {
+		n.await(hasModel("first"))
+		n.await(func(s *Snapshot) bool { return len(s.Instances()) == 6 })
+	}
+	version := f.Set(platform.KindConfiguration, platform.NameRoot, configText("second"))
+	f.Set(platform.KindOut, mark.DataCentre("x"), "")
+	for _, n := range nodes {
+		s := n.await(hasModel("second"))
+		check.Equal(t, "version", s.Version(), version)
+		n.await(func(s *Snapshot) bool { return s.IsOut("any", "x") })
+	}
+}
+
+// Guards against a process that stays without a configuration while the
+// platform is down although others hold it, and against an old version that a
+// late reader of the platform brings back.
+func TestStartWhilePlatformIsDown(t *testing.T) {
+	f, p := fake.New(t)
+	f.Set(platform.KindConfiguration, platform.NameRoot, configText("held"))
+	a, b := startNode(t, "a", p), startNode(t, "b", p)
+	defer a.stop()
+	defer b.stop()
+	a.await(hasModel("held"))
+	b.await(hasModel("held"))
+	f.SetDown(true)
+	late := startNode(t, "c", p, a.Address, b.Address)
+	defer late.stop()
+	late.await(hasModel("held"))
+}
+
+// Guards against a subscriber that keeps a relay which died.
+func TestRelayDies(t *testing.T) {
+	f, p := fake.New(t)
+	f.Set(platform.KindConfiguration, platform.NameRoot, configText("first"))
+	var nodes []*node
+	var list []platform.Instance
+	for i := range 5 {
+		n := startNode(t, fmt.Sprintf("n%d", i), p)
+		nodes, list = append(nodes, n), append(list, n.instance)
+	}
+	f.SetInstances(list...)
+	for _, n := range nodes {
+		n.await(func(s *Snapshot) bool { return len(s.Instances()) == 5 })
+	}
+	chosen, _ := relays(list, "x")
+	for i, n := range nodes {
+		if n.instance.Name() == chosen[0] || n.instance.Name() == chosen[1] {
+			n.stop()
+			nodes[i] = nil
+		}
+	}
+	f.Set(platform.KindConfiguration, platform.NameRoot, configText("second"))
+	for _, n := range nodes {
+		if n != nil {
+			n.await(hasModel("second"))
+			n.stop()
+		}
+	}
+}
--- /dev/null
+++ b/core/version/relay/delta_test.go
@@ -0,0 +1,88 @@
+package relay
+
+import (
+	"bytes"
+	"math/rand/v2"
+	"testing"
+
+	"goldcrestshore/core/process/check"
+)
+
+// Guards against a delta that rebuilds another text than the operator wrote.
+func TestDelta(t *testing.T) {
+	rows := []struct{ name, old, next string }{
+		{"equal", "abc", "abc"},
+		{"empty", "", ""},
+		{"first", "", "abc"},
+		{"removed", "abc", ""},
+		{"in the middle", "abcdef", "abXdef"},
+		{"repeated letters", "aaaa", "aaa"},
+		{"more repeated letters", "aaa", "aaaaa"},
+		{"nothing in common", "abc", "xyz"},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			assertRebuilt(t, held{version: 1, value: []byte(row.old)}, held{version: 2, value: []byte(row.next)})
+		})
+	}
+}
+
+func assertRebuilt(t *testing.T, old, next held) {
+	t.Helper()
+	d, err := parseDelta(next.version, diff(old, next).encode())
+	check.NoError(t, "parse", err)
+	got, err := d.apply(old)
+	check.NoError(t, "apply", err)
+	check.Equal(t, "value", string(got.value), string(next.value))
+	check.Equal(t, "version", got.version, next.version)
+}
+
+// Guards against rare shapes that the table above does not have.
+func TestSeededDeltas(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	letters := func() []byte {
+		b := make([]byte, random.IntN(12))
+		for i := range b {
+			b[i] = byte('a' + random.IntN(2))
+		}
+		return b
+	}
+	for range 5000 {
+		assertRebuilt(t, held{version: 1, value: letters()}, held{version: 2, value: letters()})
+	}
+}
+
+// Guards against a delta applied to another text than it was made for, and
+// against a forged one that reaches outside the value held.
+func TestWrongDelta(t *testing.T) {
+	d := diff(held{version: 1, value: []byte("abc")}, held{version: 2, value: []byte("abd")})
+	_, err := d.apply(held{version: 3, value: []byte("abc")})
+	check.Is(t, "other version", err, errDelta)
+	_, err = d.apply(held{version: 1, value: []byte("axc")})
+	check.Is(t, "other text", err, errDelta)
+	for _, forged := range []delta{{prefix: 4}, {suffix: 4}, {prefix: 2, suffix: 2}, {prefix: -1}, {suffix: -1}, {prefix: 1 << 62, suffix: 1 << 62}} {
+		_, err = forged.apply(held{version: 0, value: []byte("abc")})
+		check.Is(t, "forged", err, errDelta)
+	}
+	_, err = parseDelta(1, []byte("x"))
+	check.Is(t, "malformed", err, errDelta)
+}
+
+// Guards against a history that grows without bound or has gaps.
+func TestHistory(t *testing.T) {
+	var h history
+	old := held{version: 0, value: nil}
+	for version := uint64(1); version <= 100; version++ {
+		next := held{version: version, value: bytes.Repeat([]byte{byte(version)}, 10<<10)}
+		h = h.after(diff(old, next))
+		old = next
+	}
+	check.Equal(t, "deltas kept", len(h), maxHistoryBytes/(10<<10))
+	_, ok := h.since(1)
+	check.Equal(t, "reaches version 1", ok, false)
+	chain, ok := h.since(98)
+	check.Equal(t, "reaches version 98", ok, true)
+	check.Equal(t, "steps from 98", len(chain), 2)
+	_, ok = h.since(100)
+	check.Equal(t, "steps from the last", ok, false)
+}
--- /dev/null
+++ b/core/version/relay/plan_test.go
@@ -0,0 +1,106 @@
+package relay
+
+import (
+	"fmt"
+	"testing"
+
+	"goldcrestshore/core/connection/platform"
+	"goldcrestshore/core/process/check"
+	"goldcrestshore/core/process/clock"
+)
+
+// fleet returns n live instances in each data centre.
+func fleet(n int, dataCentres ...string) []platform.Instance {
+	var list []platform.Instance
+	for _, dc := range dataCentres {
+		for i := range n {
+			name := fmt.Sprintf("%s-%d", dc, i)
+			list = append(list, platform.NewInstance(name, platform.RoleAgent, dc, name+":1"))
+		}
+	}
+	return list
+}
+
+func planFor(name, dataCentre string) *planner {
+	return &planner{self: name, dataCentre: dataCentre}
+}
+
+// Guards against a data centre with fewer than three relays, and against relays
+// whose subscribers outgrow their rates.
+func TestRelayCount(t *testing.T) {
+	for _, row := range []struct{ processes, want int }{{0, 3}, {96, 3}, {97, 4}, {1270, 40}} {
+		check.Equal(t, fmt.Sprintf("relays of %d processes", row.processes), relayCount(row.processes), row.want)
+	}
+	list := fleet(20, "x", "y")
+	count := 0
+	for _, i := range list {
+		if planFor(i.Name(), i.DataCentre()).isRelay(list) {
+			count++
+		}
+	}
+	check.Equal(t, "relays", count, 6)
+	check.Equal(t, "fleet's relays", fleetRelays(list), 6)
+}
+
+// Guards against a process that relies on one relay, on itself, or on an
+// instance that leaves.
+func TestTargets(t *testing.T) {
+	list := fleet(20, "x", "y")
+	chosen, _ := relays(list, "x")
+	list = append(list, platform.NewInstance("x-leaving", platform.RoleAgent, "x", "a:1").WithState(platform.Leaving))
+	for _, i := range fleet(20, "x") {
+		got := planFor(i.Name(), "x").targets(0, list)
+		check.Equal(t, "targets of "+i.Name(), len(got), 2)
+		check.Equal(t, "two different", got[0] != got[1], true)
+		for _, target := range got {
+			check.Equal(t, "is itself", target.name == i.Name(), false)
+			check.Equal(t, "is a relay", target.name == chosen[0] || target.name == chosen[1] || target.name == chosen[2], true)
+			check.Equal(t, "address", target.address, target.name+":1")
+		}
+	}
+}
+
+// Guards against a process that keeps asking a relay that died or went silent.
+func TestFailedRelayIsReplaced(t *testing.T) {
+	list := fleet(20, "x")
+	p := planFor("x-0", "x")
+	first := p.targets(0, list)
+	p.fail(0, first[0].name)
+	second := p.targets(1, list)
+	check.Equal(t, "targets", len(second), 2)
+	for _, target := range second {
+		check.Equal(t, "is the failed one", target == first[0], false)
+	}
+	check.Equal(t, "asked again later", p.targets(failureMemory, list)[0], first[0])
+	for _, i := range list {
+		p.fail(0, i.Name())
+	}
+	check.Equal(t, "all failed", len(p.targets(1, list)), 0)
+}
+
+// Guards against a small data centre or an empty list that leaves a process
+// without a relay.
+func TestFewCandidates(t *testing.T) {
+	t.Run("alone in its data centre", func(t *testing.T) {
+		list := append(fleet(1, "x"), fleet(5, "y")...)
+		got := planFor("x-0", "x").targets(0, list)
+		check.Equal(t, "targets", len(got), 2)
+	})
+	t.Run("first contacts", func(t *testing.T) {
+		p := planFor("x-0", "x")
+		p.address = "own:1"
+		p.contacts = []string{"own:1", "c1:1", "c2:1", "c3:1"}
+		check.Equal(t, "targets", fmt.Sprint(p.targets(0, nil)), "[{c1:1 c1:1} {c2:1 c2:1}]")
+		p.fail(0, "c1:1")
+		check.Equal(t, "targets after a failure", fmt.Sprint(p.targets(1, nil)), "[{c2:1 c2:1} {c3:1 c3:1}]")
+	})
+}
+
+// Guards against a memory of failures that grows with the fleet's turnover.
+func TestFailuresAreForgotten(t *testing.T) {
+	p := planFor("x-0", "x")
+	for i := range clock.Millis(1000) {
+		p.fail(i*clock.Second, fmt.Sprint(i))
+	}
+	check.AtMost(t, "remembered", len(p.failed), int(failureMemory/clock.Second)+1)
+}
--- a/core/version/relay/snapshot.go
+++ b/core/version/relay/snapshot.go
@@ -22,10 +22,21 @@
 	instances []platform.Instance
 }
 
-// held is one value with its version, as relays pass it on.
+// held is one value with its version and the deltas that lead to it, as relays
+// pass it on.
 type held struct {
 	version uint64
 	value   []byte
+	history history
+}
+
+// next returns the value that follows h, with its history.
+func (h held) next(version uint64, value []byte) held {
+	n := held{version: version, value: value}
+	if h.version != 0 && h.version != version {
+		n.history = h.history.after(diff(h, n))
+	}
+	return n
 }
 
 // Ready tells whether the configuration is confirmed and the process may serve.
@@ -49,28 +60,35 @@
 }
 
 // withMarks returns a snapshot with marks of a later version. The same marks
-// keep their version, so that relays do not push them again.
-func (s *Snapshot) withMarks(version uint64, marks mark.Set) (*Snapshot, bool) {
-	value := marks.Encode()
-	if version <= s.out.version || bytes.Equal(value, s.out.value) {
+// keep their version when this process read them from the platform, so that
+// they are not pushed again; from a relay they take its version, so that its
+// digest shows no lag.
+func (s *Snapshot) withMarks(in marked) (*Snapshot, bool) {
+	value := in.marks.Encode()
+	if in.version <= s.out.version || (!in.relayed && bytes.Equal(value, s.out.value)) {
 		return s, false
 	}
 	next := *s
-	next.out, next.marks = held{version, value}, marks
+	next.out, next.marks = s.out.next(in.version, value), in.marks
 	return &next, true
 }
 
 // withList returns a snapshot with another list. The list has no version of its
 // own: a relay labels it with the version of the store at the time of reading,
-// and between two lists of one label the later to arrive is taken.
-func (s *Snapshot) withList(version uint64, list []platform.Instance) (*Snapshot, bool) {
-	sorted := slices.Clone(list)
+// and between two lists of one label the later to arrive is taken. The same
+// list is treated as in withMarks.
+func (s *Snapshot) withList(in listed) (*Snapshot, bool) {
+	sorted := slices.Clone(in.list)
 	slices.SortFunc(sorted, func(a, b platform.Instance) int { return strings.Compare(a.Name(), b.Name()) })
 	value, err := json.Marshal(sorted)
-	if err != nil || version < s.list.version || bytes.Equal(value, s.list.value) {
+	if err != nil || in.version < s.list.version {
+		return s, false
+	}
+	same := bytes.Equal(value, s.list.value)
+	if same && (!in.relayed || in.version == s.list.version) {
 		return s, false
 	}
 	next := *s
-	next.list, next.instances = held{version, value}, sorted
+	next.list, next.instances = s.list.next(in.version, value), sorted
 	return &next, true
 }
