Serve requests end to end through entry, agent and upstream

Cause: the pieces of the path were there but no program joined them. Change: goldcrest-entry (HTTP by go-zero rest with all middlewares off and its 5.5 s forced quit disabled, authentication, routing by the text, retry only when allowed, answers verified before their terminator), goldcrest-agent (admission gate, upstream client, drain on SIGTERM), a view of configuration, out marks and instances, and scripts that start a fleet on loopback. Conclusion: the decisions can now be filled in behind these seams.

--- /dev/null
+++ b/agent/process/server/server.go
@@ -0,0 +1,170 @@
+package server
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"goldcrestshore/agent/connection/entry"
+	"goldcrestshore/agent/request/upstream"
+	"goldcrestshore/core/connection/frame"
+	"goldcrestshore/core/connection/peer"
+	"goldcrestshore/core/connection/platform"
+	"goldcrestshore/core/process/clock"
+	"goldcrestshore/core/process/event"
+	"goldcrestshore/core/process/metric"
+	"goldcrestshore/core/process/settings"
+	"goldcrestshore/core/request/outcome"
+	"goldcrestshore/core/version/view"
+)
+
+const (
+	// drainPoll is how often a stopping agent looks whether it is idle.
+	drainPoll = 50 * time.Millisecond
+	// leaveNotice is how long a stopping agent keeps refusing new work, so that
+	// every entry has heard that it leaves before connections close.
+	leaveNotice = 1 * time.Second
+	// deregisterTimeout bounds the last platform call of a stopping agent.
+	deregisterTimeout = 2 * time.Second
+)
+
+// Server is the agent process. Exported fields are set before Run.
+type Server struct {
+	Settings *settings.Common
+	// Service is the service of the upstream.
+	Service string
+	// Upstream is the address of the upstream, ip:port.
+	Upstream string
+	// MaxStreamBytes bounds the answer bytes that all requests together hold.
+	MaxStreamBytes int64
+	Log            *event.Log
+	Metrics        *metric.Registry
+
+	platform *platform.Client
+	views    *view.Watcher
+	gate     *gate
+	entries  *entry.Server
+	self     peer.Identity
+}
+
+// Run serves until a signal asks it to stop and all held requests are finished.
+func (s *Server) Run(ctx context.Context) error {
+	stopping, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	running, cancel := context.WithCancel(ctx)
+	defer cancel()
+	listener, err := net.Listen("tcp", s.Settings.Listen())
+	if err != nil {
+		return errors.Wrap(err, "listen for entries")
+	}
+	s.build(running)
+	group, running := errgroup.WithContext(running)
+	group.Go(func() error { s.views.Run(running); return nil })
+	group.Go(func() error { s.entries.Run(running); return nil })
+	group.Go(func() error { return s.serveEntries(running, listener) })
+	group.Go(func() error { return s.serveAdmin(running) })
+	group.Go(func() error {
+		s.register(running)
+		<-stopping.Done()
+		s.drain(running)
+		cancel()
+		return nil
+	})
+	s.Log.Emit(event.ProcessStarted, event.Fields{"address": listener.Addr().String(), "upstream": s.Upstream})
+	err = group.Wait()
+	s.Log.Emit(event.ProcessStopped, nil)
+	return err
+}
+
+func (s *Server) build(ctx context.Context) {
+	s.self = peer.NewIdentity(platform.RoleAgent, s.Settings.Instance(), s.Settings.DataCentre())
+	s.platform = platform.New(s.Settings.Platform())
+	s.views = &view.Watcher{Platform: s.platform, Log: s.Log}
+	s.gate = &gate{limit: s.limit, refusal: s.outOfService, held: map[frame.ID]bool{}}
+	s.entries = &entry.Server{
+		Clock:          clock.System(),
+		Log:            s.Log,
+		Gate:           s.gate,
+		Upstream:       upstream.New(s.Upstream),
+		Heartbeat:      s.heartbeat,
+		Incarnation:    s.self.Incarnation(),
+		MaxStreamBytes: s.MaxStreamBytes,
+	}
+	s.entries.Start(ctx)
+}
+
+func (s *Server) limit() int {
+	v := s.views.Current()
+	if v.Text() == nil {
+		return 0
+	}
+	service, ok := v.Text().Service(s.Service)
+	if !ok {
+		return 0
+	}
+	return service.WarmLimit()
+}
+
+// outOfService refuses work that the configuration does not allow here.
+func (s *Server) outOfService(m *frame.Submit) *outcome.Refusal {
+	v := s.views.Current()
+	if v.Text() == nil || v.Version() < m.ConfigVersion() {
+		return outcome.Refuse(outcome.ConfigUnconfirmed, outcome.NotRun, 0)
+	}
+	if v.DataCentreOut(s.Settings.DataCentre()) || v.InstanceOut(s.Settings.Instance()) || m.Service() != s.Service {
+		return outcome.Refuse(outcome.OutOfService, outcome.NotRun, 0)
+	}
+	return nil
+}
+
+func (s *Server) heartbeat() *frame.Heartbeat {
+	v := s.views.Current()
+	held, leaving := s.gate.state()
+	leaving = leaving || v.DataCentreOut(s.Settings.DataCentre()) || v.InstanceOut(s.Settings.Instance())
+	load := frame.NewLoad(s.Service,
+		frame.NewOccupancy(held, s.limit(), 0, 0),
+		frame.NewCondition(false, leaving, 0, 0),
+		frame.NewPace(0, 0))
+	return frame.NewHeartbeat(v.Version(), load)
+}
+
+func (s *Server) serveEntries(ctx context.Context, l net.Listener) error {
+	listener := &peer.Listener{Self: s.self, Key: s.Settings.Key(), Log: s.Log, Serve: s.entries.Serve}
+	return listener.Run(ctx, l)
+}
+
+func (s *Server) serveAdmin(ctx context.Context) error {
+	return metric.Serve(ctx, s.Settings.Admin(), map[string]http.Handler{"/metrics": s.Metrics.Handler()})
+}
+
+// register announces the agent to the platform and tries again until it works.
+func (s *Server) register(ctx context.Context) {
+	i := platform.NewInstance(s.Settings.Instance(), platform.RoleAgent, s.Settings.DataCentre(), s.Settings.Listen()).
+		WithUpstream(s.Upstream, s.Service)
+	platform.Announce(ctx, s.platform, i, func(err error) { s.Log.Error(event.PlatformFailed, err, nil) })
+}
+
+// drain refuses new work, waits for held requests and leaves the list.
+func (s *Server) drain(ctx context.Context) {
+	s.Log.Emit(event.ProcessStopping, event.Fields{"held": s.entries.Held()})
+	s.gate.leave()
+	deregister, cancel := context.WithTimeout(ctx, deregisterTimeout)
+	defer cancel()
+	if err := s.platform.Deregister(deregister, s.Settings.Instance()); err != nil {
+		s.Log.Error(event.PlatformFailed, err, nil)
+	}
+	notice := time.After(leaveNotice)
+	for s.entries.Held() > 0 && ctx.Err() == nil {
+		time.Sleep(drainPoll)
+	}
+	select {
+	case <-notice:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/core/process/settings/common.go
@@ -0,0 +1,76 @@
+package settings
+
+import (
+	"flag"
+	"runtime/debug"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrMissing reports a setting that has no default and was not given.
+var ErrMissing = errors.New("setting is missing")
+
+// Common are the settings that every daemon has.
+type Common struct {
+	instance    string
+	dataCentre  string
+	platform    string
+	key         string
+	listen      string
+	admin       string
+	logLevel    string
+	memoryLimit int64
+}
+
+// DefineCommon defines the common settings on fs.
+func DefineCommon(fs *flag.FlagSet) *Common {
+	c := &Common{}
+	fs.StringVar(&c.instance, "instance", "", "unique name of this instance")
+	fs.StringVar(&c.dataCentre, "dataCentre", "", "data centre of this instance")
+	fs.StringVar(&c.platform, "platform", "", "address of the platform's object API, ip:port")
+	fs.StringVar(&c.key, "key", "", "key shared by all goldcrestshore processes; keep it in the settings file")
+	fs.StringVar(&c.listen, "listen", "", "address for other goldcrestshore processes, ip:port")
+	fs.StringVar(&c.admin, "admin", "", "address of the metrics and status endpoints, ip:port; empty for none")
+	fs.StringVar(&c.logLevel, "logLevel", "info", "lowest severity that is logged")
+	fs.Int64Var(&c.memoryLimit, "memoryLimitBytes", 0, "soft memory limit of the Go runtime, 0 for none")
+	return c
+}
+
+// Check returns ErrMissing for the first absent setting and applies the memory
+// limit.
+func (c *Common) Check() error {
+	required := []struct{ name, value string }{
+		{"instance", c.instance}, {"dataCentre", c.dataCentre}, {"platform", c.platform},
+		{"key", c.key}, {"listen", c.listen},
+	}
+	for _, r := range required {
+		if r.value == "" {
+			return errors.Wrapf(ErrMissing, "%q", r.name)
+		}
+	}
+	if c.memoryLimit > 0 {
+		debug.SetMemoryLimit(c.memoryLimit)
+	}
+	return nil
+}
+
+// Instance returns the unique name of the instance.
+func (c *Common) Instance() string { return c.instance }
+
+// DataCentre returns the data centre of the instance.
+func (c *Common) DataCentre() string { return c.dataCentre }
+
+// Platform returns the address of the object API.
+func (c *Common) Platform() string { return c.platform }
+
+// Key returns the key shared by all processes.
+func (c *Common) Key() []byte { return []byte(c.key) }
+
+// Listen returns the address for other processes.
+func (c *Common) Listen() string { return c.listen }
+
+// Admin returns the address of the metrics and status endpoints.
+func (c *Common) Admin() string { return c.admin }
+
+// LogLevel returns the lowest severity that is logged.
+func (c *Common) LogLevel() string { return c.logLevel }
--- /dev/null
+++ b/entry/cmd/goldcrest-entry/main.go
@@ -0,0 +1,49 @@
+// Command goldcrest-entry accepts callers' requests and runs them on upstreams
+// through their agents.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+
+	"goldcrestshore/core/process/event"
+	"goldcrestshore/core/process/metric"
+	"goldcrestshore/core/process/settings"
+	"goldcrestshore/entry/process/server"
+)
+
+func main() {
+	if err := run(os.Args[1:]); err != nil {
+		fmt.Fprintln(os.Stderr, "goldcrest-entry:", err)
+		os.Exit(1)
+	}
+}
+
+func run(args []string) error {
+	fs := flag.NewFlagSet("goldcrest-entry", flag.ContinueOnError)
+	common := settings.DefineCommon(fs)
+	callers := fs.String("callers", "", "address for callers, ip:port")
+	connections := fs.Int64("maxConnections", 4096, "callers' connections")
+	requests := fs.Int64("maxRequests", 2048, "callers' requests in progress")
+	if err := settings.Parse(fs, args); err != nil {
+		return err
+	}
+	if err := common.Check(); err != nil {
+		return err
+	}
+	log, err := event.NewLog(os.Stderr, common.LogLevel(), "entry", common.Instance())
+	if err != nil {
+		return err
+	}
+	s := &server.Server{
+		Settings:       common,
+		Callers:        *callers,
+		MaxConnections: *connections,
+		MaxRequests:    *requests,
+		Log:            log,
+		Metrics:        metric.New("entry", common.Instance()),
+	}
+	return s.Run(context.Background())
+}
--- /dev/null
+++ b/entry/request/caller/refusal.go
@@ -0,0 +1,52 @@
+package caller
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"goldcrestshore/core/process/event"
+	"goldcrestshore/core/request/outcome"
+)
+
+// statuses maps refusal codes to HTTP statuses; others are 503.
+var statuses = map[outcome.Code]int{
+	outcome.BadRequest:       http.StatusBadRequest,
+	outcome.Unauthorized:     http.StatusUnauthorized,
+	outcome.NoRoute:          http.StatusNotFound,
+	outcome.CustomerLimit:    http.StatusTooManyRequests,
+	outcome.TooLarge:         http.StatusRequestEntityTooLarge,
+	outcome.ClaimPending:     http.StatusConflict,
+	outcome.ClaimMismatch:    http.StatusUnprocessableEntity,
+	outcome.ClaimUnsettled:   http.StatusConflict,
+	outcome.Quarantined:      http.StatusUnprocessableEntity,
+	outcome.DeadlineExceeded: http.StatusGatewayTimeout,
+	outcome.UpstreamFailed:   http.StatusBadGateway,
+	outcome.ConnectionLost:   http.StatusBadGateway,
+}
+
+// refusalBody is the JSON form of a refusal.
+type refusalBody struct {
+	Code    outcome.Code `json:"code"`
+	Event   int          `json:"event"`
+	Message string       `json:"message"`
+}
+
+// writeRefusal answers with the refusal that err wraps.
+func writeRefusal(w http.ResponseWriter, err error) {
+	r := outcome.As(err)
+	status, ok := statuses[r.Code()]
+	if !ok {
+		status = http.StatusServiceUnavailable
+	}
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set(outcome.Header, string(r.Outcome()))
+	if r.RetryAfterMs() > 0 {
+		// The header counts whole seconds.
+		h.Set("Retry-After", strconv.FormatInt((r.RetryAfterMs()+999)/1000, 10))
+	}
+	w.WriteHeader(status)
+	// An error means that the caller has left.
+	_ = json.NewEncoder(w).Encode(refusalBody{r.Code(), event.RequestRefused.Number(), err.Error()})
+}
--- /dev/null
+++ b/entry/request/caller/request.go
@@ -0,0 +1,211 @@
+// Package caller speaks HTTP to the callers of services.
+package caller
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"goldcrestshore/core/connection/frame"
+	"goldcrestshore/core/process/clock"
+	"goldcrestshore/core/request/outcome"
+	"goldcrestshore/core/version/text"
+	"goldcrestshore/core/version/view"
+)
+
+const (
+	// chatPath is the OpenAI-style route of model services.
+	chatPath = "/v1/chat/completions"
+
+	// MaxBodyBytes is the largest request body.
+	MaxBodyBytes = 4 << 20
+	// bodyTimeout bounds a body that is sent slowly.
+	bodyTimeout = 30 * clock.Second
+
+	defaultDeadline = 120 * clock.Second
+	maxDeadline     = 600 * clock.Second
+
+	// bytesPerToken is a low estimate, so that a prompt is never taken for
+	// shorter than it is by much.
+	bytesPerToken = 3
+	// defaultMaxTokens is reserved for a chat request that names no limit.
+	defaultMaxTokens = 512
+)
+
+const (
+	authorizationHeader = "Authorization"
+	keyHeader           = "Idempotency-Key"
+	deadlineHeader      = "Goldcrest-Deadline-Ms"
+	bearerPrefix        = "Bearer "
+)
+
+// maxKeyBytes bounds the keys that claims hold.
+const maxKeyBytes = 128
+
+// Request is an authenticated request that a service takes.
+type Request struct {
+	customer *text.Customer
+	service  *text.Service
+	call     frame.Call
+	size     frame.Size
+	key      string
+	stream   bool
+	once     bool
+	deadline clock.Millis
+	version  uint64
+}
+
+// Customer returns the authenticated customer.
+func (r *Request) Customer() *text.Customer { return r.customer }
+
+// Service returns the service that takes the request.
+func (r *Request) Service() *text.Service { return r.service }
+
+// Call returns the HTTP request to run.
+func (r *Request) Call() frame.Call { return r.call }
+
+// Size returns the memory estimate.
+func (r *Request) Size() frame.Size { return r.size }
+
+// Key returns the caller's idempotency key, empty for none.
+func (r *Request) Key() string { return r.key }
+
+// Stream tells whether the caller asked for server-sent events.
+func (r *Request) Stream() bool { return r.stream }
+
+// Idempotent tells whether the request may run more than once.
+func (r *Request) Idempotent() bool { return !r.once }
+
+// Deadline returns the instant after which the answer is of no use.
+func (r *Request) Deadline() clock.Millis { return r.deadline }
+
+// ConfigVersion returns the configuration version that was applied.
+func (r *Request) ConfigVersion() uint64 { return r.version }
+
+func refuse(code outcome.Code) *outcome.Refusal { return outcome.Refuse(code, outcome.NotRun, 0) }
+
+// parse authenticates and routes q; every refusal is made before any upstream
+// has heard of the request.
+func parse(w http.ResponseWriter, q *http.Request, v *view.View, now clock.Millis) (*Request, error) {
+	if v.Text() == nil {
+		return nil, outcome.Refuse(outcome.NotReady, outcome.NotRun, int64(clock.Second))
+	}
+	customer, ok := v.Text().Customer(strings.TrimPrefix(q.Header.Get(authorizationHeader), bearerPrefix))
+	if !ok {
+		return nil, refuse(outcome.Unauthorized)
+	}
+	deadline, err := parseDeadline(q.Header.Get(deadlineHeader), now)
+	if err != nil {
+		return nil, err
+	}
+	key := q.Header.Get(keyHeader)
+	if len(key) > maxKeyBytes {
+		return nil, refuse(outcome.BadRequest)
+	}
+	body, err := readBody(w, q)
+	if err != nil {
+		return nil, err
+	}
+	r := &Request{customer: customer, key: key, deadline: deadline, version: v.Version()}
+	if q.URL.Path == chatPath && q.Method == http.MethodPost {
+		err = r.routeChat(v.Text(), body)
+	} else {
+		err = r.routePlain(v.Text(), q)
+	}
+	if err != nil {
+		return nil, err
+	}
+	r.once = r.once || key != ""
+	r.call = frame.NewCall(q.Method, q.URL.RequestURI(), forwardHeader(q.Header), body)
+	return r, nil
+}
+
+func parseDeadline(header string, now clock.Millis) (clock.Millis, error) {
+	if header == "" {
+		return now + defaultDeadline, nil
+	}
+	ms, err := strconv.ParseInt(header, 10, 64)
+	if err != nil || ms <= 0 {
+		return 0, refuse(outcome.BadRequest)
+	}
+	return now + min(clock.Millis(ms), maxDeadline), nil
+}
+
+func readBody(w http.ResponseWriter, q *http.Request) ([]byte, error) {
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout.Duration()))
+	body, err := io.ReadAll(http.MaxBytesReader(w, q.Body, MaxBodyBytes))
+	_ = control.SetReadDeadline(time.Time{})
+	if err != nil {
+		return nil, errors.Wrapf(refuse(outcome.BadRequest), "read body: %v", err)
+	}
+	return body, nil
+}
+
+// chatBody has the fields of a chat request that routing needs.
+type chatBody struct {
+	Model               string          `json:"model"`
+	Stream              bool            `json:"stream"`
+	MaxTokens           *int            `json:"max_tokens"`
+	MaxCompletionTokens *int            `json:"max_completion_tokens"`
+	Messages            json.RawMessage `json:"messages"`
+}
+
+func (r *Request) routeChat(t *text.Text, body []byte) error {
+	var chat chatBody
+	if err := json.Unmarshal(body, &chat); err != nil {
+		return errors.Wrapf(refuse(outcome.BadRequest), "chat body: %v", err)
+	}
+	service, ok := t.Service(chat.Model)
+	if !ok || service.Kind() != text.Model {
+		return errors.Wrapf(refuse(outcome.NoRoute), "no model service %q", chat.Model)
+	}
+	limit := defaultMaxTokens
+	for _, given := range []*int{chat.MaxTokens, chat.MaxCompletionTokens} {
+		if given != nil {
+			limit = *given
+		}
+	}
+	if limit <= 0 {
+		return errors.Wrap(refuse(outcome.BadRequest), "token limit is not positive")
+	}
+	r.service, r.stream = service, chat.Stream
+	r.size = frame.NewSize(len(chat.Messages)/bytesPerToken+1, limit)
+	return nil
+}
+
+func (r *Request) routePlain(t *text.Text, q *http.Request) error {
+	service, route, ok := t.Route(q.Method, q.URL.Path)
+	if !ok {
+		return refuse(outcome.NoRoute)
+	}
+	r.service, r.once = service, !route.Idempotent()
+	return nil
+}
+
+// droppedHeaders are meant for this process or for one connection. The key is
+// not passed on under its own name: an HTTP client library may take it as leave
+// to send a request twice.
+var droppedHeaders = map[string]bool{
+	authorizationHeader: true, keyHeader: true, deadlineHeader: true,
+	"Connection": true, "Keep-Alive": true, "Te": true, "Trailer": true, "Transfer-Encoding": true,
+	"Upgrade": true, "Content-Length": true, "Expect": true, "Accept-Encoding": true,
+}
+
+func forwardHeader(h http.Header) []frame.Field {
+	var fields []frame.Field
+	for name, values := range h {
+		if droppedHeaders[name] {
+			continue
+		}
+		for _, v := range values {
+			fields = append(fields, frame.NewField(name, v))
+		}
+	}
+	return fields
+}
--- /dev/null
+++ b/entry/request/caller/server.go
@@ -0,0 +1,179 @@
+package caller
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/zeromicro/go-zero/core/logx"
+	"github.com/zeromicro/go-zero/core/proc"
+	"github.com/zeromicro/go-zero/core/service"
+	"github.com/zeromicro/go-zero/rest"
+
+	"goldcrestshore/core/process/clock"
+	"goldcrestshore/core/process/event"
+	"goldcrestshore/core/request/outcome"
+	"goldcrestshore/core/version/view"
+)
+
+const (
+	headerTimeout  = 10 * time.Second
+	idleTimeout    = 120 * time.Second
+	maxHeaderBytes = 64 << 10
+	// forcedQuit keeps the HTTP library from ending the process 5.5 s after a
+	// signal, which would cut answers that are still being streamed.
+	forcedQuit = 24 * time.Hour
+	// stopNotice is the time between the signal and the end of listening; the
+	// platform's load balancer learns of it from refusals with "stopping".
+	stopNotice = 2 * time.Second
+)
+
+// Dispatcher finds an upstream for a request and copies its answer. An error
+// that is no refusal means that the caller has left. After Answer.Started, any
+// error means that the answer is broken.
+type Dispatcher interface {
+	Dispatch(ctx context.Context, r *Request, a *Answer) error
+}
+
+// Server accepts callers. Exported fields are set before Run.
+type Server struct {
+	Clock      *clock.Clock
+	Log        *event.Log
+	View       func() *view.View
+	Dispatcher Dispatcher
+	// Listen is the address for callers, ip:port.
+	Listen string
+	// MaxConnections bounds open connections; further ones are closed at once.
+	MaxConnections int64
+	// MaxBodies bounds the memory for request bodies that are being read or sent.
+	MaxBodies int64
+
+	stopping atomic.Bool
+	open     atomic.Int64
+	bodies   atomic.Int64
+}
+
+// Stop refuses new requests from now on.
+func (s *Server) Stop() { s.stopping.Store(true) }
+
+// Open returns the number of requests in progress.
+func (s *Server) Open() int64 { return s.bodies.Load() }
+
+// Run serves until the process has received a signal to stop and every answer
+// is finished.
+func (s *Server) Run() error {
+	host, port, err := net.SplitHostPort(s.Listen)
+	if err != nil {
+		return errors.Wrap(err, "address for callers")
+	}
+	number, err := strconv.Atoi(port)
+	if err != nil {
+		return errors.Wrap(err, "port for callers")
+	}
+	// All middlewares stay off: each refuses, cuts or buffers requests by rules
+	// that are not decisions of this project.
+	server, err := rest.NewServer(rest.RestConf{
+		ServiceConf: service.ServiceConf{
+			Name:     "goldcrest-entry",
+			Log:      logx.LogConf{Mode: "console", Level: "severe"},
+			Shutdown: proc.ShutdownConf{WrapUpTime: stopNotice, WaitTime: forcedQuit},
+		},
+		Host: host,
+		Port: number,
+	}, rest.WithRouter(&router{handler: s}))
+	if err != nil {
+		return errors.Wrap(err, "create HTTP server")
+	}
+	logx.Disable()
+	server.StartWithOpts(s.configure)
+	return nil
+}
+
+func (s *Server) configure(h *http.Server) {
+	h.ReadHeaderTimeout = headerTimeout
+	h.IdleTimeout = idleTimeout
+	h.MaxHeaderBytes = maxHeaderBytes
+	h.ConnState = s.connState
+}
+
+// connState closes connections above the limit and bounds what the kernel holds
+// for a slow reader.
+func (s *Server) connState(c net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		if s.open.Add(1) > s.MaxConnections {
+			_ = c.Close()
+			return
+		}
+		boundSocket(c)
+	case http.StateClosed, http.StateHijacked:
+		s.open.Add(-1)
+	}
+}
+
+// ServeHTTP answers one request.
+func (s *Server) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	s.bodies.Add(1)
+	defer s.bodies.Add(-1)
+	if s.stopping.Load() {
+		w.Header().Set("Connection", "close")
+		s.refuse(w, outcome.Refuse(outcome.Stopping, outcome.NotRun, int64(clock.Second)))
+		return
+	}
+	if s.bodies.Load() > s.MaxBodies {
+		s.refuse(w, outcome.Refuse(outcome.Overloaded, outcome.NotRun, int64(clock.Second)))
+		return
+	}
+	r, err := parse(w, q, s.View(), s.Clock.Now())
+	if err != nil {
+		s.refuse(w, err)
+		return
+	}
+	s.answer(w, q, r)
+}
+
+func (s *Server) answer(w http.ResponseWriter, q *http.Request, r *Request) {
+	ctx, cancel := context.WithTimeout(q.Context(), (r.Deadline() - s.Clock.Now()).Duration())
+	defer cancel()
+	a := NewAnswer(w)
+	err := s.Dispatcher.Dispatch(ctx, r, a)
+	switch {
+	case err == nil:
+		return
+	case q.Context().Err() != nil:
+		s.Log.Error(event.CallerLeft, err, nil)
+	case !a.Started():
+		s.refuse(w, err)
+		return
+	default:
+		s.Log.Error(event.AnswerAborted, err, event.Fields{"service": r.Service().Name(), "written": a.Written()})
+	}
+	// Ends the connection without the terminator of the body, so that the
+	// caller sees that the answer is not whole.
+	panic(http.ErrAbortHandler)
+}
+
+func (s *Server) refuse(w http.ResponseWriter, err error) {
+	s.Log.Error(event.RequestRefused, err, nil)
+	writeRefusal(w, err)
+}
+
+// router passes every method and path to one handler: services are found in
+// the configuration, which changes while the server runs.
+type router struct{ handler http.Handler }
+
+// ServeHTTP implements httpx.Router.
+func (r *router) ServeHTTP(w http.ResponseWriter, q *http.Request) { r.handler.ServeHTTP(w, q) }
+
+// Handle implements httpx.Router; no routes are registered.
+func (r *router) Handle(string, string, http.Handler) error { return nil }
+
+// SetNotFoundHandler implements httpx.Router; every path is passed on.
+func (r *router) SetNotFoundHandler(http.Handler) {}
+
+// SetNotAllowedHandler implements httpx.Router; every method is passed on.
+func (r *router) SetNotAllowedHandler(http.Handler) {}
--- /dev/null
+++ b/scripts/fleet.sh
@@ -0,0 +1,95 @@
+# Functions that start goldcrestshore and its stand-ins as separate processes on
+# loopback and end them by process id. Sourced by the other scripts.
+#
+# BASE_PORT is the first of the ports used; RUN_DIR takes logs and settings.
+
+BASE_PORT=${BASE_PORT:-21000}
+RUN_DIR=${RUN_DIR:-run}
+PLATFORM=127.0.0.1:$BASE_PORT
+declare -A PID
+NEXT_PORT=$((BASE_PORT + 1))
+
+next_port() { ADDRESS=127.0.0.1:$NEXT_PORT; NEXT_PORT=$((NEXT_PORT + 1)); }
+
+# start NAME COMMAND...: starts a process and records its id.
+start() {
+	local name=$1
+	shift
+	"$@" >"$RUN_DIR/$name.log" 2>&1 &
+	PID[$name]=$!
+}
+
+# fleet_init: makes the folder for logs and the settings that all daemons share.
+fleet_init() {
+	rm -rf "$RUN_DIR"
+	mkdir -p "$RUN_DIR"
+	cat >"$RUN_DIR/shared.jsonc" <<-END
+		// Settings that all daemons of this run share.
+		{"platform": "$PLATFORM", "key": "demo-key-of-own-processes", "logLevel": "${LOG_LEVEL:-info}"}
+	END
+	trap fleet_kill EXIT
+}
+
+fleet_kill() {
+	for name in "${!PID[@]}"; do kill -9 "${PID[$name]}" 2>/dev/null; done
+	wait 2>/dev/null
+}
+
+start_platform() { start platform bin/goldcrest-standin platform -listen "$PLATFORM" -listLagMs "${LIST_LAG_MS:-500}" "$@"; }
+
+# start_engine DATACENTRE INDEX SERVICE [FLAGS]: a model engine with its agent.
+start_engine() {
+	local dc=$1 i=$2 service=$3
+	shift 3
+	next_port
+	local upstream=$ADDRESS
+	start "engine-$dc-$i" bin/goldcrest-standin engine -listen "$upstream" -seed "$((i + 1))" "$@"
+	start_agent "$dc" "$i" "$service" "$upstream"
+}
+
+# start_service DATACENTRE INDEX SERVICE [FLAGS]: a plain service with its agent.
+start_service() {
+	local dc=$1 i=$2 service=$3
+	shift 3
+	next_port
+	local upstream=$ADDRESS
+	start "service-$dc-$i" bin/goldcrest-standin service -listen "$upstream" "$@"
+	LEDGERS="${LEDGERS:+$LEDGERS,}$upstream"
+	start_agent "$dc" "$i" "$service" "$upstream"
+}
+
+start_agent() {
+	local dc=$1 i=$2 service=$3 upstream=$4
+	next_port
+	local listen=$ADDRESS
+	next_port
+	start "agent-$service-$dc-$i" bin/goldcrest-agent -settings "$RUN_DIR/shared.jsonc" \
+		-instance "agent-$service-$dc-$i" -dataCentre "$dc" -listen "$listen" -admin "$ADDRESS" \
+		-service "$service" -upstream "$upstream" -memoryLimitBytes 33554432
+}
+
+# start_entry DATACENTRE INDEX: an entry; its address for callers joins ENTRIES.
+start_entry() {
+	local dc=$1 i=$2
+	next_port
+	local callers=$ADDRESS
+	next_port
+	local listen=$ADDRESS
+	next_port
+	start "entry-$dc-$i" bin/goldcrest-entry -settings "$RUN_DIR/shared.jsonc" \
+		-instance "entry-$dc-$i" -dataCentre "$dc" -listen "$listen" -admin "$ADDRESS" \
+		-callers "$callers" -memoryLimitBytes 33554432
+	ENTRIES="${ENTRIES:+$ENTRIES,}$callers"
+}
+
+# stop NAME...: ends processes by SIGTERM and waits; a process that was killed
+# or failed makes the result non-zero.
+stop() {
+	local result=0
+	for name in "$@"; do kill -TERM "${PID[$name]}" 2>/dev/null; done
+	for name in "$@"; do
+		wait "${PID[$name]}" || { echo "$name ended with status $?"; result=1; }
+		unset "PID[$name]"
+	done
+	return $result
+}
