Add the decisions for retries, crashing requests and claims

Cause: the entry and agent processes need to know when a failed request may be sent again, which requests crash upstreams, and which keyed requests were run. Change: entry/request/retry (rule and budget), entry/request/suspect (evidence, quarantine, merging of verdicts), entry/request/claim (Owner of a shard, Client of the entry that received the request, log in slots with conditional writes) and agent/request/claim (table of the claims of one incarnation).

--- /dev/null
+++ b/entry/request/claim/owner_test.go
@@ -0,0 +1,115 @@
+package claim
+
+import (
+	"testing"
+
+	"goldcrestshore/core/process/check"
+	"goldcrestshore/core/process/clock"
+	"goldcrestshore/core/request/outcome"
+)
+
+// store is a platform that answers at once.
+type store struct {
+	version uint64
+	objects map[string]Object
+}
+
+func newStore() *store { return &store{objects: map[string]Object{}} }
+
+func (s *store) write(w Write) Wrote {
+	if s.objects[w.name].version != w.version {
+		return NewWrote(w.ticket, Conflict, 0)
+	}
+	s.version++
+	s.objects[w.name] = NewObject(w.name, s.version, w.value)
+	return NewWrote(w.ticket, Took, s.version)
+}
+
+func (s *store) list(l List) Listed {
+	var all []Object
+	for _, o := range s.objects {
+		all = append(all, o)
+	}
+	return NewListed(l.ticket, all)
+}
+
+// run applies an event and serves all platform calls until none is left.
+func run(s *store, o *Owner, now clock.Millis, e Event) []Action {
+	var out []Action
+	todo := o.Handle(now, e)
+	for len(todo) > 0 {
+		a := todo[0]
+		todo = todo[1:]
+		switch a := a.(type) {
+		case List:
+			todo = append(todo, o.Handle(now, s.list(a))...)
+		case Write:
+			todo = append(todo, o.Handle(now, s.write(a))...)
+		case Read:
+			todo = append(todo, o.Handle(now, NewGot(a.ticket, s.objects[a.name]))...)
+		case Wake:
+		default:
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+func keyIn(shard int) Key {
+	var k Key
+	k[0] = byte(shard)
+	k[15] = 1
+	return k
+}
+
+func only[T Reply](t *testing.T, out []Action) T {
+	t.Helper()
+	if len(out) == 1 {
+		if a, ok := out[0].(Answered); ok {
+			if r, ok := a.reply.(T); ok {
+				return r
+			}
+		}
+	}
+	t.Fatalf("actions: got %+v, want one reply", out)
+	panic("unreachable")
+}
+
+func ask(ref uint64, k Key) Ask {
+	return NewAsk(NewRef(9, ref), k, 1, NewUpstream("u", 5), clock.Minute)
+}
+
+// TestGrantOnce guards against a second grant for a key and checks that the
+// stored answer goes to the caller that sends the key again.
+func TestGrantOnce(t *testing.T) {
+	s, o, k := newStore(), NewOwner(3, 1), keyIn(3)
+	g := only[Granted](t, run(s, o, 1000, ask(1, k)))
+	check.Equal(t, "actions for a second sending", len(run(s, o, 1010, ask(2, k))), 0)
+	out := run(s, o, 1020, NewReport(k, g.grant, Done, NewAnswer(200, nil, []byte("x"))))
+	check.Equal(t, "answer", string(only[Stored](t, out).answer.body), "x")
+	check.Equal(t, "answer again", string(only[Stored](t, run(s, o, 1030, ask(3, k))).answer.body), "x")
+}
+
+// TestMismatch guards against one key that is used for two requests.
+func TestMismatch(t *testing.T) {
+	s, o, k := newStore(), NewOwner(3, 1), keyIn(3)
+	run(s, o, 1000, ask(1, k))
+	a := ask(2, k)
+	a.body = 2
+	r := only[Refused](t, run(s, o, 1010, a)).refusal
+	check.Equal(t, "code", r.Code(), outcome.ClaimMismatch)
+	check.Equal(t, "outcome", r.Outcome(), outcome.NotRun)
+}
+
+// TestPausedOwner guards against a grant by an owner that was replaced while it
+// was paused.
+func TestPausedOwner(t *testing.T) {
+	s, paused, next, k := newStore(), NewOwner(3, 1), NewOwner(3, 2), keyIn(3)
+	run(s, paused, 1000, Open{})
+	g := only[Granted](t, run(s, next, 5000, ask(1, k)))
+	run(s, next, 5010, NewReport(k, g.grant, Done, NewAnswer(200, nil, []byte("x"))))
+	out := run(s, paused, 9000, ask(2, k))
+	check.Equal(t, "replies of the paused owner", len(out), 0)
+	out = run(s, paused, 9400, Tick{})
+	check.Equal(t, "queries of the paused owner", len(out), 1)
+}
--- /dev/null
+++ b/entry/request/claim/record.go
@@ -0,0 +1,63 @@
+package claim
+
+//go:generate go tool msgp -unexported -tests=false -io=false -file record.go -o record_gen.go
+
+// The types below are the stored form of the log. A batch or snapshot is
+// recognised after a lost response by its writer and number.
+
+//msgp:tuple claimRecord
+type claimRecord struct {
+	key         []byte
+	body        uint64
+	upstream    string
+	incarnation uint64
+	entry       uint64
+	sequence    uint64
+}
+
+//msgp:tuple storedField
+type storedField struct {
+	name  string
+	value string
+}
+
+//msgp:tuple outcomeRecord
+type outcomeRecord struct {
+	key      []byte
+	position uint64
+	index    int
+	state    int
+	kept     bool
+	status   int
+	header   []storedField
+	body     []byte
+}
+
+//msgp:tuple batch
+type batch struct {
+	position uint64
+	writer   uint64
+	number   uint64
+	atMs     int64
+	outcomes []outcomeRecord
+	claims   []claimRecord
+}
+
+//msgp:tuple liveRecord
+type liveRecord struct {
+	claim   claimRecord
+	outcome outcomeRecord
+	atMs    int64
+}
+
+// snapshot holds all claims up to and including position. The keys of settled
+// claims without an answer are packed into ran, ranBytes each.
+//
+//msgp:tuple snapshot
+type snapshot struct {
+	position uint64
+	writer   uint64
+	number   uint64
+	live     []liveRecord
+	ran      []byte
+}
--- /dev/null
+++ b/entry/request/suspect/tracker.go
@@ -0,0 +1,272 @@
+package suspect
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strconv"
+
+	"goldcrestshore/core/process/clock"
+	"goldcrestshore/core/process/rendezvous"
+	"goldcrestshore/core/request/outcome"
+)
+
+const (
+	// crashesToQuarantine is the number of upstreams that one fingerprint may
+	// crash before it is refused.
+	crashesToQuarantine = 2
+	// maxRecords bounds the memory and the size of a heartbeat; a crash makes
+	// as many suspects as the upstream held requests, a few hundred at most.
+	maxRecords = 1024
+	// maxCrashes bounds the crashes kept per fingerprint.
+	maxCrashes = 4
+	// keepSuspect covers the restart of an upstream and a caller's retries.
+	keepSuspect = 10 * clock.Minute
+	// keepQuarantined gives the customer time to react to the refusals.
+	keepQuarantined = clock.Hour
+	// busyRetryMs is the suggested wait while another suspect runs.
+	busyRetryMs = 500
+)
+
+type record struct {
+	crashes     []Crash
+	cleared     []Crash
+	quarantined bool
+	expires     clock.Millis
+}
+
+type flight struct {
+	fingerprint Fingerprint
+	upstream    string
+}
+
+// Tracker holds the suspects known to one entry. It is not safe for concurrent
+// use. Call New.
+type Tracker struct {
+	records map[Fingerprint]*record
+	flights map[uint64]flight
+	// blamed holds the crashes of the quarantined fingerprints.
+	blamed map[Crash]bool
+}
+
+// New returns a tracker without suspects.
+func New() *Tracker {
+	return &Tracker{records: map[Fingerprint]*record{}, flights: map[uint64]flight{}}
+}
+
+// Len returns the number of fingerprints kept.
+func (t *Tracker) Len() int { return len(t.records) }
+
+// Handle applies an event that happened at now. Arrived has exactly one action.
+func (t *Tracker) Handle(now clock.Millis, e Event) []Action {
+	t.expire(now)
+	switch e := e.(type) {
+	case Arrived:
+		return []Action{t.arrived(e)}
+	case Sent:
+		t.flights[e.request] = flight{e.fingerprint, e.upstream}
+	case Completed:
+		return t.completed(e.request)
+	case Ended:
+		delete(t.flights, e.request)
+	case Crashed:
+		return t.crashed(now, e)
+	case Merged:
+		return t.merged(now, e.verdicts)
+	}
+	return nil
+}
+
+// Verdicts returns what to tell other entries, ordered by fingerprint.
+func (t *Tracker) Verdicts(now clock.Millis) []Verdict {
+	t.expire(now)
+	all := make([]Verdict, 0, len(t.records))
+	for _, f := range slices.Sorted(maps.Keys(t.records)) {
+		r := t.records[f]
+		all = append(all, Verdict{f, slices.Clone(r.crashes), slices.Clone(r.cleared), r.quarantined, r.expires - now})
+	}
+	return all
+}
+
+func (t *Tracker) arrived(e Arrived) Action {
+	r := t.records[e.fingerprint]
+	if r == nil || (!r.quarantined && len(t.evidence(r)) == 0) {
+		return Free{}
+	}
+	if r.quarantined {
+		return Refuse{outcome.Refuse(outcome.Quarantined, outcome.NotRun, 0)}
+	}
+	// Every entry derives the same upstream, so that copies sent through
+	// several entries at once can crash only that one.
+	top := rendezvous.Top(strconv.FormatUint(uint64(e.fingerprint), 16), e.upstreams, 1)
+	if len(top) == 0 {
+		return Refuse{outcome.Refuse(outcome.NoUpstream, outcome.NotRun, busyRetryMs)}
+	}
+	if t.suspectRunsOn(top[0]) {
+		return Refuse{outcome.Refuse(outcome.Overloaded, outcome.NotRun, busyRetryMs)}
+	}
+	return Alone{top[0]}
+}
+
+func (t *Tracker) suspectRunsOn(upstream string) bool {
+	for _, f := range t.flights {
+		r := t.records[f.fingerprint]
+		if f.upstream == upstream && r != nil && len(t.evidence(r)) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (t *Tracker) completed(request uint64) []Action {
+	f, ok := t.flights[request]
+	delete(t.flights, request)
+	r := t.records[f.fingerprint]
+	if !ok || r == nil || r.quarantined || len(t.evidence(r)) == 0 {
+		return nil
+	}
+	r.cleared = union(r.cleared, r.crashes)
+	return []Action{Announce{}}
+}
+
+func (t *Tracker) crashed(now clock.Millis, e Crashed) []Action {
+	crash := CrashOf(e.upstream, e.incarnation)
+	changed := false
+	for _, f := range t.aboard(e) {
+		changed = t.add(now, f, []Crash{crash}, nil, false, keepSuspect) || changed
+	}
+	if !changed {
+		return nil
+	}
+	return append([]Action{Announce{}}, t.cancelQuarantined()...)
+}
+
+// aboard returns the fingerprints in flight on a crashed upstream, each once
+// and in order, so that equal events have equal effects.
+func (t *Tracker) aboard(e Crashed) []Fingerprint {
+	all := slices.Clone(e.others)
+	for _, f := range t.flights {
+		if f.upstream == e.upstream {
+			all = append(all, f.fingerprint)
+		}
+	}
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
+func (t *Tracker) merged(now clock.Millis, verdicts []Verdict) []Action {
+	for _, v := range verdicts {
+		t.add(now, v.fingerprint, v.crashes, v.cleared, v.quarantined, min(v.remaining, keepQuarantined))
+	}
+	return t.cancelQuarantined()
+}
+
+// add unites new knowledge with the record of f and reports whether it changed.
+// Uniting is commutative and idempotent, so the order of messages is free.
+func (t *Tracker) add(now clock.Millis, f Fingerprint, crashes, cleared []Crash, quarantined bool, keep clock.Millis) bool {
+	r := t.records[f]
+	if r == nil {
+		if keep <= 0 {
+			return false
+		}
+		t.makeRoom()
+		r = &record{expires: now + keep}
+		t.records[f] = r
+	}
+	before := len(r.crashes) + len(r.cleared)
+	wasQuarantined := r.quarantined
+	r.crashes = union(r.crashes, crashes)
+	r.cleared = union(r.cleared, cleared)
+	r.quarantined = r.quarantined || quarantined || len(t.evidence(r)) >= crashesToQuarantine
+	changed := len(r.crashes)+len(r.cleared) != before || r.quarantined != wasQuarantined
+	if changed {
+		// Only new knowledge moves the expiry: repeats that two entries send
+		// each other would keep it alive for ever.
+		r.expires = max(r.expires, now+keep)
+	}
+	if r.quarantined && !wasQuarantined && !quarantined {
+		r.expires = now + keepQuarantined
+	}
+	if r.quarantined && changed {
+		t.blame()
+	}
+	return changed
+}
+
+// evidence returns the crashes that speak against r: neither cleared by a
+// completed run nor explained by another request that is quarantined for them.
+func (t *Tracker) evidence(r *record) []Crash {
+	var left []Crash
+	for _, c := range r.crashes {
+		if !slices.Contains(r.cleared, c) && (r.quarantined || !t.blamed[c]) {
+			left = append(left, c)
+		}
+	}
+	return left
+}
+
+// blame recomputes the crashes explained by quarantined fingerprints.
+func (t *Tracker) blame() {
+	t.blamed = map[Crash]bool{}
+	for _, r := range t.records {
+		if !r.quarantined {
+			continue
+		}
+		for _, c := range r.crashes {
+			t.blamed[c] = true
+		}
+	}
+}
+
+func (t *Tracker) cancelQuarantined() []Action {
+	var requests []uint64
+	for id, f := range t.flights {
+		if r := t.records[f.fingerprint]; r != nil && r.quarantined {
+			requests = append(requests, id)
+		}
+	}
+	if len(requests) == 0 {
+		return nil
+	}
+	slices.Sort(requests)
+	return []Action{Cancel{requests}}
+}
+
+func (t *Tracker) expire(now clock.Millis) {
+	freed := false
+	for f, r := range t.records {
+		if r.expires <= now {
+			delete(t.records, f)
+			freed = freed || r.quarantined
+		}
+	}
+	if freed {
+		t.blame()
+	}
+}
+
+// makeRoom drops the record that expires first, suspects before quarantined.
+func (t *Tracker) makeRoom() {
+	if len(t.records) < maxRecords {
+		return
+	}
+	order := func(a, b Fingerprint) int {
+		x, y := t.records[a], t.records[b]
+		if x.quarantined != y.quarantined {
+			if y.quarantined {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(cmp.Compare(x.expires, y.expires), cmp.Compare(a, b))
+	}
+	delete(t.records, slices.MinFunc(slices.Collect(maps.Keys(t.records)), order))
+}
+
+// union returns a and b without duplicates, in order, the first maxCrashes.
+func union(a, b []Crash) []Crash {
+	all := append(slices.Clone(a), b...)
+	slices.Sort(all)
+	all = slices.Compact(all)
+	return all[:min(len(all), maxCrashes)]
+}
