Add the admission, route and customer decisions

Cause: entry and agent need the decisions on which work enters an upstream, which upstream a request goes to, and how customers share the upstreams. Change: agent/request/admission, entry/request/route and entry/request/customer as pure packages with their tests. Conclusion: the API is ready to be wired.

--- /dev/null
+++ b/agent/request/admission/action.go
@@ -0,0 +1,35 @@
+package admission
+
+import (
+	"goldcrestshore/core/connection/frame"
+	"goldcrestshore/core/request/outcome"
+)
+
+// Action is something the agent has to do.
+type Action interface{ action() }
+
+// Admit sends a request to the upstream.
+type Admit struct{ id frame.ID }
+
+// ID returns the request.
+func (a Admit) ID() frame.ID { return a.id }
+
+// Refuse answers a request as not run.
+type Refuse struct {
+	id      frame.ID
+	refusal *outcome.Refusal
+}
+
+// ID returns the request.
+func (r Refuse) ID() frame.ID { return r.id }
+
+// Refusal returns the reason; its outcome is always outcome.NotRun.
+func (r Refuse) Refusal() *outcome.Refusal { return r.refusal }
+
+// Report sends a heartbeat to every entry at once, because the limit or the
+// willingness to take work changed.
+type Report struct{}
+
+func (Admit) action()  {}
+func (Refuse) action() {}
+func (Report) action() {}
--- /dev/null
+++ b/agent/request/admission/queue.go
@@ -0,0 +1,93 @@
+package admission
+
+import (
+	"cmp"
+	"slices"
+
+	"goldcrestshore/core/connection/frame"
+	"goldcrestshore/core/process/clock"
+)
+
+// waiter is a request that waits to be admitted.
+type waiter struct {
+	id       frame.ID
+	size     frame.Size
+	tokens   int64
+	priority int
+	deadline clock.Millis
+	arrived  clock.Millis
+	expires  clock.Millis
+}
+
+// queue orders waiters by priority, then deadline, then arrival. It is short,
+// so a sorted slice suffices.
+type queue struct {
+	waiters []waiter
+}
+
+func (q *queue) push(w waiter) {
+	// Equal waiters keep their order of arrival: the new one goes behind them.
+	i, _ := slices.BinarySearchFunc(q.waiters, w, func(have, w waiter) int {
+		if c := compare(have, w); c != 0 {
+			return c
+		}
+		return -1
+	})
+	q.waiters = slices.Insert(q.waiters, i, w)
+}
+
+func compare(a, b waiter) int {
+	if c := cmp.Compare(b.priority, a.priority); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.deadline, b.deadline)
+}
+
+func (q *queue) len() int { return len(q.waiters) }
+
+func (q *queue) at(i int) waiter { return q.waiters[i] }
+
+func (q *queue) removeAt(i int) { q.waiters = slices.Delete(q.waiters, i, i+1) }
+
+func (q *queue) has(id frame.ID) bool {
+	return slices.ContainsFunc(q.waiters, func(w waiter) bool { return w.id == id })
+}
+
+func (q *queue) remove(id frame.ID) {
+	q.waiters = slices.DeleteFunc(q.waiters, func(w waiter) bool { return w.id == id })
+}
+
+// takeExpired removes and returns the waiters that may not wait any longer.
+func (q *queue) takeExpired(now clock.Millis) []waiter {
+	var expired []waiter
+	q.waiters = slices.DeleteFunc(q.waiters, func(w waiter) bool {
+		if w.expires > now {
+			return false
+		}
+		expired = append(expired, w)
+		return true
+	})
+	return expired
+}
+
+// takeLast removes and returns the waiter that would be admitted last.
+func (q *queue) takeLast() waiter {
+	last := q.waiters[len(q.waiters)-1]
+	q.waiters = q.waiters[:len(q.waiters)-1]
+	return last
+}
+
+func (q *queue) takeAll() []waiter {
+	all := q.waiters
+	q.waiters = nil
+	return all
+}
+
+// oldest returns how long the longest waiter has waited.
+func (q *queue) oldest(now clock.Millis) clock.Millis {
+	var oldest clock.Millis
+	for _, w := range q.waiters {
+		oldest = max(oldest, now-w.arrived)
+	}
+	return oldest
+}
--- /dev/null
+++ b/entry/request/customer/queue.go
@@ -0,0 +1,256 @@
+// Package customer shares the upstreams between customers: weighted fair
+// queueing while they are saturated, limits per customer, and shedding of work
+// that cannot be served before its deadline. It is pure: events go in, actions
+// come out, and the caller supplies the time.
+package customer
+
+import (
+	"math"
+
+	"goldcrestshore/core/connection/frame"
+	"goldcrestshore/core/process/clock"
+	"goldcrestshore/core/request/outcome"
+)
+
+const (
+	// maxQueued bounds the requests that wait in one entry.
+	maxQueued = 8192
+	// maxQueuedPerCustomer bounds those of one customer.
+	maxQueuedPerCustomer = 1024
+	// retryAfter is the wait suggested to callers that were shed.
+	retryAfter = 1 * clock.Second
+	// accountLife is how long an unused account is kept; a rate has decayed to
+	// nothing long before.
+	accountLife = 1 * clock.Minute
+)
+
+// account is the state of one customer at this entry.
+type account struct {
+	limits Limits
+	known  bool
+	bucket bucket
+	rate   meter
+	held   int
+	queued int
+	usedAt clock.Millis
+}
+
+// running is a dispatched request.
+type running struct {
+	customer *account
+	service  *service
+	at       clock.Millis
+}
+
+// Queue is the fair queue of one entry. It is not safe for concurrent use.
+type Queue struct {
+	customers map[string]*account
+	services  map[string]*service
+	running   map[frame.ID]running
+	queued    map[frame.ID]*item
+	peers     peers
+}
+
+// New returns an empty queue.
+func New() *Queue {
+	return &Queue{
+		customers: make(map[string]*account),
+		services:  make(map[string]*service),
+		running:   make(map[frame.ID]running),
+		queued:    make(map[frame.ID]*item),
+		peers:     make(peers),
+	}
+}
+
+// Apply takes one event at the instant now and returns what follows from it.
+// Instants must not decrease.
+func (q *Queue) Apply(now clock.Millis, e Event) []Action {
+	switch e := e.(type) {
+	case Enqueue:
+		return q.enqueue(now, e)
+	case Room:
+		s := q.service(e.service)
+		s.room = e.slots
+		return q.dispatch(now, s)
+	case Complete:
+		return q.complete(now, e)
+	case Cancel:
+		if i := q.queued[e.id]; i != nil {
+			q.drop(i)
+		}
+	case Configure:
+		q.configure(e.customers)
+	case Shares:
+		q.peers.update(now, e)
+	case Tick:
+		return q.tick(now)
+	}
+	return nil
+}
+
+func (q *Queue) account(name string) *account {
+	c := q.customers[name]
+	if c == nil {
+		c = &account{limits: NewLimits(name, 1, 0, 0)}
+		q.customers[name] = c
+	}
+	return c
+}
+
+func (q *Queue) service(name string) *service {
+	s := q.services[name]
+	if s == nil {
+		s = &service{flows: make(map[*account]*flow)}
+		q.services[name] = s
+	}
+	return s
+}
+
+func (q *Queue) configure(customers []Limits) {
+	for _, c := range q.customers {
+		c.known = false
+		c.limits = NewLimits(c.limits.name, 1, 0, 0)
+	}
+	for _, l := range customers {
+		c := q.account(l.name)
+		c.limits = l
+		c.known = true
+	}
+}
+
+func (q *Queue) enqueue(now clock.Millis, e Enqueue) []Action {
+	if q.queued[e.id] != nil {
+		return nil
+	}
+	c := q.account(e.customer)
+	c.usedAt = now
+	c.rate.note(now)
+	if r := q.overLimit(now, c); r != nil {
+		return []Action{Refuse{e.id, r}}
+	}
+	if e.deadline <= now {
+		return []Action{Refuse{e.id, outcome.Refuse(outcome.DeadlineExceeded, outcome.NotRun, 0)}}
+	}
+	if len(q.queued) >= maxQueued {
+		return []Action{Refuse{e.id, overloaded()}}
+	}
+	s := q.service(e.service)
+	i := &item{id: e.id, customer: c, service: s, cost: max(e.cost, 1), priority: e.priority, deadline: e.deadline, arrived: now}
+	q.queued[e.id] = i
+	c.queued++
+	s.push(i)
+	return q.dispatch(now, s)
+}
+
+func overloaded() *outcome.Refusal {
+	return outcome.Refuse(outcome.Overloaded, outcome.NotRun, int64(retryAfter))
+}
+
+// overLimit checks the rate; the concurrency limit holds requests in the queue
+// instead, up to maxQueuedPerCustomer.
+func (q *Queue) overLimit(now clock.Millis, c *account) *outcome.Refusal {
+	if c.queued >= maxQueuedPerCustomer {
+		return outcome.Refuse(outcome.CustomerLimit, outcome.NotRun, int64(retryAfter))
+	}
+	if c.limits.requestsPerSecond <= 0 {
+		return nil
+	}
+	rate := float64(c.limits.requestsPerSecond) * q.localShare(now, c)
+	if wait, ok := c.bucket.take(now, rate); !ok {
+		return outcome.Refuse(outcome.CustomerLimit, outcome.NotRun, int64(wait))
+	}
+	return nil
+}
+
+// mayRun reports whether the customer's concurrency limit leaves room here.
+func (q *Queue) mayRun(now clock.Millis, c *account) bool {
+	if c.limits.concurrent <= 0 {
+		return true
+	}
+	_, others := q.peers.others(c.limits.name)
+	local := int(math.Ceil(float64(c.limits.concurrent) * q.localShare(now, c)))
+	return c.held < local && c.held+others < c.limits.concurrent
+}
+
+// dispatch sends queued requests in fair order while there is room.
+func (q *Queue) dispatch(now clock.Millis, s *service) []Action {
+	var actions []Action
+	for s.room > 0 {
+		i := s.next(func(c *account) bool { return q.mayRun(now, c) })
+		if i == nil {
+			break
+		}
+		s.serve(now, i)
+		q.forgetItem(i)
+		s.room--
+		i.customer.held++
+		q.running[i.id] = running{i.customer, s, now}
+		actions = append(actions, Dispatch{i.id})
+	}
+	return actions
+}
+
+// drop removes a queued request that will not run.
+func (q *Queue) drop(i *item) {
+	q.forgetItem(i)
+	i.service.remove(i)
+}
+
+func (q *Queue) forgetItem(i *item) {
+	delete(q.queued, i.id)
+	i.customer.queued--
+}
+
+func (q *Queue) complete(now clock.Millis, e Complete) []Action {
+	r, ok := q.running[e.id]
+	if !ok {
+		return nil
+	}
+	delete(q.running, e.id)
+	r.customer.held--
+	r.service.drain.noteRun(now - r.at)
+	return q.dispatch(now, r.service)
+}
+
+func (q *Queue) tick(now clock.Millis) []Action {
+	q.peers.expire(now)
+	var actions []Action
+	for _, s := range q.sorted() {
+		for _, i := range s.late(now, func(c *account) bool { return q.mayRun(now, c) }) {
+			actions = append(actions, Refuse{i.id, q.lateRefusal(now, i)})
+			q.drop(i)
+		}
+		actions = append(actions, q.dispatch(now, s)...)
+		s.tidy()
+	}
+	for name, c := range q.customers {
+		if !c.known && c.held == 0 && c.queued == 0 && now-c.usedAt > accountLife {
+			q.forget(name, c)
+		}
+	}
+	return actions
+}
+
+// lateRefusal tells why a request did not get its turn in time.
+func (q *Queue) lateRefusal(now clock.Millis, i *item) *outcome.Refusal {
+	if !q.mayRun(now, i.customer) {
+		return outcome.Refuse(outcome.CustomerLimit, outcome.NotRun, int64(retryAfter))
+	}
+	if i.deadline <= now {
+		return outcome.Refuse(outcome.DeadlineExceeded, outcome.NotRun, 0)
+	}
+	return overloaded()
+}
+
+func (q *Queue) forget(name string, c *account) {
+	delete(q.customers, name)
+	for _, s := range q.services {
+		delete(s.flows, c)
+	}
+}
+
+// Queued returns how many requests wait.
+func (q *Queue) Queued() int { return len(q.queued) }
+
+// Running returns how many dispatched requests have not completed.
+func (q *Queue) Running() int { return len(q.running) }
