Bound unproven work at an upstream by its cold limit

Cause: an upstream that turns cold without warning keeps its warm limit until its report or three slow first tokens arrive. Change: held requests admitted after the latest one with a fast first token stay within the cold limit; a first token is timed from when the upstream is done with the prompts before it; a lasting cold report no longer stops growth. Conclusion: work that an unnoticed cold start can get is bounded.

--- a/agent/request/admission/admission.go
+++ b/agent/request/admission/admission.go
@@ -24,9 +24,12 @@
 // held is one admitted request.
 type held struct {
 	tokens     int64
-	class      int
+	prompt     int
 	admittedAt clock.Millis
+	order      uint64
 	epoch      uint64
+	observed   bool // the first token says how warm the upstream is
+	vouched    bool // a report younger than the request said warm
 	slow       bool
 	answered   bool
 }
@@ -47,6 +50,8 @@
 	held        map[frame.ID]*held
 	waiting     queue
 	pace        pace
+	admitted    uint64
+	proven      uint64 // order of the latest admitted request with a fast first token
 	crashes     uint64
 }
 
@@ -73,7 +78,7 @@
 	case FirstToken:
 		a.firstToken(now, e)
 	case Complete:
-		a.complete(now, e)
+		a.complete(e)
 	case EngineReport:
 		a.report(now, e)
 	case UpstreamCrash:
@@ -148,6 +153,7 @@
 		id:       e.id,
 		size:     e.size,
 		tokens:   tokens,
+		observed: e.terms.Stream() && a.limits.budgetBytes > 0,
 		priority: e.terms.Priority(),
 		deadline: deadline,
 		arrived:  now,
@@ -170,7 +176,6 @@
 		w := a.waiting.takeLast()
 		actions = append(actions, Refuse{w.id, a.reason(now, w)})
 	}
-	a.pace.queue = a.waiting.oldest(now)
 	return actions
 }
 
@@ -213,16 +218,38 @@
 }
 
 func (a *Admission) hasSlot() bool {
-	return a.reach.up && len(a.held)+a.orphans.held < a.temperature.limit
+	return a.reach.up && len(a.held)+a.orphans.held < a.temperature.limit && a.unproven() < a.temperature.coldLimit
+}
+
+// unproven counts the held requests that would be too many if the upstream had
+// turned cold unnoticed: those admitted after the latest request whose first
+// token came fast, or, where first tokens say nothing, after the instant of the
+// latest warm report. Keeping them within the cold limit bounds the work that an
+// upstream without warning can get. An upstream that says it is cold is bounded
+// by its limit instead, since its first tokens are slow.
+func (a *Admission) unproven() int {
+	if a.temperature.reported || a.reach.probes {
+		return 0
+	}
+	n := 0
+	for _, h := range a.held {
+		if h.order > a.proven && !h.vouched {
+			n++
+		}
+	}
+	return n
 }
 
 func (a *Admission) admit(now clock.Millis, w waiter) {
 	a.memory.reserve(w.tokens)
+	a.admitted++
 	a.held[w.id] = &held{
 		tokens:     w.tokens,
-		class:      classOf(w.size.PromptTokens()),
+		prompt:     w.size.PromptTokens(),
 		admittedAt: now,
+		order:      a.admitted,
 		epoch:      a.temperature.epoch,
+		observed:   w.observed,
 	}
 }
 
@@ -248,44 +275,47 @@
 		return
 	}
 	h.answered = true
-	took := now - h.admittedAt
-	slow := a.temperature.observe(h.class, took)
-	h.slow = h.slow || slow
-	a.pace.noteFirstToken(took)
-	if slow {
-		a.temperature.noteSlow(h.epoch)
+	if !h.observed {
+		return
+	}
+	took := a.pace.served(now, h)
+	a.pace.noteFirstToken(now, h, took)
+	if a.temperature.observe(classOf(h.prompt), took) || h.slow {
+		a.markSlow(h)
 		return
 	}
 	a.temperature.noteFast(h.epoch)
+	a.proven = max(a.proven, h.order)
 }
 
-// watchFirstTokens counts first tokens that are overdue as slow, so that an
-// upstream that has stopped answering is found without waiting for its answer.
+// markSlow counts a first token as slow, once.
+func (a *Admission) markSlow(h *held) {
+	if h.slow {
+		return
+	}
+	h.slow = true
+	a.temperature.noteSlow(h.epoch)
+}
+
+// watchFirstTokens counts overdue first tokens as slow, so that an upstream
+// that has stopped answering is found without waiting for its answer.
 func (a *Admission) watchFirstTokens(now clock.Millis) {
-	overdue := 0
 	for _, h := range a.held {
-		if h.answered || h.slow || h.epoch != a.temperature.epoch {
-			continue
+		if h.observed && !h.answered && a.temperature.overdue(classOf(h.prompt), a.pace.served(now, h)) {
+			a.markSlow(h)
 		}
-		if a.temperature.overdue(h.class, now-h.admittedAt) {
-			h.slow = true
-			overdue++
-		}
-	}
-	for range overdue {
-		a.temperature.noteSlow(a.temperature.epoch)
 	}
 }
 
-func (a *Admission) complete(now clock.Millis, e Complete) {
+func (a *Admission) complete(e Complete) {
 	h, ok := a.held[e.id]
 	if !ok {
 		return
 	}
 	delete(a.held, e.id)
 	a.memory.release(h.tokens)
-	if e.ok && !h.slow {
-		a.temperature.completed(h.epoch)
+	if e.ok {
+		a.temperature.completed(h.epoch, h.slow)
 	}
 }
 
@@ -302,6 +332,7 @@
 		if h.admittedAt <= now-reportLag {
 			settled++
 			tokens += h.tokens
+			h.vouched = h.vouched || !h.observed && !e.cold
 		}
 	}
 	a.orphans.report(now, e.held-settled, e.heldTokens-tokens)
@@ -331,10 +362,22 @@
 		a.service,
 		frame.NewOccupancy(len(a.held)+a.orphans.held, a.openLimit(), a.memory.reservedBytes(), a.memory.usableBytes()),
 		frame.NewCondition(a.temperature.cold(), a.leaving || a.out || a.stopping, a.reach.incarnation, a.crashes),
-		frame.NewPace(int64(a.pace.queue), int64(a.pace.firstToken)),
+		frame.NewPace(int64(a.queueing()), int64(a.pace.firstToken)),
 	)
 }
 
+// queueing estimates how long a new request would wait before the upstream
+// starts on its prompt.
+func (a *Admission) queueing() float64 {
+	tokens := a.waiting.promptTokens()
+	for _, h := range a.held {
+		if h.observed && !h.answered {
+			tokens += h.prompt
+		}
+	}
+	return float64(tokens) * a.pace.perToken
+}
+
 // Held returns the number of admitted requests that have not completed.
 func (a *Admission) Held() int { return len(a.held) }
 
--- a/agent/request/admission/pace.go
+++ b/agent/request/admission/pace.go
@@ -2,19 +2,40 @@
 
 import "goldcrestshore/core/process/clock"
 
-// paceWeight is the weight of a new sample in the smoothed first-token time.
-const paceWeight = 0.1
+const (
+	// paceWeight is the weight of a new sample in the smoothed times.
+	paceWeight = 0.1
+	// paceTokens is the least number of prompt tokens from which the time per
+	// token is learnt; below, fixed costs dominate.
+	paceTokens = 64
+)
 
 // pace is how fast the upstream answers.
 type pace struct {
-	queue      clock.Millis
-	firstToken float64
+	answeredAt clock.Millis // the latest first token of any request
+	firstToken float64      // smoothed first-token time in ms
+	perToken   float64      // smoothed time in ms per prompt token
 }
 
-func (p *pace) noteFirstToken(took clock.Millis) {
-	if p.firstToken == 0 {
-		p.firstToken = float64(took)
+// served returns how long the upstream has worked on the first token of h. It
+// starts on a prompt when it is done with those before, so that a queue of
+// prompts does not make it look slow.
+func (p *pace) served(now clock.Millis, h *held) clock.Millis {
+	return now - max(h.admittedAt, p.answeredAt)
+}
+
+func (p *pace) noteFirstToken(now clock.Millis, h *held, took clock.Millis) {
+	p.answeredAt = now
+	smooth(&p.firstToken, float64(now-h.admittedAt))
+	if h.prompt >= paceTokens {
+		smooth(&p.perToken, float64(took)/float64(h.prompt))
+	}
+}
+
+func smooth(mean *float64, sample float64) {
+	if *mean == 0 {
+		*mean = sample
 		return
 	}
-	p.firstToken += paceWeight * (float64(took) - p.firstToken)
+	*mean += paceWeight * (sample - *mean)
 }
--- a/agent/request/admission/queue.go
+++ b/agent/request/admission/queue.go
@@ -13,6 +13,7 @@
 	id       frame.ID
 	size     frame.Size
 	tokens   int64
+	observed bool
 	priority int
 	deadline clock.Millis
 	arrived  clock.Millis
@@ -83,11 +84,11 @@
 	return all
 }
 
-// oldest returns how long the longest waiter has waited.
-func (q *queue) oldest(now clock.Millis) clock.Millis {
-	var oldest clock.Millis
+// promptTokens returns the prompt tokens of all waiters.
+func (q *queue) promptTokens() int {
+	tokens := 0
 	for _, w := range q.waiters {
-		oldest = max(oldest, now-w.arrived)
+		tokens += w.size.PromptTokens()
 	}
-	return oldest
+	return tokens
 }
--- a/agent/request/admission/temperature.go
+++ b/agent/request/admission/temperature.go
@@ -7,9 +7,9 @@
 )
 
 const (
-	// slowMultiple times the baseline makes a first token slow. Queueing inside
-	// a full batch stays below twice the baseline, a cold engine is well above.
-	slowMultiple = 3
+	// slowMultiple times the baseline makes a first token slow. Queueing behind
+	// other prompts is not part of the measured time.
+	slowMultiple = 2.5
 	// slowFloor keeps jitter of very short first-token times from counting.
 	slowFloor = 100 * clock.Millis(1)
 	// slowRun slow first tokens without a fast one between make an upstream cold.
@@ -62,23 +62,28 @@
 	t.slow = 0
 }
 
+// report takes the upstream's own view. Only the change to cold counts: an
+// upstream reports cold until it is quite warm, and meanwhile its completions
+// raise the limit.
 func (t *temperature) report(incarnation uint64, cold bool) {
 	restarted := t.known && incarnation != t.incarnation
+	turned := cold && !t.reported
 	t.known = true
 	t.incarnation = incarnation
 	t.reported = cold
-	if restarted || cold && t.limit > t.coldLimit {
+	if restarted || turned && t.limit > t.coldLimit {
 		t.drop()
 	}
 }
 
-// completed counts a request that was admitted in epoch and answered in time.
-func (t *temperature) completed(epoch uint64) {
-	if epoch != t.epoch || t.limit >= t.warmLimit {
+// completed counts a request that was admitted in epoch and answered. A slow
+// one counts only while the upstream says itself that it is cold.
+func (t *temperature) completed(epoch uint64, slow bool) {
+	if epoch != t.epoch || t.limit >= t.warmLimit || slow && !t.reported {
 		return
 	}
 	t.done++
-	if t.reported || t.done < t.limit {
+	if t.done < t.limit {
 		return
 	}
 	t.limit = min(2*t.limit, t.warmLimit)
@@ -107,7 +112,7 @@
 }
 
 func (t *temperature) noteSlow(epoch uint64) {
-	if epoch != t.epoch {
+	if epoch != t.epoch || t.reported {
 		return
 	}
 	t.slow++
