Add the load generator

Cause: runs against real entries need callers that check every byte and judge at-most-once execution. Change: subcommand load draws requests from a seed (streamed, whole, plain, keyed, unkeyed; several weighted customers; slow and stopped readers), compares each answer with the deterministic text, classifies it, and compares what callers were told with the plain services' ledgers.

--- a/standin/process/command/command.go
+++ b/standin/process/command/command.go
@@ -28,6 +28,7 @@
 	{"engine", runEngine},
 	{"service", runService},
 	{"weights", runWeights},
+	{"load", runLoad},
 }
 
 // Run runs the subcommand named by the first argument until it is done or ctx ends.
--- /dev/null
+++ b/standin/process/command/load.go
@@ -0,0 +1,82 @@
+package command
+
+import (
+	"context"
+	"flag"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"goldcrestshore/core/process/settings"
+	"goldcrestshore/standin/request/load"
+)
+
+// loadTexts are the flags whose values are parsed after the command line.
+type loadTexts struct {
+	entries, keys, services, ledgers, mix, promptBytes, outputTokens *string
+}
+
+func runLoad(ctx context.Context, args []string, out io.Writer) error {
+	fs := flag.NewFlagSet("load", flag.ContinueOnError)
+	var o load.Options
+	texts := loadFlags(fs, &o)
+	if err := settings.Parse(fs, args); err != nil {
+		return errors.Wrap(err, "settings")
+	}
+	if err := texts.parse(&o); err != nil {
+		return err
+	}
+	l, err := load.New(o, out)
+	if err != nil {
+		return err
+	}
+	return l.Run(ctx)
+}
+
+func loadFlags(fs *flag.FlagSet, o *load.Options) loadTexts {
+	fs.Float64Var(&o.Rate, "rate", 20, "requests started per second; 0 for slow readers alone")
+	fs.DurationVar(&o.Duration, "duration", 10*time.Second, "time during which requests start")
+	fs.IntVar(&o.MaxHeld, "maxHeld", 1500, "open requests above which a due one is skipped")
+	fs.IntVar(&o.Prefixes, "prefixes", 0, "number of prompt beginnings that chats share")
+	fs.IntVar(&o.PrefixBytes, "prefixBytes", 1024, "length of a shared prompt beginning")
+	fs.Int64Var((*int64)(&o.DeadlineMs), "deadlineMs", 0, "deadline sent with each request; 0 for none")
+	fs.Int64Var((*int64)(&o.LateMs), "lateMs", 0, "time above which a whole answer counts as late; 0 for never")
+	fs.IntVar(&o.KeyedRetries, "keyedRetries", 0, "how often a keyed request without an answer is sent again through another entry")
+	fs.StringVar(&o.Marker, "marker", "poison", "text put into marked requests")
+	fs.IntVar(&o.MarkerEvery, "markerEvery", 0, "interval of marked requests; 0 for none")
+	fs.IntVar(&o.SlowReaders, "slowReaders", 0, "streamed answers read slowly")
+	fs.IntVar(&o.SlowBytesPerSecond, "slowBytesPerSecond", 1024, "rate of a slow reader")
+	fs.IntVar(&o.SlowTokens, "slowTokens", 1500, "length of a slow reader's answer in tokens")
+	fs.IntVar(&o.StoppedReaders, "stoppedReaders", 0, "streamed answers whose reader stops")
+	fs.DurationVar(&o.SlowStart, "slowStart", time.Second, "time over which slow and stopped readers start")
+	fs.DurationVar(&o.Window, "window", 5*time.Second, "interval of progress lines")
+	fs.DurationVar(&o.Drain, "drain", 30*time.Second, "longest wait for open requests at the end")
+	fs.Uint64Var(&o.Seed, "seed", 1, "seed of the requests; ledgers tell runs apart by it")
+	return loadTexts{
+		entries:      fs.String("entries", "", "addresses of entries, divided by commas"),
+		keys:         fs.String("keys", "", "customer=key or customer=key*weight, divided by commas"),
+		services:     fs.String("services", "", "name=model or name=plain:/path, divided by commas"),
+		ledgers:      fs.String("ledgers", "", "addresses of all plain services, whose ledgers are read after the run"),
+		mix:          fs.String("mix", "streamed=60,whole=10,plain=10,keyed=15,unkeyed=5", "weights of the kinds of requests"),
+		promptBytes:  fs.String("promptBytes", "200-4000", "range of prompt lengths"),
+		outputTokens: fs.String("outputTokens", "16-128", "range of answer lengths"),
+	}
+}
+
+// parse fills the options that need more than one flag value.
+func (t loadTexts) parse(o *load.Options) error {
+	var err, all error
+	o.Entries = load.ParseList(*t.entries)
+	o.Ledgers = load.ParseList(*t.ledgers)
+	o.Customers, err = load.ParseCustomers(*t.keys)
+	all = errors.CombineErrors(all, err)
+	o.Services, err = load.ParseServices(*t.services)
+	all = errors.CombineErrors(all, err)
+	o.Mix, err = load.ParseMix(*t.mix)
+	all = errors.CombineErrors(all, err)
+	o.PromptBytes, err = load.ParseSpan(*t.promptBytes)
+	all = errors.CombineErrors(all, err)
+	o.OutputTokens, err = load.ParseSpan(*t.outputTokens)
+	return errors.CombineErrors(all, err)
+}
--- /dev/null
+++ b/standin/request/load/call.go
@@ -0,0 +1,215 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"goldcrestshore/core/request/outcome"
+	"goldcrestshore/standin/process/service"
+)
+
+// readBufferBytes is the size of a reader's own buffers; it is small, so that
+// a slow reader holds little of its answer itself.
+const readBufferBytes = 2 << 10
+
+// maxAnswerBytes bounds an answer that is not streamed.
+const maxAnswerBytes = 16 << 20
+
+// caller sends requests to entries.
+type caller struct {
+	options *Options
+	client  *http.Client
+}
+
+func newCaller(o *Options, transport http.RoundTripper) *caller {
+	return &caller{o, &http.Client{Transport: transport}}
+}
+
+// newTransport returns a transport for n open connections to each entry. A
+// receive buffer of 0 leaves the system's.
+func newTransport(n, receiveBuffer int) *http.Transport {
+	dialer := &net.Dialer{Timeout: 5 * time.Second}
+	return &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			c, err := dialer.DialContext(ctx, network, address)
+			if tcp, ok := c.(*net.TCPConn); ok && receiveBuffer > 0 {
+				_ = tcp.SetReadBuffer(receiveBuffer)
+			}
+			return c, err
+		},
+		MaxIdleConns:        n,
+		MaxIdleConnsPerHost: n,
+		IdleConnTimeout:     30 * time.Second,
+		ReadBufferSize:      readBufferBytes,
+		DisableCompression:  true,
+	}
+}
+
+// open sends r to an entry. The body hides its type and the request has no
+// GetBody, so that http.Transport does not send it a second time by itself.
+func (c *caller) open(ctx context.Context, r *request, entry int) (*http.Response, error) {
+	address := c.options.Entries[entry%len(c.options.Entries)]
+	body := io.NopCloser(bytes.NewReader(r.body))
+	hr, err := http.NewRequestWithContext(ctx, r.method, "http://"+address+r.path, body)
+	if err != nil {
+		return nil, err
+	}
+	hr.GetBody = nil
+	hr.ContentLength = int64(len(r.body))
+	hr.Header.Set("Authorization", "Bearer "+r.customer.Key)
+	if len(r.body) > 0 {
+		hr.Header.Set("Content-Type", "application/json")
+	}
+	if r.key != "" {
+		hr.Header.Set("Idempotency-Key", r.key)
+	}
+	if c.options.DeadlineMs > 0 {
+		hr.Header.Set("Goldcrest-Deadline-Ms", strconv.FormatInt(int64(c.options.DeadlineMs), 10))
+	}
+	return c.client.Do(hr)
+}
+
+// send makes one attempt and judges its answer.
+func (c *caller) send(ctx context.Context, r *request, entry int) result {
+	start := time.Now()
+	response, err := c.open(ctx, r, entry)
+	if err != nil {
+		return failed(ctx, err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return refused(response)
+	}
+	var out result
+	switch r.kind {
+	case Streamed:
+		out = c.streamed(r, response.Body, start)
+	case Whole:
+		out = c.whole(r, response.Body, start)
+	case Plain, Keyed, Unkeyed:
+		out = c.plain(r, response.Body, start)
+	}
+	if out.verdict == Cut && ctx.Err() != nil {
+		out.verdict = Hung
+	}
+	if limit := c.options.LateMs; out.verdict == OK && limit > 0 && out.timing.whole > limit.Duration().Microseconds() {
+		out.verdict = Late
+	}
+	return out
+}
+
+// failed judges an attempt without an answer head.
+func failed(ctx context.Context, err error) result {
+	var dial *net.OpError
+	if errors.As(err, &dial) && dial.Op == "dial" {
+		return result{verdict: Unreached, detail: err.Error(), retryAfter: true}
+	}
+	if ctx.Err() != nil {
+		return result{verdict: Hung, detail: err.Error()}
+	}
+	return result{verdict: Unknown, detail: err.Error(), retryAfter: true}
+}
+
+// refusal is the body of a refusal.
+type refusal struct {
+	Code    outcome.Code `json:"code"`
+	Event   int          `json:"event"`
+	Message string       `json:"message"`
+}
+
+// refused judges an answer with another status than 200. A refusal that does
+// not say whether the request ran breaks the interface.
+func refused(response *http.Response) result {
+	raw, err := io.ReadAll(io.LimitReader(response.Body, maxEventBytes))
+	if err != nil {
+		return result{verdict: Cut, detail: "refusal broken off", retryAfter: true}
+	}
+	var body refusal
+	if err := json.Unmarshal(raw, &body); err != nil || body.Code == "" {
+		return result{verdict: Wrong, detail: "status " + response.Status + " with malformed refusal " + strconv.Quote(string(raw))}
+	}
+	out := result{code: body.Code, detail: string(body.Code) + ": " + body.Message, retryAfter: true}
+	switch outcome.Outcome(response.Header.Get(outcome.Header)) {
+	case outcome.NotRun:
+		out.verdict = NotRun
+	case outcome.Unknown:
+		out.verdict = Unknown
+	default:
+		out.verdict = Wrong
+		out.detail = "refusal without outcome: " + out.detail
+	}
+	return out
+}
+
+// broken judges an answer that did not reach its end.
+func broken(err error) result {
+	if errors.Is(err, errWrong) {
+		return result{verdict: Wrong, detail: err.Error()}
+	}
+	return result{verdict: Cut, detail: err.Error(), retryAfter: true}
+}
+
+func (c *caller) streamed(r *request, body io.Reader, start time.Time) result {
+	s := newStream(body, r.prompt, r.tokens, readBufferBytes)
+	var t timing
+	last := start
+	for {
+		n, err := s.next()
+		if err == io.EOF {
+			break
+		}
+		if err != nil {
+			return broken(err)
+		}
+		if n == 0 {
+			continue
+		}
+		now := time.Now()
+		if t.firstToken == 0 {
+			t.firstToken = max(1, now.Sub(start).Microseconds())
+		} else {
+			t.between = append(t.between, now.Sub(last).Microseconds())
+		}
+		last = now
+	}
+	if err := s.end(); err != nil {
+		return broken(err)
+	}
+	t.whole = time.Since(start).Microseconds()
+	return result{verdict: OK, timing: t}
+}
+
+func (c *caller) whole(r *request, body io.Reader, start time.Time) result {
+	raw, err := io.ReadAll(io.LimitReader(body, maxAnswerBytes))
+	if err != nil {
+		return broken(err)
+	}
+	if err := checkWhole(raw, r.prompt, r.tokens); err != nil {
+		return broken(err)
+	}
+	return result{verdict: OK, timing: timing{whole: time.Since(start).Microseconds()}}
+}
+
+func (c *caller) plain(r *request, body io.Reader, start time.Time) result {
+	raw, err := io.ReadAll(io.LimitReader(body, maxAnswerBytes))
+	if err != nil {
+		return broken(err)
+	}
+	var got echo
+	if err := json.Unmarshal(raw, &got); err != nil {
+		return broken(errors.Wrap(errWrong, "answer is not JSON"))
+	}
+	want := echo{r.method, r.path, service.Hash(r.body), got.Execution}
+	if got != want || got.Execution == 0 {
+		return broken(errors.Wrapf(errWrong, "got %+v, want %+v", got, want))
+	}
+	return result{verdict: OK, echo: got, timing: timing{whole: time.Since(start).Microseconds()}}
+}
--- /dev/null
+++ b/standin/request/load/load.go
@@ -0,0 +1,147 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrFaults reports a run in which a caller was served wrongly.
+var ErrFaults = errors.New("the run found wrong, cut, duplicated or falsely refused requests")
+
+// retryPause is the wait before a keyed request is sent again.
+const retryPause = 200 * time.Millisecond
+
+// Load is one run of the generator. Create it with New.
+type Load struct {
+	options Options
+	caller  *caller
+	slow    *slowReaders
+	tally   *tally
+	record  record
+	out     io.Writer
+}
+
+// New checks the options and returns a run that prints to out.
+func New(o Options, out io.Writer) (*Load, error) {
+	if err := o.check(); err != nil {
+		return nil, err
+	}
+	l := &Load{options: o, tally: newTally(out), out: out}
+	l.caller = newCaller(&l.options, newTransport(o.MaxHeld, 0))
+	l.slow = newSlowReaders(&l.options)
+	return l, nil
+}
+
+// Run sends requests until the duration has passed or ctx ends, waits for the
+// open ones, reads the ledgers and prints the result line. It returns ErrFaults
+// when a request was wrong, cut, duplicated or falsely refused as not run.
+func (l *Load) Run(ctx context.Context) error {
+	sending, stop := context.WithTimeout(ctx, l.options.Duration)
+	defer stop()
+	var beside sync.WaitGroup
+	beside.Go(func() { l.slow.run(sending, newSlowPlanner(&l.options)) })
+	beside.Go(func() { l.progress(sending) })
+	l.send(sending)
+	beside.Wait()
+	l.tally.printWindow()
+	l.tally.printDetails()
+	l.slow.print(l.out)
+	j, err := l.verify()
+	if err != nil {
+		return err
+	}
+	return l.finish(j)
+}
+
+// progress prints a line for each window.
+func (l *Load) progress(ctx context.Context) {
+	for pause(ctx, l.options.Window) {
+		l.tally.printWindow()
+	}
+}
+
+// send starts the planned requests and waits for them. Open requests outlive
+// ctx, but not the drain time.
+func (l *Load) send(ctx context.Context) {
+	drain, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	p := newPlanner(&l.options)
+	places := make(chan struct{}, l.options.MaxHeld)
+	var held sync.WaitGroup
+	due := time.Now()
+	for l.options.Rate > 0 {
+		r := p.next()
+		due = due.Add(r.after)
+		if !pause(ctx, time.Until(due)) {
+			break
+		}
+		select {
+		case places <- struct{}{}:
+		default:
+			l.tally.skip()
+			continue
+		}
+		held.Go(func() {
+			l.attempt(drain, r)
+			<-places
+		})
+	}
+	<-ctx.Done()
+	defer time.AfterFunc(l.options.Drain, cancel).Stop()
+	held.Wait()
+}
+
+// attempt sends one request, and a keyed one again as often as the options say.
+func (l *Load) attempt(ctx context.Context, r *request) {
+	attempts := []result{l.caller.send(ctx, r, r.entry)}
+	for i := 1; r.kind == Keyed && i <= l.options.KeyedRetries; i++ {
+		if !attempts[i-1].retryAfter || !pause(ctx, retryPause) {
+			break
+		}
+		l.tally.retry()
+		attempts = append(attempts, l.caller.send(ctx, r, r.entry+i))
+	}
+	l.record.add(r, attempts)
+	l.tally.add(r, attempts[len(attempts)-1])
+}
+
+// verify compares what callers were told with the ledgers.
+func (l *Load) verify() (judgement, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), l.options.Drain)
+	defer cancel()
+	if len(l.options.Ledgers) == 0 {
+		return judgement{}, nil
+	}
+	executions, err := readLedgers(ctx, l.options.Ledgers)
+	if err != nil {
+		return judgement{}, err
+	}
+	j := l.record.judge(executions)
+	for _, e := range j.examples {
+		fmt.Fprintln(l.out, e)
+	}
+	fmt.Fprintf(l.out, "ledger executions=%d checked=%d unrecorded=%d unknownRan=%d\n",
+		len(executions), len(l.record.items), j.unrecorded, j.unknownRan)
+	return j, nil
+}
+
+// finish prints the result line and judges the run. The slow readers' wrong
+// and cut answers count like those of normal callers.
+func (l *Load) finish(j judgement) error {
+	c := l.tally.counts
+	wrong := c[Wrong] + l.slow.counts.wrong
+	cut := c[Cut] + l.slow.counts.cut
+	first := l.tally.total.firstToken
+	fmt.Fprintf(l.out, "result load requests=%d ok=%d wrong=%d cut=%d notRun=%d unknown=%d duplicated=%d falseNotRun=%d firstTokenP50Ms=%.1f firstTokenP95Ms=%.1f late=%d unreached=%d hung=%d skipped=%d\n",
+		l.tally.requests(), c[OK], wrong, cut, c[NotRun], c[Unknown], j.duplicated, j.falseNotRun,
+		millis(first, 50), millis(first, 95), c[Late], c[Unreached], c[Hung], l.tally.skipped)
+	if wrong+cut+j.duplicated+j.falseNotRun > 0 {
+		return ErrFaults
+	}
+	return nil
+}
--- /dev/null
+++ b/standin/request/load/slow.go
@@ -0,0 +1,216 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// slowTick is the interval at which a slow reader reads.
+const slowTick = 250 * time.Millisecond
+
+// slowReceiveBuffer is the receive buffer of slow and stopped readers; the
+// system rounds it up to its minimum.
+const slowReceiveBuffer = 4 << 10
+
+// lastRead is how long a stopped reader reads at the end of the run, to see
+// whether its connection is still open.
+const lastRead = 100 * time.Millisecond
+
+// stoppedBytes is what a stopped reader reads before it stops.
+const stoppedBytes = 2 << 10
+
+// slowReaders keep streamed answers open beside the normal requests.
+type slowReaders struct {
+	options *Options
+	caller  *caller
+
+	mu     sync.Mutex
+	counts slowCounts
+	errors []string
+}
+
+// slowCounts tell how slow and stopped readers fared.
+type slowCounts struct {
+	answered int // read to the correct end
+	reading  int // still open and correct at the end of the run
+	refused  int
+	wrong    int
+	cut      int // a slow reader's answer broken off
+	dropped  int // a stopped reader's connection closed by the entry
+	bytes    int64
+	// tokens counts correct tokens.
+	tokens int64
+}
+
+func newSlowReaders(o *Options) *slowReaders {
+	transport := newTransport(1, slowReceiveBuffer)
+	transport.DisableKeepAlives = true
+	return &slowReaders{options: o, caller: newCaller(o, transport)}
+}
+
+// run keeps all readers open until ctx ends.
+func (s *slowReaders) run(ctx context.Context, p *planner) {
+	total := s.options.SlowReaders + s.options.StoppedReaders
+	if total == 0 {
+		return
+	}
+	requests := make([]*request, total)
+	for i := range requests {
+		requests[i] = p.slow()
+	}
+	var held sync.WaitGroup
+	pace := s.options.SlowStart / time.Duration(total)
+	for i, r := range requests {
+		stops := i >= s.options.SlowReaders
+		held.Go(func() { s.read(ctx, r, stops) })
+		if !pause(ctx, pace) {
+			break
+		}
+	}
+	held.Wait()
+}
+
+// read opens one answer and reads it slowly.
+func (s *slowReaders) read(ctx context.Context, r *request, stops bool) {
+	held, leave := context.WithCancel(context.WithoutCancel(ctx))
+	defer leave()
+	keep := context.AfterFunc(ctx, leave)
+	response, err := s.caller.open(held, r, r.entry)
+	if err != nil {
+		s.end(ctx, failed(ctx, err).verdict, r, err)
+		return
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		out := refused(response)
+		s.end(ctx, out.verdict, r, errors.New(out.detail))
+		return
+	}
+	body := &pacedReader{ctx: ctx, body: response.Body, rate: s.options.SlowBytesPerSecond, start: time.Now()}
+	if stops {
+		keep()
+		s.stop(ctx, leave, response.Body)
+		return
+	}
+	checked := newStream(body, r.prompt, r.tokens, readBufferBytes)
+	for {
+		if _, err = checked.next(); err != nil {
+			break
+		}
+	}
+	if err == io.EOF {
+		err = checked.end()
+	}
+	s.add(body.taken, int64(checked.seen))
+	if err == nil {
+		s.end(ctx, OK, r, nil)
+		return
+	}
+	s.end(ctx, broken(err).verdict, r, err)
+}
+
+// stop reads the beginning, then nothing until the run ends. The entry may
+// close the connection of a reader that takes nothing; the next read shows it.
+func (s *slowReaders) stop(ctx context.Context, leave context.CancelFunc, body io.Reader) {
+	n, err := io.CopyN(io.Discard, body, stoppedBytes)
+	s.add(n, 0)
+	<-ctx.Done()
+	if err == nil {
+		defer time.AfterFunc(lastRead, leave).Stop()
+		_, err = io.Copy(io.Discard, body)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err == nil || errors.Is(err, io.EOF) || errors.Is(err, context.Canceled) {
+		s.counts.reading++
+		return
+	}
+	s.counts.dropped++
+}
+
+func (s *slowReaders) add(bytes, tokens int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts.bytes += bytes
+	s.counts.tokens += tokens
+}
+
+// end counts the end of a slow reader. One that the run itself ended was reading.
+func (s *slowReaders) end(ctx context.Context, v Verdict, r *request, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case v == OK:
+		s.counts.answered++
+		return
+	case v == Wrong:
+		s.counts.wrong++
+	case ctx.Err() != nil:
+		s.counts.reading++
+		return
+	case v == NotRun || v == Unreached:
+		s.counts.refused++
+	default:
+		s.counts.cut++
+	}
+	if len(s.errors) < maxDetails {
+		s.errors = append(s.errors, fmt.Sprintf("slow reader %d: %s: %v", r.number, v, err))
+	}
+}
+
+// print lists the counts.
+func (s *slowReaders) print(out io.Writer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.options.SlowReaders+s.options.StoppedReaders == 0 {
+		return
+	}
+	for _, e := range s.errors {
+		fmt.Fprintln(out, e)
+	}
+	c := s.counts
+	fmt.Fprintf(out, "slow readers=%d stopped=%d answered=%d reading=%d refused=%d wrong=%d cut=%d dropped=%d bytes=%d tokens=%d\n",
+		s.options.SlowReaders, s.options.StoppedReaders, c.answered, c.reading, c.refused, c.wrong, c.cut, c.dropped, c.bytes, c.tokens)
+}
+
+// pacedReader reads a body at a rate in bytes per second.
+type pacedReader struct {
+	ctx   context.Context
+	body  io.Reader
+	rate  int
+	start time.Time
+	taken int64
+}
+
+// Read waits until the rate allows at least one byte.
+func (p *pacedReader) Read(b []byte) (int, error) {
+	for {
+		allowed := int64(time.Since(p.start).Seconds()*float64(p.rate)) - p.taken
+		if allowed > 0 {
+			n, err := p.body.Read(b[:min(int64(len(b)), allowed)])
+			p.taken += int64(n)
+			return n, err
+		}
+		if !pause(p.ctx, slowTick) {
+			return 0, p.ctx.Err()
+		}
+	}
+}
+
+// pause waits and reports whether ctx is still live.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/standin/request/load/verify.go
@@ -0,0 +1,148 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+
+	"goldcrestshore/standin/process/service"
+)
+
+// record keeps what callers were told about the plain requests that must not
+// run twice.
+type record struct {
+	mu    sync.Mutex
+	items []recorded
+}
+
+// recorded is one request with the results of all its attempts.
+type recorded struct {
+	request  *request
+	attempts []result
+}
+
+func (r *record) add(q *request, attempts []result) {
+	if q.kind != Keyed && q.kind != Unkeyed {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.items = append(r.items, recorded{q, attempts})
+}
+
+// judgement is the comparison of what callers were told with the ledgers.
+type judgement struct {
+	// duplicated counts requests that ran more than once.
+	duplicated int
+	// falseNotRun counts requests that ran although every attempt was refused as not run.
+	falseNotRun int
+	// unrecorded counts answers whose execution stands in no ledger; a service
+	// that lost its ledger by a restart causes them too.
+	unrecorded int
+	// unknownRan counts requests of unknown outcome that did run.
+	unknownRan int
+	// examples describes the first cases.
+	examples []string
+}
+
+// judge compares the record with all executions of the plain services.
+func (r *record) judge(executions []service.Execution) judgement {
+	byPath := map[string][]service.Execution{}
+	for _, x := range executions {
+		byPath[x.Path] = append(byPath[x.Path], x)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var j judgement
+	for _, item := range r.items {
+		j.add(item, matching(byPath[item.request.path], item.request))
+	}
+	return j
+}
+
+// matching returns the executions of one request.
+func matching(candidates []service.Execution, q *request) []service.Execution {
+	var out []service.Execution
+	for _, x := range candidates {
+		if x.Method == q.method && x.BodyHash == service.Hash(q.body) {
+			out = append(out, x)
+		}
+	}
+	return out
+}
+
+func (j *judgement) add(item recorded, ran []service.Execution) {
+	last := item.attempts[len(item.attempts)-1]
+	answered := last.verdict == OK || last.verdict == Late
+	if len(ran) > 1 {
+		j.duplicated++
+		j.example("ran more than once", item.request)
+	}
+	if len(ran) > 0 && neverRun(item.attempts) {
+		j.falseNotRun++
+		j.example("ran although refused as not run", item.request)
+	}
+	if answered && !contains(ran, last.echo) {
+		j.unrecorded++
+		j.example("answered but in no ledger", item.request)
+	}
+	if !answered && len(ran) > 0 && !neverRun(item.attempts) {
+		j.unknownRan++
+	}
+}
+
+func (j *judgement) example(what string, q *request) {
+	if len(j.examples) < maxDetails {
+		j.examples = append(j.examples, what+": "+q.path)
+	}
+}
+
+// neverRun reports whether every attempt was refused as not run or never sent.
+func neverRun(attempts []result) bool {
+	for _, a := range attempts {
+		if a.verdict != NotRun && a.verdict != Unreached {
+			return false
+		}
+	}
+	return true
+}
+
+func contains(ran []service.Execution, e echo) bool {
+	for _, x := range ran {
+		if x.Execution == e.Execution {
+			return true
+		}
+	}
+	return false
+}
+
+// readLedgers returns the executions of all plain services.
+func readLedgers(ctx context.Context, addresses []string) ([]service.Execution, error) {
+	var all []service.Execution
+	for _, address := range addresses {
+		executions, err := readLedger(ctx, address)
+		if err != nil {
+			return nil, errors.Wrapf(err, "ledger of %s", address)
+		}
+		all = append(all, executions...)
+	}
+	return all, nil
+}
+
+func readLedger(ctx context.Context, address string) ([]service.Execution, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/ledger", nil)
+	if err != nil {
+		return nil, err
+	}
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	var report service.Report
+	err = json.NewDecoder(response.Body).Decode(&report)
+	return report.Executions, err
+}
