Take the configuration from the relay client and retry within the budget

Cause: entries and agents polled the platform by an interim reader, and any failed attempt was tried again without a budget. Change: relay.Client in both daemons, retry.Budget in the dispatcher, tests of the HTTP side: library timeout, body limit, breaker, broken and short answers, bad input, refusal while stopping.

--- a/agent/process/server/server.go
+++ b/agent/process/server/server.go
@@ -21,7 +21,7 @@
 	"goldcrestshore/core/process/metric"
 	"goldcrestshore/core/process/settings"
 	"goldcrestshore/core/request/outcome"
-	"goldcrestshore/core/version/view"
+	"goldcrestshore/core/version/relay"
 )
 
 const (
@@ -46,8 +46,9 @@
 	Log            *event.Log
 	Metrics        *metric.Registry
 
+	clock    *clock.Clock
 	platform *platform.Client
-	views    *view.Watcher
+	views    *relay.Client
 	gate     *gate
 	entries  *entry.Server
 	self     peer.Identity
@@ -65,7 +66,7 @@
 	}
 	s.build(running)
 	group, running := errgroup.WithContext(running)
-	group.Go(func() error { s.views.Run(running); return nil })
+	group.Go(func() error { return s.views.Run(running) })
 	group.Go(func() error { s.entries.Run(running); return nil })
 	group.Go(func() error { return s.serveEntries(running, listener) })
 	group.Go(func() error { return s.serveAdmin(running) })
@@ -79,16 +80,20 @@
 	s.Log.Emit(event.ProcessStarted, event.Fields{"address": listener.Addr().String(), "upstream": s.Upstream})
 	err = group.Wait()
 	s.Log.Emit(event.ProcessStopped, nil)
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
 	return err
 }
 
 func (s *Server) build(ctx context.Context) {
 	s.self = peer.NewIdentity(platform.RoleAgent, s.Settings.Instance(), s.Settings.DataCentre())
+	s.clock = clock.System()
 	s.platform = platform.New(s.Settings.Platform())
-	s.views = &view.Watcher{Platform: s.platform, Log: s.Log}
+	s.views = &relay.Client{Platform: s.platform, Log: s.Log, Clock: s.clock}
 	s.gate = &gate{limit: s.limit, refusal: s.outOfService, held: map[frame.ID]bool{}}
 	s.entries = &entry.Server{
-		Clock:          clock.System(),
+		Clock:          s.clock,
 		Log:            s.Log,
 		Gate:           s.gate,
 		Upstream:       upstream.New(s.Upstream),
@@ -101,7 +106,7 @@
 
 func (s *Server) limit() int {
 	v := s.views.Current()
-	if v.Text() == nil {
+	if !v.Ready() || v.Text() == nil {
 		return 0
 	}
 	service, ok := v.Text().Service(s.Service)
@@ -114,10 +119,10 @@
 // outOfService refuses work that the configuration does not allow here.
 func (s *Server) outOfService(m *frame.Submit) *outcome.Refusal {
 	v := s.views.Current()
-	if v.Text() == nil || v.Version() < m.ConfigVersion() {
+	if !v.Ready() || v.Text() == nil || v.Version() < m.ConfigVersion() {
 		return outcome.Refuse(outcome.ConfigUnconfirmed, outcome.NotRun, 0)
 	}
-	if v.DataCentreOut(s.Settings.DataCentre()) || v.InstanceOut(s.Settings.Instance()) || m.Service() != s.Service {
+	if v.IsOut(s.Settings.Instance(), s.Settings.DataCentre()) || m.Service() != s.Service {
 		return outcome.Refuse(outcome.OutOfService, outcome.NotRun, 0)
 	}
 	return nil
@@ -126,7 +131,7 @@
 func (s *Server) heartbeat() *frame.Heartbeat {
 	v := s.views.Current()
 	held, leaving := s.gate.state()
-	leaving = leaving || v.DataCentreOut(s.Settings.DataCentre()) || v.InstanceOut(s.Settings.Instance())
+	leaving = leaving || v.IsOut(s.Settings.Instance(), s.Settings.DataCentre())
 	load := frame.NewLoad(s.Service,
 		frame.NewOccupancy(held, s.limit(), 0, 0),
 		frame.NewCondition(false, leaving, 0, 0),
--- /dev/null
+++ b/core/version/relay/available.go
@@ -0,0 +1,45 @@
+package relay
+
+import (
+	"goldcrestshore/core/connection/platform"
+)
+
+// Takes tells whether an instance may be given new work.
+func (s *Snapshot) Takes(i platform.Instance) bool {
+	return i.State() == platform.Live && !s.IsOut(i.Name(), i.DataCentre())
+}
+
+// Available tells whether a service and everything it depends on has an agent
+// that takes new work. Models and adapters do not run and are always available.
+func (s *Snapshot) Available(service string) bool {
+	return s.available(service, map[string]bool{})
+}
+
+func (s *Snapshot) available(name string, seen map[string]bool) bool {
+	if seen[name] {
+		return true
+	}
+	seen[name] = true
+	service, ok := s.text.Service(name)
+	if !ok {
+		return true
+	}
+	if !s.anyTakes(name) {
+		return false
+	}
+	for _, needed := range service.DependsOn() {
+		if !s.available(needed, seen) {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *Snapshot) anyTakes(service string) bool {
+	for _, i := range s.instances {
+		if i.Role() == platform.RoleAgent && i.Service() == service && s.Takes(i) {
+			return true
+		}
+	}
+	return false
+}
--- a/core/version/relay/snapshot.go
+++ b/core/version/relay/snapshot.go
@@ -74,3 +74,8 @@
 	next.list, next.instances = held{version, value}, sorted
 	return &next, true
 }
+
+// NewSnapshot returns a ready snapshot for fakes, without out marks.
+func NewSnapshot(version uint64, t *text.Text, instances []platform.Instance) *Snapshot {
+	return &Snapshot{ready: true, config: held{version: version}, text: t, instances: instances}
+}
--- a/entry/process/server/dispatch.go
+++ b/entry/process/server/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
@@ -12,11 +13,9 @@
 	"goldcrestshore/core/request/outcome"
 	"goldcrestshore/entry/connection/agent"
 	"goldcrestshore/entry/request/caller"
+	"goldcrestshore/entry/request/retry"
 )
 
-// maxAttempts bounds the upstreams tried for one request.
-const maxAttempts = 4
-
 // dispatcher runs requests on agents.
 type dispatcher struct {
 	pool        *pool
@@ -24,6 +23,9 @@
 	log         *event.Log
 	incarnation uint64
 	sequence    atomic.Uint64
+
+	mu     sync.Mutex
+	budget retry.Budget
 }
 
 // Dispatch implements caller.Dispatcher.
@@ -31,37 +33,56 @@
 	if !d.pool.view().Available(r.Service().Name()) {
 		return outcome.Refuse(outcome.DependencyOut, outcome.NotRun, int64(clock.Second))
 	}
+	d.decide(retry.First{})
 	tried := map[string]bool{}
-	var last error = outcome.Refuse(outcome.NoUpstream, outcome.NotRun, int64(clock.Second))
-	for range maxAttempts {
+	state := retry.NewRequest(r.Idempotent())
+	for {
 		l := d.pool.choose(r.Service().Name(), tried)
 		if l == nil {
-			return last
+			return noUpstream(state)
 		}
 		tried[l.Name] = true
 		err := d.attempt(ctx, l, r, a)
-		if err == nil || !d.mayRetry(ctx, r, a, err) {
+		if err == nil || ctx.Err() != nil {
+			return err
+		}
+		var failed *attemptError
+		if !errors.As(err, &failed) {
 			return err
 		}
-		d.log.Error(event.RequestRetried, err, event.Fields{"upstream": l.Name})
-		last = err
+		switch next := d.decide(failed.event(state, r.Deadline()-d.clock.Now())).(type) {
+		case retry.GiveUp:
+			return errors.Wrapf(next.Refusal(), "%v", err)
+		case retry.Again:
+			state = next.Request()
+			d.log.Error(event.RequestRetried, err, event.Fields{"upstream": l.Name})
+		}
 	}
-	return last
 }
 
-// mayRetry tells whether another upstream may run the request after err.
-func (d *dispatcher) mayRetry(ctx context.Context, r *caller.Request, a *caller.Answer, err error) bool {
-	if ctx.Err() != nil || a.Started() {
-		return false
+// decide passes an event to the budget that all requests share.
+func (d *dispatcher) decide(e retry.Event) retry.Action {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.budget.Handle(e)
+}
+
+// noUpstream refuses a request that no further upstream can take.
+func noUpstream(state retry.Request) error {
+	result := outcome.NotRun
+	if state.MayHaveRun() {
+		result = outcome.Unknown
 	}
-	return r.Idempotent() || outcome.As(err).Outcome() == outcome.NotRun
+	return outcome.Refuse(outcome.NoUpstream, result, int64(clock.Second))
 }
 
+// attempt runs the request once. Its error is an attemptError unless the caller
+// has left or the deadline has passed.
 func (d *dispatcher) attempt(ctx context.Context, l *link, r *caller.Request, a *caller.Answer) error {
 	id := frame.NewID(d.incarnation, d.sequence.Add(1))
 	e, err := l.Submit(id, d.submit(r))
 	if err != nil {
-		return errors.Wrapf(outcome.Refuse(outcome.NoUpstream, outcome.NotRun, 0), "%v", err)
+		return &attemptError{retry.LostBeforeSubmit, outcome.NoUpstream, 0}
 	}
 	defer e.Close()
 	return copyAnswer(ctx, e, a)
@@ -73,6 +94,20 @@
 	return frame.NewSubmit(r.Service().Name(), r.Customer().Name(), r.Call(), terms, r.Size(), r.ConfigVersion())
 }
 
+// attemptError tells how one attempt ended without a whole answer.
+type attemptError struct {
+	failure      retry.Failure
+	code         outcome.Code
+	retryAfterMs int64
+}
+
+// Error describes the failure in one line.
+func (e *attemptError) Error() string { return "attempt failed: " + string(e.code) }
+
+func (e *attemptError) event(state retry.Request, remaining clock.Millis) retry.Failed {
+	return retry.NewFailed(state, e.failure, e.code, e.retryAfterMs, remaining)
+}
+
 // copyAnswer passes the events of an exchange to the caller until its end.
 func copyAnswer(ctx context.Context, e *agent.Exchange, a *caller.Answer) error {
 	for {
@@ -83,7 +118,7 @@
 		switch next := next.(type) {
 		case agent.Accepted:
 		case agent.Refused:
-			return next.Refusal()
+			return refused(next.Refusal())
 		case agent.Head:
 			a.Head(next.Status(), next.Header())
 		case agent.Data:
@@ -92,18 +127,30 @@
 			}
 			e.Consumed(len(next.Bytes()))
 		case agent.Lost:
-			return outcome.Refuse(outcome.ConnectionLost, lostOutcome(next), 0)
+			return lost(next, a)
 		case agent.End:
 			return finish(next, a)
 		}
 	}
 }
 
-func lostOutcome(l agent.Lost) outcome.Outcome {
-	if l.NotRun() {
-		return outcome.NotRun
+func refused(r *outcome.Refusal) error {
+	failure := retry.RefusedUnknown
+	if r.Outcome() == outcome.NotRun {
+		failure = retry.RefusedNotRun
+	}
+	return &attemptError{failure, r.Code(), r.RetryAfterMs()}
+}
+
+func lost(l agent.Lost, a *caller.Answer) error {
+	failure := retry.LostAfterSubmit
+	switch {
+	case l.NotRun():
+		failure = retry.RefusedNotRun
+	case a.Started():
+		failure = retry.FailedAfterBytes
 	}
-	return outcome.Unknown
+	return &attemptError{failure, outcome.ConnectionLost, 0}
 }
 
 // finish ends the caller's answer when every byte has arrived intact.
@@ -111,9 +158,12 @@
 	if end.Complete() {
 		return errors.Wrap(a.Finish(), "write to caller")
 	}
-	result := outcome.Unknown
-	if end.Code() == outcome.NoUpstream {
-		result = outcome.NotRun
+	failure := retry.FailedBeforeBytes
+	switch {
+	case end.Code() == outcome.NoUpstream:
+		failure = retry.RefusedNotRun
+	case a.Started():
+		failure = retry.FailedAfterBytes
 	}
-	return outcome.Refuse(end.Code(), result, 0)
+	return &attemptError{failure, end.Code(), 0}
 }
--- a/entry/process/server/pool.go
+++ b/entry/process/server/pool.go
@@ -13,7 +13,7 @@
 	"goldcrestshore/core/connection/platform"
 	"goldcrestshore/core/process/clock"
 	"goldcrestshore/core/process/event"
-	"goldcrestshore/core/version/view"
+	"goldcrestshore/core/version/relay"
 	"goldcrestshore/entry/connection/agent"
 )
 
@@ -26,7 +26,7 @@
 	key   []byte
 	clock *clock.Clock
 	log   *event.Log
-	view  func() *view.View
+	view  func() *relay.Snapshot
 
 	mu    sync.Mutex
 	links map[string]*link
--- a/entry/process/server/server.go
+++ b/entry/process/server/server.go
@@ -6,6 +6,7 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
 	"goldcrestshore/core/connection/peer"
@@ -14,7 +15,7 @@
 	"goldcrestshore/core/process/event"
 	"goldcrestshore/core/process/metric"
 	"goldcrestshore/core/process/settings"
-	"goldcrestshore/core/version/view"
+	"goldcrestshore/core/version/relay"
 	"goldcrestshore/entry/request/caller"
 )
 
@@ -31,7 +32,7 @@
 
 	clock    *clock.Clock
 	platform *platform.Client
-	views    *view.Watcher
+	views    *relay.Client
 	pool     *pool
 	callers  *caller.Server
 }
@@ -44,7 +45,7 @@
 	defer cancel()
 	s.build()
 	group, running := errgroup.WithContext(running)
-	group.Go(func() error { s.views.Run(running); return nil })
+	group.Go(func() error { return s.views.Run(running) })
 	group.Go(func() error { s.pool.run(running); return nil })
 	group.Go(func() error {
 		return metric.Serve(running, s.Settings.Admin(), map[string]http.Handler{"/metrics": s.Metrics.Handler()})
@@ -63,6 +64,9 @@
 	s.Log.Emit(event.ProcessStarted, event.Fields{"address": s.Callers})
 	err := group.Wait()
 	s.Log.Emit(event.ProcessStopped, nil)
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
 	return err
 }
 
@@ -70,7 +74,7 @@
 	self := peer.NewIdentity(platform.RoleEntry, s.Settings.Instance(), s.Settings.DataCentre())
 	s.clock = clock.System()
 	s.platform = platform.New(s.Settings.Platform())
-	s.views = &view.Watcher{Platform: s.platform, Log: s.Log}
+	s.views = &relay.Client{Platform: s.platform, Log: s.Log, Clock: s.clock}
 	s.pool = &pool{self: self, key: s.Settings.Key(), clock: s.clock, log: s.Log, view: s.views.Current, links: map[string]*link{}}
 	s.callers = &caller.Server{
 		Clock:          s.clock,
@@ -79,6 +83,6 @@
 		Dispatcher:     &dispatcher{pool: s.pool, clock: s.clock, log: s.Log, incarnation: self.Incarnation()},
 		Listen:         s.Callers,
 		MaxConnections: s.MaxConnections,
-		MaxBodies:      s.MaxRequests,
+		MaxRequests:    s.MaxRequests,
 	}
 }
--- a/entry/request/caller/request.go
+++ b/entry/request/caller/request.go
@@ -14,8 +14,8 @@
 	"goldcrestshore/core/connection/frame"
 	"goldcrestshore/core/process/clock"
 	"goldcrestshore/core/request/outcome"
+	"goldcrestshore/core/version/relay"
 	"goldcrestshore/core/version/text"
-	"goldcrestshore/core/version/view"
 )
 
 const (
@@ -91,8 +91,8 @@
 
 // parse authenticates and routes q; every refusal is made before any upstream
 // has heard of the request.
-func parse(w http.ResponseWriter, q *http.Request, v *view.View, now clock.Millis) (*Request, error) {
-	if v.Text() == nil {
+func parse(w http.ResponseWriter, q *http.Request, v *relay.Snapshot, now clock.Millis) (*Request, error) {
+	if !v.Ready() || v.Text() == nil {
 		return nil, outcome.Refuse(outcome.NotReady, outcome.NotRun, int64(clock.Second))
 	}
 	customer, ok := v.Text().Customer(strings.TrimPrefix(q.Header.Get(authorizationHeader), bearerPrefix))
--- a/entry/request/caller/server.go
+++ b/entry/request/caller/server.go
@@ -17,7 +17,7 @@
 	"goldcrestshore/core/process/clock"
 	"goldcrestshore/core/process/event"
 	"goldcrestshore/core/request/outcome"
-	"goldcrestshore/core/version/view"
+	"goldcrestshore/core/version/relay"
 )
 
 const (
@@ -43,25 +43,28 @@
 type Server struct {
 	Clock      *clock.Clock
 	Log        *event.Log
-	View       func() *view.View
+	View       func() *relay.Snapshot
 	Dispatcher Dispatcher
 	// Listen is the address for callers, ip:port.
 	Listen string
 	// MaxConnections bounds open connections; further ones are closed at once.
 	MaxConnections int64
-	// MaxBodies bounds the memory for request bodies that are being read or sent.
-	MaxBodies int64
+	// MaxRequests bounds the requests in progress, each with a body of MaxBodyBytes
+	// at most.
+	MaxRequests int64
+	// OnListen receives the address once connections are accepted; it may be nil.
+	OnListen func(net.Addr)
 
 	stopping atomic.Bool
 	open     atomic.Int64
-	bodies   atomic.Int64
+	held     atomic.Int64
 }
 
 // Stop refuses new requests from now on.
 func (s *Server) Stop() { s.stopping.Store(true) }
 
 // Open returns the number of requests in progress.
-func (s *Server) Open() int64 { return s.bodies.Load() }
+func (s *Server) Open() int64 { return s.held.Load() }
 
 // Run serves until the process has received a signal to stop and every answer
 // is finished.
@@ -98,6 +101,12 @@
 	h.IdleTimeout = idleTimeout
 	h.MaxHeaderBytes = maxHeaderBytes
 	h.ConnState = s.connState
+	h.BaseContext = func(l net.Listener) context.Context {
+		if s.OnListen != nil {
+			s.OnListen(l.Addr())
+		}
+		return context.Background()
+	}
 }
 
 // connState closes connections above the limit and bounds what the kernel holds
@@ -117,14 +126,14 @@
 
 // ServeHTTP answers one request.
 func (s *Server) ServeHTTP(w http.ResponseWriter, q *http.Request) {
-	s.bodies.Add(1)
-	defer s.bodies.Add(-1)
+	s.held.Add(1)
+	defer s.held.Add(-1)
 	if s.stopping.Load() {
 		w.Header().Set("Connection", "close")
 		s.refuse(w, outcome.Refuse(outcome.Stopping, outcome.NotRun, int64(clock.Second)))
 		return
 	}
-	if s.bodies.Load() > s.MaxBodies {
+	if s.held.Load() > s.MaxRequests {
 		s.refuse(w, outcome.Refuse(outcome.Overloaded, outcome.NotRun, int64(clock.Second)))
 		return
 	}
--- /dev/null
+++ b/entry/request/caller/server_test.go
@@ -0,0 +1,223 @@
+package caller
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"goldcrestshore/core/connection/frame"
+	"goldcrestshore/core/process/check"
+	"goldcrestshore/core/process/clock"
+	"goldcrestshore/core/process/event"
+	"goldcrestshore/core/request/outcome"
+	"goldcrestshore/core/version/relay"
+	"goldcrestshore/core/version/text"
+)
+
+// sample names the customer "c" with the key "k", a model service and a plain one.
+const sample = `{
+  "dataCentres": [{"name": "a", "region": "r"}],
+  "services": [
+    {"name": "m", "kind": "model", "coldLimit": 1, "warmLimit": 2},
+    {"name": "p", "kind": "plain", "coldLimit": 1, "warmLimit": 2, "routes": [
+      {"method": "GET", "path": "/x/*", "idempotent": true}, {"method": "POST", "path": "/x"}]},
+  ],
+  "customers": [{"name": "c", "keyHashes": ["8254c329a92850f6d539dd376f4816ee2764517da5e0235514af433164480d7a"]}],
+}`
+
+// dispatch is a Dispatcher made of one function.
+type dispatch func(ctx context.Context, r *Request, a *Answer) error
+
+func (d dispatch) Dispatch(ctx context.Context, r *Request, a *Answer) error { return d(ctx, r, a) }
+
+func sampleSnapshot(t *testing.T) *relay.Snapshot {
+	t.Helper()
+	parsed, err := text.Parse([]byte(sample))
+	check.NoError(t, "Parse", err)
+	return relay.NewSnapshot(1, parsed, nil)
+}
+
+func newServer(t *testing.T, d dispatch) *Server {
+	t.Helper()
+	log, err := event.NewLog(io.Discard, "error", "entry", "e")
+	check.NoError(t, "NewLog", err)
+	s := sampleSnapshot(t)
+	return &Server{Clock: clock.System(), Log: log, View: func() *relay.Snapshot { return s }, Dispatcher: d,
+		Listen: "127.0.0.1:0", MaxConnections: 100, MaxRequests: 100}
+}
+
+// listen runs the real HTTP server of the library on a free port.
+func listen(t *testing.T, s *Server) string {
+	t.Helper()
+	address := make(chan string, 1)
+	s.OnListen = func(a net.Addr) { address <- a.String() }
+	go func() { _ = s.Run() }()
+	return "http://" + <-address
+}
+
+func request(t *testing.T, method, url string, body io.Reader) *http.Request {
+	t.Helper()
+	q, err := http.NewRequest(method, url, body)
+	check.NoError(t, "NewRequest", err)
+	q.Header.Set(authorizationHeader, bearerPrefix+"k")
+	return q
+}
+
+func do(t *testing.T, q *http.Request) (*http.Response, string, error) {
+	t.Helper()
+	r, err := http.DefaultClient.Do(q)
+	check.NoError(t, "Do", err)
+	defer r.Body.Close()
+	body, err := io.ReadAll(r.Body)
+	return r, string(body), err
+}
+
+func TestLibraryDefaultsAreOff(t *testing.T) {
+	big := bytes.Repeat([]byte("x"), 2<<20)
+	s := newServer(t, func(_ context.Context, r *Request, a *Answer) error {
+		a.Head(http.StatusOK, []frame.Field{frame.NewField("Content-Type", eventStreamType)})
+		if r.Stream() {
+			check.NoError(t, "Write", a.Write([]byte("data: 1\n\n")))
+			time.Sleep(3500 * time.Millisecond)
+		}
+		check.Equal(t, "large body", r.Stream() || len(r.Call().Body()) == len(big), true)
+		return a.Finish()
+	})
+	url := listen(t, s)
+	// Guards against the library's timeout of 3 s, which also buffers answers.
+	t.Run("a stream longer than three seconds", func(t *testing.T) {
+		body := strings.NewReader(`{"model":"m","stream":true,"messages":[]}`)
+		start := time.Now()
+		r, err := http.DefaultClient.Do(request(t, "POST", url+chatPath, body))
+		check.NoError(t, "Do", err)
+		defer r.Body.Close()
+		first := make([]byte, 9)
+		_, err = io.ReadFull(r.Body, first)
+		check.NoError(t, "first event", err)
+		check.Equal(t, "first event before the end", time.Since(start) < 3*time.Second, true)
+		rest, err := io.ReadAll(r.Body)
+		check.NoError(t, "ReadAll", err)
+		check.Equal(t, "rest", string(rest), streamEnd)
+	})
+	// Guards against the library's body limit of 1 MiB.
+	t.Run("a body larger than one mebibyte", func(t *testing.T) {
+		r, _, err := do(t, request(t, "POST", url+"/x", bytes.NewReader(big)))
+		check.NoError(t, "body", err)
+		check.Equal(t, "status", r.StatusCode, http.StatusOK)
+	})
+}
+
+// Guards against the library's circuit breaker and load shedding, which refuse
+// requests after a run of 5xx answers.
+func TestRefusalsDoNotTripABreaker(t *testing.T) {
+	url := listen(t, newServer(t, func(context.Context, *Request, *Answer) error {
+		return outcome.Refuse(outcome.Overloaded, outcome.NotRun, 1500)
+	}))
+	for range 300 {
+		r, body, err := do(t, request(t, "POST", url+"/x", strings.NewReader("b")))
+		check.NoError(t, "body", err)
+		check.Equal(t, "status", r.StatusCode, http.StatusServiceUnavailable)
+		check.Equal(t, "outcome", r.Header.Get(outcome.Header), string(outcome.NotRun))
+		check.Equal(t, "Retry-After", r.Header.Get("Retry-After"), "2")
+		var got refusalBody
+		check.NoError(t, "Unmarshal", json.Unmarshal([]byte(body), &got))
+		check.Equal(t, "code", got.Code, outcome.Overloaded)
+	}
+}
+
+// Guards against an answer that looks whole although its upstream broke off.
+func TestBrokenAnswerIsVisible(t *testing.T) {
+	url := listen(t, newServer(t, func(_ context.Context, _ *Request, a *Answer) error {
+		a.Head(http.StatusOK, nil)
+		check.NoError(t, "Write", a.Write(make([]byte, 2*holdBytes)))
+		return outcome.Refuse(outcome.UpstreamFailed, outcome.Unknown, 0)
+	}))
+	_, _, err := do(t, request(t, "GET", url+"/x/1", nil))
+	check.Is(t, "ReadAll", err, io.ErrUnexpectedEOF)
+}
+
+// Guards against a short answer that was passed on before it was verified, so
+// that its request cannot run elsewhere.
+func TestShortAnswerIsHeldUntilVerified(t *testing.T) {
+	url := listen(t, newServer(t, func(_ context.Context, _ *Request, a *Answer) error {
+		a.Head(http.StatusOK, nil)
+		check.NoError(t, "Write", a.Write([]byte("first")))
+		check.Equal(t, "started", a.Started(), false)
+		a.Head(http.StatusAccepted, nil)
+		check.NoError(t, "Write", a.Write([]byte("second")))
+		return a.Finish()
+	}))
+	r, body, err := do(t, request(t, "GET", url+"/x/1", nil))
+	check.NoError(t, "ReadAll", err)
+	check.Equal(t, "status", r.StatusCode, http.StatusAccepted)
+	check.Equal(t, "body", body, "second")
+}
+
+func TestBadRequests(t *testing.T) {
+	url := listen(t, newServer(t, func(context.Context, *Request, *Answer) error {
+		t.Error("Dispatch was called")
+		return nil
+	}))
+	cases := []struct {
+		name, method, path, body string
+		header                   [2]string
+		want                     outcome.Code
+	}{
+		{"unknown key", "POST", "/x", "", [2]string{authorizationHeader, "Bearer other"}, outcome.Unauthorized},
+		{"no key", "POST", "/x", "", [2]string{authorizationHeader, ""}, outcome.Unauthorized},
+		{"unknown path", "POST", "/y", "", [2]string{}, outcome.NoRoute},
+		{"unknown method", "DELETE", "/x", "", [2]string{}, outcome.NoRoute},
+		{"unknown model", "POST", chatPath, `{"model":"q"}`, [2]string{}, outcome.NoRoute},
+		{"plain service as model", "POST", chatPath, `{"model":"p"}`, [2]string{}, outcome.NoRoute},
+		{"malformed chat", "POST", chatPath, `{`, [2]string{}, outcome.BadRequest},
+		{"token limit of zero", "POST", chatPath, `{"model":"m","max_tokens":0}`, [2]string{}, outcome.BadRequest},
+		{"malformed deadline", "POST", "/x", "", [2]string{deadlineHeader, "soon"}, outcome.BadRequest},
+		{"oversized key", "POST", "/x", "", [2]string{keyHeader, strings.Repeat("k", maxKeyBytes+1)}, outcome.BadRequest},
+		{"oversized body", "POST", "/x", strings.Repeat("x", MaxBodyBytes+1), [2]string{}, outcome.BadRequest},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			q := request(t, c.method, url+c.path, strings.NewReader(c.body))
+			if c.header[0] != "" {
+				q.Header.Set(c.header[0], c.header[1])
+			}
+			r, body, err := do(t, q)
+			check.NoError(t, "ReadAll", err)
+			var got refusalBody
+			check.NoError(t, "Unmarshal", json.Unmarshal([]byte(body), &got))
+			check.Equal(t, "code", got.Code, c.want)
+			check.Equal(t, "outcome", r.Header.Get(outcome.Header), string(outcome.NotRun))
+		})
+	}
+	t.Run("truncated body", func(t *testing.T) {
+		conn, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+		check.NoError(t, "Dial", err)
+		defer conn.Close()
+		_, err = io.WriteString(conn, "POST /x HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer k\r\nContent-Length: 10\r\n\r\nabc")
+		check.NoError(t, "Write", err)
+		check.NoError(t, "CloseWrite", conn.(*net.TCPConn).CloseWrite())
+		got, err := io.ReadAll(conn)
+		check.NoError(t, "ReadAll", err)
+		check.Equal(t, "answer", strings.Contains(string(got), string(outcome.BadRequest)), true)
+	})
+}
+
+// Guards against new work that is taken while the process stops.
+func TestStoppingRefusesNewRequests(t *testing.T) {
+	s := newServer(t, func(context.Context, *Request, *Answer) error {
+		t.Error("Dispatch was called")
+		return nil
+	})
+	url := listen(t, s)
+	s.Stop()
+	r, body, err := do(t, request(t, "POST", url+"/x", nil))
+	check.NoError(t, "ReadAll", err)
+	check.Equal(t, "code", strings.Contains(body, string(outcome.Stopping)), true)
+	check.Equal(t, "connection is closed", r.Close, true)
+}
