Send the engine's incarnation with each answer

Cause: the agent resumes a broken stream only on the same incarnation, which the stand-in did not send; a stop could be logged after the end. Conclusion: streams can be resumed against the stand-in.

--- a/standin/process/command/command.go
+++ b/standin/process/command/command.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"os"
+	"sync"
 
 	"github.com/cockroachdb/errors"
 
@@ -59,37 +60,47 @@
 	}
 }
 
+// process is one running stand-in.
+type process struct {
+	listener net.Listener
+	log      *event.Log
+	stopping sync.Once
+}
+
 // open parses args, listens and starts the log.
-func (c common) open(fs *flag.FlagSet, args []string) (net.Listener, *event.Log, error) {
+func (c common) open(ctx context.Context, fs *flag.FlagSet, args []string) (*process, error) {
 	if err := settings.Parse(fs, args); err != nil {
-		return nil, nil, errors.Wrap(err, "settings")
+		return nil, errors.Wrap(err, "settings")
 	}
 	listener, err := net.Listen("tcp", *c.listen)
 	if err != nil {
-		return nil, nil, errors.Wrap(err, "listen")
+		return nil, errors.Wrap(err, "listen")
 	}
 	if *c.instance == "" {
 		*c.instance = listener.Addr().String()
 	}
 	log, err := event.NewLog(os.Stderr, *c.level, fs.Name(), *c.instance)
 	if err != nil {
-		return nil, nil, errors.CombineErrors(err, listener.Close())
+		return nil, errors.CombineErrors(err, listener.Close())
 	}
 	log.Emit(event.ProcessStarted, event.Fields{"listen": listener.Addr().String()})
-	return listener, log, nil
+	p := &process{listener: listener, log: log}
+	context.AfterFunc(ctx, p.stop)
+	return p, nil
 }
 
-// logStop writes an event as soon as a stop is requested.
-func logStop(ctx context.Context, log *event.Log) {
-	context.AfterFunc(ctx, func() { log.Emit(event.ProcessStopping, nil) })
+// stop logs once that the process has been told to stop.
+func (p *process) stop() {
+	p.stopping.Do(func() { p.log.Emit(event.ProcessStopping, nil) })
 }
 
 // finish logs how the process ended.
-func finish(log *event.Log, err error) error {
+func (p *process) finish(err error) error {
 	if err != nil {
-		log.Error(event.ProcessFailed, err, nil)
+		p.log.Error(event.ProcessFailed, err, nil)
 		return err
 	}
-	log.Emit(event.ProcessStopped, nil)
+	p.stop()
+	p.log.Emit(event.ProcessStopped, nil)
 	return nil
 }
--- a/standin/process/command/engine.go
+++ b/standin/process/command/engine.go
@@ -16,16 +16,15 @@
 	c := commonFlags(fs)
 	o := engine.Defaults()
 	engineFlags(fs, &o)
-	listener, log, err := c.open(fs, args)
+	process, err := c.open(ctx, fs, args)
 	if err != nil {
 		return err
 	}
 	if o.Seed == 0 {
 		o.Seed = rand.Uint64()
 	}
-	logStop(ctx, log)
 	e := engine.New(o, clock.System())
-	return finish(log, e.Run(ctx, listener, engineObserver{log}))
+	return process.finish(e.Run(ctx, process.listener, engineObserver{process.log}))
 }
 
 // engineFlags defines a flag for each option; o holds the defaults.
--- a/standin/process/command/platform.go
+++ b/standin/process/command/platform.go
@@ -14,13 +14,12 @@
 	fs := flag.NewFlagSet("platform", flag.ContinueOnError)
 	c := commonFlags(fs)
 	listLag := fs.Int64("listLagMs", 1000, "age of the instance list")
-	listener, log, err := c.open(fs, args)
+	process, err := c.open(ctx, fs, args)
 	if err != nil {
 		return err
 	}
-	logStop(ctx, log)
 	p := platform.New(clock.System())
 	p.SetFault(platform.Fault{ListLagMs: *listLag})
 	s := &server.Server{Handler: p, CancelOnStop: true}
-	return finish(log, s.Run(ctx, listener))
+	return process.finish(s.Run(ctx, process.listener))
 }
--- a/standin/process/command/service.go
+++ b/standin/process/command/service.go
@@ -22,15 +22,14 @@
 	answerDelay := fs.Int64("answerDelayMs", 0, "time between the execution and its answer")
 	marker := fs.String("crashMarker", "", "text in a body that ends the process")
 	ledgerPath := fs.String("ledger", "", "file that keeps the ledger; in memory when empty")
-	listener, log, err := c.open(fs, args)
+	process, err := c.open(ctx, fs, args)
 	if err != nil {
 		return err
 	}
-	logStop(ctx, log)
 	ledger := service.NewLedger()
 	if *ledgerPath != "" {
 		if ledger, err = service.OpenLedger(*ledgerPath); err != nil {
-			return finish(log, err)
+			return process.finish(err)
 		}
 	}
 	s := service.New(service.Options{
@@ -39,11 +38,11 @@
 		CrashMarker:   *marker,
 	}, ledger)
 	ended := make(chan error, 1)
-	go func() { ended <- (&server.Server{Handler: s}).Run(ctx, listener) }()
+	go func() { ended <- (&server.Server{Handler: s}).Run(ctx, process.listener) }()
 	select {
 	case err = <-ended:
 	case <-s.Crashed():
 		err = errServiceCrashed
 	}
-	return finish(log, err)
+	return process.finish(err)
 }
--- a/standin/process/command/weights.go
+++ b/standin/process/command/weights.go
@@ -15,11 +15,10 @@
 	var o weights.Options
 	fs.Int64Var(&o.BytesPerSecond, "bytesPerSecond", 64<<20, "rate shared by all readers")
 	fs.Int64Var(&o.ObjectBytes, "objectBytes", 32<<20, "size of an object")
-	listener, log, err := c.open(fs, args)
+	process, err := c.open(ctx, fs, args)
 	if err != nil {
 		return err
 	}
-	logStop(ctx, log)
 	s := &server.Server{Handler: weights.New(o)}
-	return finish(log, s.Run(ctx, listener))
+	return process.finish(s.Run(ctx, process.listener))
 }
--- a/standin/process/engine/engine_test.go
+++ b/standin/process/engine/engine_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -164,6 +165,7 @@
 	r := start(t, fastOptions())
 	response, err := r.post(t, "/v1/chat/completions", chatOf("long", 1_000_000, true), "X-Request-Id", "id")
 	check.NoError(t, "start", err)
+	check.Equal(t, "incarnation", response.Header.Get("X-Incarnation"), strconv.FormatUint(r.engine.state.incarnation, 10))
 	defer response.Body.Close()
 	held := func() int {
 		r.engine.mu.Lock()
@@ -226,3 +228,24 @@
 	c.Advance(clock.Second)
 	check.Equal(t, "warm in the report", get().Cold, false)
 }
+
+// Guards against an engine that generates on while nobody reads: the memory of
+// agent and engine would fill with tokens that a slow reader never takes.
+func TestStoppedReaderPausesItsStream(t *testing.T) {
+	r := start(t, fastOptions())
+	response, err := r.post(t, "/v1/chat/completions", chatOf("long", 1_000_000, true))
+	check.NoError(t, "start", err)
+	defer response.Body.Close()
+	tokens := func() int {
+		r.engine.mu.Lock()
+		defer r.engine.mu.Unlock()
+		return r.engine.state.heldTokens
+	}
+	// The stream stands still once the buffers between both ends are full.
+	for before := -1; before != tokens(); time.Sleep(20 * time.Millisecond) {
+		before = tokens()
+	}
+	check.Equal(t, "paused before the end", tokens() < 1_000_000, true)
+	check.Equal(t, "still held", tokens() > 0, true)
+	check.Equal(t, "crashes", r.engine.Counts().Crashes, 0)
+}
--- a/standin/process/engine/run.go
+++ b/standin/process/engine/run.go
@@ -3,22 +3,29 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
 	"goldcrestshore/core/process/clock"
 )
 
+// incarnationHeader carries the incarnation that gives an answer.
+const incarnationHeader = "X-Incarnation"
+
 // run is the handling of one held request.
 type run struct {
 	engine *Engine
 	chat   *chat
 	job    *job
 	life   *life
-	use    promptUse
-	fault  streamFault
-	ctx    context.Context
-	writer http.ResponseWriter
+	// incarnation is sent with the answer; a caller resumes a stream only where
+	// it is the same.
+	incarnation uint64
+	use         promptUse
+	fault       streamFault
+	ctx         context.Context
+	writer      http.ResponseWriter
 	// due is when the next token is generated.
 	due time.Time
 }
@@ -37,6 +44,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	u.ctx, u.writer = ctx, w
+	w.Header().Set(incarnationHeader, strconv.FormatUint(u.incarnation, 10))
 	defer context.AfterFunc(u.life.ctx, cancel)()
 	// A blocked write to a slow reader ends when the request does.
 	defer context.AfterFunc(ctx, func() { _ = http.NewResponseController(w).SetWriteDeadline(time.Now()) })()
@@ -54,7 +62,7 @@
 	if e.life.ctx.Err() != nil {
 		return nil
 	}
-	u := &run{engine: e, chat: c, life: e.life}
+	u := &run{engine: e, chat: c, life: e.life, incarnation: e.state.incarnation}
 	u.use = e.usePrompt(c.prompt)
 	j, why := e.state.admit(u.use.tokens+c.resume, c.priority)
 	if why != healthy {
