--- a/core/version/relay/snapshot.go
+++ b/core/version/relay/snapshot.go
@@ -92,3 +92,8 @@
 	next.list, next.instances = s.list.next(in.version, value), sorted
 	return &next, true
 }
+
+// NewSnapshot returns a ready snapshot for fakes, without out marks.
+func NewSnapshot(version uint64, t *text.Text, instances []platform.Instance) *Snapshot {
+	return &Snapshot{ready: true, config: held{version: version}, text: t, instances: instances}
+}
