Wire relays into entries and agents

Cause: the processes watched the platform themselves.

Change: both programs give relay.Client their identity, address and key and pass connections of RoleSubscriber to it; entries listen for subscribers and stand in the instance list. The setting contacts names some processes for a start while the platform is down.

--- a/entry/process/server/server.go
+++ b/entry/process/server/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"os/signal"
 	"syscall"
@@ -32,6 +33,7 @@
 
 	clock    *clock.Clock
 	platform *platform.Client
+	self     peer.Identity
 	views    *relay.Client
 	pool     *pool
 	callers  *caller.Server
@@ -43,9 +45,15 @@
 	defer stop()
 	running, cancel := context.WithCancel(ctx)
 	defer cancel()
+	listener, err := net.Listen("tcp", s.Settings.Listen())
+	if err != nil {
+		return errors.Wrap(err, "listen for other processes")
+	}
 	s.build()
 	group, running := errgroup.WithContext(running)
 	group.Go(func() error { return s.views.Run(running) })
+	group.Go(func() error { return s.servePeers(running, listener) })
+	group.Go(func() error { s.register(running, stopping); return nil })
 	group.Go(func() error { s.pool.run(running); return nil })
 	group.Go(func() error {
 		return metric.Serve(running, s.Settings.Admin(), map[string]http.Handler{"/metrics": s.Metrics.Handler()})
@@ -62,7 +70,7 @@
 		return s.callers.Run()
 	})
 	s.Log.Emit(event.ProcessStarted, event.Fields{"address": s.Callers})
-	err := group.Wait()
+	err = group.Wait()
 	s.Log.Emit(event.ProcessStopped, nil)
 	if errors.Is(err, context.Canceled) {
 		return nil
@@ -71,18 +79,42 @@
 }
 
 func (s *Server) build() {
-	self := peer.NewIdentity(platform.RoleEntry, s.Settings.Instance(), s.Settings.DataCentre())
+	s.self = peer.NewIdentity(platform.RoleEntry, s.Settings.Instance(), s.Settings.DataCentre())
 	s.clock = clock.System()
 	s.platform = platform.New(s.Settings.Platform())
-	s.views = &relay.Client{Platform: s.platform, Log: s.Log, Clock: s.clock}
-	s.pool = &pool{self: self, key: s.Settings.Key(), clock: s.clock, log: s.Log, view: s.views.Current, links: map[string]*link{}}
+	s.views = &relay.Client{
+		Platform: s.platform,
+		Log:      s.Log,
+		Clock:    s.clock,
+		Self:     s.self,
+		Address:  s.Settings.Listen(),
+		Key:      s.Settings.Key(),
+		Contacts: s.Settings.Contacts(),
+	}
+	s.pool = &pool{self: s.self, key: s.Settings.Key(), clock: s.clock, log: s.Log, view: s.views.Current, links: map[string]*link{}}
 	s.callers = &caller.Server{
 		Clock:          s.clock,
 		Log:            s.Log,
 		View:           s.views.Current,
-		Dispatcher:     &dispatcher{pool: s.pool, clock: s.clock, log: s.Log, incarnation: self.Incarnation()},
+		Dispatcher:     &dispatcher{pool: s.pool, clock: s.clock, log: s.Log, incarnation: s.self.Incarnation()},
 		Listen:         s.Callers,
 		MaxConnections: s.MaxConnections,
 		MaxRequests:    s.MaxRequests,
 	}
 }
+
+// servePeers passes configuration versions on to the processes that subscribe.
+func (s *Server) servePeers(ctx context.Context, l net.Listener) error {
+	listener := &peer.Listener{Self: s.self, Key: s.Settings.Key(), Log: s.Log, Serve: s.views.Serve}
+	return listener.Run(ctx, l)
+}
+
+// register enters the instance in the platform's list until stopping is done.
+func (s *Server) register(running, stopping context.Context) {
+	i := platform.NewInstance(s.Settings.Instance(), platform.RoleEntry, s.Settings.DataCentre(), s.Settings.Listen())
+	platform.Announce(stopping, s.platform, i, func(err error) { s.Log.Error(event.PlatformFailed, err, nil) })
+	<-stopping.Done()
+	if err := s.platform.Deregister(running, s.Settings.Instance()); err != nil {
+		s.Log.Error(event.PlatformFailed, err, nil)
+	}
+}
