--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 SEED ?= 1
 export CGO_ENABLED := 1
 
-.PHONY: build test format vet lint generated unit
+.PHONY: build demo test format vet lint generated unit
 
 build:
 	@mkdir -p bin
@@ -28,6 +28,10 @@
 unit:
 	@for m in $(MODULES); do (cd $$m && go test ./...) || exit 1; done
 
+# Starts the whole system on loopback and checks every answer.
+demo: build
+	@SEED=$(SEED) scripts/demo.sh
+
 # Virtual-time measurements over the decision packages; each ends with a line "result …".
 measure-%: build
 	@bin/goldcrest-measure $* -seed $(SEED)
