Add fault schedules that judge at-most-once

Cause: the claim decisions were checked only by unit tests. Change: measure/once drives the decisions of entries and agents through 600 seeded schedules a run; the ledger and the callers' answers are the judges. Withdraw lets the owner, not the entry, say whether a refused key ran. Agents refuse requests that were in flight at their own crash (agent/request/suspect).

--- /dev/null
+++ b/agent/request/suspect/suspect.go
@@ -0,0 +1,88 @@
+// Package suspect keeps an upstream from being crashed twice by one request. It
+// is a pure decision: events go in, actions come out.
+//
+// Entries learn of a crash by messages that may be late. The agent knows at
+// once which requests were in flight, so it refuses them for a while on its own.
+package suspect
+
+import (
+	"slices"
+
+	"goldcrestshore/core/process/clock"
+	"goldcrestshore/core/request/fingerprint"
+	"goldcrestshore/core/request/outcome"
+)
+
+const (
+	// keep covers the time until every entry has the verdict: heartbeats are
+	// sent each second and a silent connection is replaced after two.
+	keep = 30 * clock.Second
+	// maxPrints bounds the fingerprints kept; an upstream holds a few hundred
+	// requests at most.
+	maxPrints = 1024
+	// retryAfterMs is the suggested wait; another upstream can be tried at once.
+	retryAfterMs = 500
+)
+
+// Event is an input of Gate.Handle.
+type Event interface{ event() }
+
+// Submitted asks whether a request may enter the upstream.
+type Submitted struct{ print fingerprint.Fingerprint }
+
+// NewSubmitted describes a submit frame.
+func NewSubmitted(f fingerprint.Fingerprint) Submitted { return Submitted{f} }
+
+// Crashed tells that the upstream died with requests in flight.
+type Crashed struct{ prints []fingerprint.Fingerprint }
+
+// NewCrashed describes a crash; the same fingerprints go to all entries.
+func NewCrashed(prints []fingerprint.Fingerprint) Crashed { return Crashed{prints} }
+
+func (Submitted) event() {}
+func (Crashed) event()   {}
+
+// Action is an output of Gate.Handle.
+type Action interface{ action() }
+
+// Admit lets the request pass on to admission.
+type Admit struct{}
+
+// Refuse refuses the request as not run.
+type Refuse struct{ refusal *outcome.Refusal }
+
+// Refusal returns the refusal for the entry.
+func (r Refuse) Refusal() *outcome.Refusal { return r.refusal }
+
+func (Admit) action()  {}
+func (Refuse) action() {}
+
+type aboard struct {
+	print   fingerprint.Fingerprint
+	expires clock.Millis
+}
+
+// Gate holds the requests that were in flight at recent crashes. The zero value
+// has none. It is not safe for concurrent use.
+type Gate struct{ prints []aboard }
+
+// Len returns the number of fingerprints kept.
+func (g *Gate) Len() int { return len(g.prints) }
+
+// Handle applies an event. Crashed has no action and returns nil.
+func (g *Gate) Handle(now clock.Millis, e Event) Action {
+	g.prints = slices.DeleteFunc(g.prints, func(a aboard) bool { return a.expires <= now })
+	switch e := e.(type) {
+	case Submitted:
+		if slices.ContainsFunc(g.prints, func(a aboard) bool { return a.print == e.print }) {
+			return Refuse{outcome.Refuse(outcome.Overloaded, outcome.NotRun, retryAfterMs)}
+		}
+		return Admit{}
+	case Crashed:
+		for _, f := range e.prints {
+			g.prints = append(g.prints, aboard{f, now + keep})
+		}
+		g.prints = g.prints[max(0, len(g.prints)-maxPrints):]
+	}
+	return nil
+}
--- /dev/null
+++ b/agent/request/suspect/suspect_test.go
@@ -0,0 +1,31 @@
+package suspect
+
+import (
+	"testing"
+
+	"goldcrestshore/core/process/check"
+	"goldcrestshore/core/process/clock"
+	"goldcrestshore/core/request/fingerprint"
+)
+
+// TestGate guards against a request that crashes one upstream twice because an
+// entry has not heard of the first crash.
+func TestGate(t *testing.T) {
+	g := &Gate{}
+	check.Equal(t, "before", g.Handle(0, NewSubmitted(1)), Action(Admit{}))
+	g.Handle(0, NewCrashed([]fingerprint.Fingerprint{1, 2}))
+	_, refused := g.Handle(clock.Second, NewSubmitted(1)).(Refuse)
+	check.Equal(t, "after", refused, true)
+	check.Equal(t, "another", g.Handle(clock.Second, NewSubmitted(3)), Action(Admit{}))
+	check.Equal(t, "expired", g.Handle(keep, NewSubmitted(1)), Action(Admit{}))
+	check.Equal(t, "kept", g.Len(), 0)
+}
+
+// TestBound guards against memory that grows with the crashes.
+func TestBound(t *testing.T) {
+	g := &Gate{}
+	for i := range fingerprint.Fingerprint(3 * maxPrints) {
+		g.Handle(0, NewCrashed([]fingerprint.Fingerprint{i}))
+	}
+	check.Equal(t, "kept", g.Len(), maxPrints)
+}
--- a/entry/request/claim/client.go
+++ b/entry/request/claim/client.go
@@ -12,6 +12,10 @@
 // shard's owner of that time. A repeat with the same Ref is harmless.
 const askEvery = 500 * clock.Millis(1)
 
+// withdrawPatience is how long a refused caller waits for the owner to tell
+// whether another sending of its key ran.
+const withdrawPatience = clock.Second
+
 // ClientEvent is an input of Client.Handle.
 type ClientEvent interface{ clientEvent() }
 
@@ -56,6 +60,17 @@
 // NewAgentLost describes a request with unknown outcome.
 func NewAgentLost(request uint64) AgentLost { return AgentLost{request} }
 
+// GaveUp tells that a request is not tried again after AgentRefused, or not at
+// all. The client then gives the refusal, which may differ from the one given
+// here: another sending of the key may have run.
+type GaveUp struct {
+	request uint64
+	refusal *outcome.Refusal
+}
+
+// NewGaveUp describes a request that ends without an answer.
+func NewGaveUp(request uint64, r *outcome.Refusal) GaveUp { return GaveUp{request, r} }
+
 // Finished tells that the whole answer has arrived. The answer is kept for
 // callers that send the key again if it is small.
 type Finished struct {
@@ -79,6 +94,7 @@
 func (Arrived) clientEvent()      {}
 func (AgentRefused) clientEvent() {}
 func (AgentLost) clientEvent()    {}
+func (GaveUp) clientEvent()       {}
 func (Finished) clientEvent()     {}
 func (CallerLeft) clientEvent()   {}
 func (Passed) clientEvent()       {}
@@ -98,6 +114,12 @@
 // Report returns the report.
 func (s SendReport) Report() Report { return s.report }
 
+// SendWithdraw sends a Withdraw to the owner of the key's shard.
+type SendWithdraw struct{ withdraw Withdraw }
+
+// Withdraw returns the request for a refusal.
+func (s SendWithdraw) Withdraw() Withdraw { return s.withdraw }
+
 // Submit submits a request, once, to the named upstream with the grant as its
 // claimKey.
 type Submit struct {
@@ -139,19 +161,30 @@
 // Refusal returns the refusal for the caller.
 func (r Refuse) Refusal() *outcome.Refusal { return r.refusal }
 
-func (SendAsk) clientAction()    {}
-func (SendReport) clientAction() {}
-func (Submit) clientAction()     {}
-func (Deliver) clientAction()    {}
-func (Refuse) clientAction()     {}
+func (SendAsk) clientAction()      {}
+func (SendReport) clientAction()   {}
+func (SendWithdraw) clientAction() {}
+func (Submit) clientAction()       {}
+func (Deliver) clientAction()      {}
+func (Refuse) clientAction()       {}
+
+type stage int
+
+const (
+	asking      stage = iota
+	submitted         // the agent has the request
+	refused           // the agent refused it; the entry decides how to go on
+	withdrawing       // the owner decides which refusal is true
+)
 
 // pursuit is one request at the entry that received it.
 type pursuit struct {
-	begin     Begin
-	ref       Ref
-	submitted bool
-	grant     Grant
-	asked     clock.Millis
+	begin   Begin
+	ref     Ref
+	stage   stage
+	grant   Grant
+	asked   clock.Millis
+	refusal *outcome.Refusal
 }
 
 // Client decides for the keyed requests of one entry. It is not safe for
@@ -182,6 +215,8 @@
 		return c.refused(now, e)
 	case AgentLost:
 		return c.lost(now, e.request)
+	case GaveUp:
+		return c.gaveUp(now, e)
 	case Finished:
 		return c.finished(e)
 	case CallerLeft:
@@ -198,7 +233,7 @@
 	c.drop(p.begin.request)
 	c.sequence++
 	p.ref = Ref{c.entry, c.sequence}
-	p.submitted = false
+	p.stage = asking
 	p.asked = now
 	c.requests[p.begin.request] = p
 	c.refs[p.ref] = p.begin.request
@@ -220,13 +255,16 @@
 func (c *Client) arrived(a Answered) []ClientAction {
 	request, ok := c.refs[a.ref]
 	p := c.requests[request]
-	if !ok || p.submitted {
+	if !ok || p.stage == submitted || p.stage == refused {
 		// Late or repeated: the request has ended, or its grant is used.
 		return nil
 	}
 	switch r := a.reply.(type) {
 	case Granted:
-		p.submitted = true
+		if p.stage == withdrawing {
+			return nil
+		}
+		p.stage = submitted
 		p.grant = r.grant
 		return []ClientAction{Submit{request, r.grant, r.upstream}}
 	case Stored:
@@ -241,22 +279,47 @@
 
 func (c *Client) refused(now clock.Millis, e AgentRefused) []ClientAction {
 	p := c.requests[e.request]
-	if p == nil || !p.submitted {
+	if p == nil || p.stage != submitted {
 		return nil
 	}
 	report := SendReport{Report{key: p.begin.key, grant: p.grant, state: NotRun}}
 	if !e.superseded {
-		c.drop(e.request)
+		p.stage = refused
 		return []ClientAction{report}
 	}
 	return append([]ClientAction{report}, c.ask(now, p)...)
 }
 
+// gaveUp ends a request. If it held a grant, the owner knows whether another
+// sending of the key was granted after the agent refused this one.
+func (c *Client) gaveUp(now clock.Millis, e GaveUp) []ClientAction {
+	p := c.requests[e.request]
+	if p == nil {
+		return []ClientAction{Refuse{e.request, e.refusal}}
+	}
+	if p.stage != refused {
+		return nil
+	}
+	c.sequence++
+	delete(c.refs, p.ref)
+	p.ref = Ref{c.entry, c.sequence}
+	c.refs[p.ref] = e.request
+	p.stage = withdrawing
+	p.refusal = e.refusal
+	p.asked = now
+	p.begin.deadline = max(p.begin.deadline, now+withdrawPatience)
+	return []ClientAction{SendWithdraw{p.withdraw()}}
+}
+
+func (p *pursuit) withdraw() Withdraw {
+	return Withdraw{p.ref, p.begin.key, p.grant, p.refusal.Code(), p.refusal.RetryAfterMs()}
+}
+
 // lost asks the owner, which asks the agent: the caller then gets the stored
 // answer, or the request runs if the agent never saw it.
 func (c *Client) lost(now clock.Millis, request uint64) []ClientAction {
 	p := c.requests[request]
-	if p == nil || !p.submitted {
+	if p == nil || p.stage != submitted {
 		return nil
 	}
 	report := SendReport{Report{key: p.begin.key, grant: p.grant, state: Unknown}}
@@ -265,7 +328,7 @@
 
 func (c *Client) finished(e Finished) []ClientAction {
 	p := c.requests[e.request]
-	if p == nil || !p.submitted {
+	if p == nil || p.stage != submitted {
 		return nil
 	}
 	c.drop(e.request)
@@ -277,7 +340,7 @@
 func (c *Client) left(request uint64) []ClientAction {
 	p := c.requests[request]
 	c.drop(request)
-	if p == nil || !p.submitted {
+	if p == nil || p.stage != submitted {
 		return nil
 	}
 	return []ClientAction{SendReport{Report{key: p.begin.key, grant: p.grant, state: Unknown}}}
@@ -288,13 +351,17 @@
 	for _, request := range slices.Sorted(maps.Keys(c.requests)) {
 		p := c.requests[request]
 		switch {
-		case p.submitted:
+		case p.stage == submitted || p.stage == refused:
 		case now >= p.begin.deadline+askEvery:
-			// The owner did not reply. This sending was not submitted, but an
-			// earlier one with the key may have run.
+			// The owner did not reply. This sending did not run, but an earlier one
+			// with the key may have.
 			c.drop(request)
 			out = append(out, Refuse{request, outcome.Refuse(outcome.DeadlineExceeded, outcome.Unknown, 0)})
-		case now-p.asked >= askEvery:
+		case now-p.asked < askEvery:
+		case p.stage == withdrawing:
+			p.asked = now
+			out = append(out, SendWithdraw{p.withdraw()})
+		default:
 			p.asked = now
 			out = append(out, SendAsk{p.ask()})
 		}
--- a/entry/request/claim/event.go
+++ b/entry/request/claim/event.go
@@ -1,6 +1,9 @@
 package claim
 
-import "goldcrestshore/core/process/clock"
+import (
+	"goldcrestshore/core/process/clock"
+	"goldcrestshore/core/request/outcome"
+)
 
 // Event is an input of Owner.Handle.
 type Event interface{ event() }
@@ -63,6 +66,38 @@
 // Answer returns the answer when the state is Done.
 func (r Report) Answer() Answer { return r.answer }
 
+// Withdraw asks for the refusal of a sending whose grant the agent refused and
+// that is not tried again. Another sending of the key may have been granted
+// meanwhile, which only the owner knows.
+type Withdraw struct {
+	ref        Ref
+	key        Key
+	grant      Grant
+	code       outcome.Code
+	retryAfter int64
+}
+
+// NewWithdraw returns a request for a refusal with the code and the suggested
+// wait in ms.
+func NewWithdraw(ref Ref, k Key, g Grant, c outcome.Code, retryAfterMs int64) Withdraw {
+	return Withdraw{ref, k, g, c, retryAfterMs}
+}
+
+// Ref returns the sending that asks.
+func (w Withdraw) Ref() Ref { return w.ref }
+
+// Key returns the claimed key.
+func (w Withdraw) Key() Key { return w.key }
+
+// Grant returns the refused claim.
+func (w Withdraw) Grant() Grant { return w.grant }
+
+// Code returns the reason for the caller.
+func (w Withdraw) Code() outcome.Code { return w.code }
+
+// RetryAfterMs returns the suggested wait.
+func (w Withdraw) RetryAfterMs() int64 { return w.retryAfter }
+
 // AgentState answers a Query.
 type AgentState struct {
 	key         Key
@@ -102,6 +137,15 @@
 	return Object{name, version, value}
 }
 
+// Name returns the name within the kind.
+func (o Object) Name() string { return o.name }
+
+// Version returns the version, 0 if the object does not exist.
+func (o Object) Version() uint64 { return o.version }
+
+// Value returns the stored bytes.
+func (o Object) Value() []byte { return o.value }
+
 // Listed answers a List.
 type Listed struct {
 	ticket  uint64
@@ -155,6 +199,7 @@
 func (Open) event()       {}
 func (Ask) event()        {}
 func (Report) event()     {}
+func (Withdraw) event()   {}
 func (AgentState) event() {}
 func (EntryGone) event()  {}
 func (Listed) event()     {}
--- a/entry/request/claim/owner.go
+++ b/entry/request/claim/owner.go
@@ -157,6 +157,8 @@
 		o.ask(now, e)
 	case Report:
 		o.report(now, e)
+	case Withdraw:
+		o.withdraw(now, e)
 	case AgentState:
 		o.agentState(now, e)
 	case EntryGone:
@@ -292,9 +294,39 @@
 	if r := o.index.live[k]; r != nil && !r.pending && r.state != NotRun {
 		return outcome.Unknown
 	}
+	if len(o.waiting[k]) > 1 {
+		// Another sending of the key may be granted before the caller reads this.
+		return outcome.Unknown
+	}
 	return outcome.NotRun
 }
 
+// withdraw ends a sending whose grant the agent refused. While the shard is not
+// loaded there is no reply, and the client asks again.
+func (o *Owner) withdraw(now clock.Millis, e Withdraw) {
+	if e.key.Shard() != o.shard {
+		return
+	}
+	o.load(now)
+	if o.phase != phaseReady {
+		return
+	}
+	if o.index.settle(e.key, e.grant, NotRun, false, Answer{}) {
+		o.queueReport(now, Report{key: e.key, grant: e.grant, state: NotRun})
+		o.release(now, e.key)
+	}
+	a := Ask{ref: e.ref, key: e.key}
+	if r := o.index.live[e.key]; r != nil && r.kept {
+		o.reply(a, Stored{r.answer})
+		return
+	}
+	oc := o.notRunIfSure(now, e.key)
+	if len(o.waiting[e.key]) > 0 {
+		oc = outcome.Unknown
+	}
+	o.refuse(a, e.code, oc, e.retryAfter)
+}
+
 // report handles what the entry that held a grant says.
 func (o *Owner) report(now clock.Millis, r Report) {
 	if o.phase != phaseReady {
--- a/entry/request/suspect/suspect.go
+++ b/entry/request/suspect/suspect.go
@@ -11,21 +11,12 @@
 	"github.com/cespare/xxhash/v2"
 
 	"goldcrestshore/core/process/clock"
+	"goldcrestshore/core/request/fingerprint"
 	"goldcrestshore/core/request/outcome"
 )
 
 // Fingerprint identifies equal requests of one customer.
-type Fingerprint uint64
-
-// FingerprintOf returns the fingerprint of a customer's request body.
-func FingerprintOf(customer string, body []byte) Fingerprint {
-	d := xxhash.New()
-	// A Digest never returns an error from its writers.
-	_, _ = d.WriteString(customer)
-	_, _ = d.Write([]byte{0})
-	_, _ = d.Write(body)
-	return Fingerprint(d.Sum64())
-}
+type Fingerprint = fingerprint.Fingerprint
 
 // Crash identifies one crash of one upstream, equally at every entry.
 type Crash uint64
--- a/entry/request/suspect/tracker.go
+++ b/entry/request/suspect/tracker.go
@@ -154,11 +154,16 @@
 	return slices.Compact(all)
 }
 
+// merged passes new knowledge on at once, so that one late connection does not
+// keep an entry ignorant. Repeats are not passed on, which ends the flood.
 func (t *Tracker) merged(now clock.Millis, verdicts []Verdict) []Action {
+	var out []Action
 	for _, v := range verdicts {
-		t.add(now, v.fingerprint, v.crashes, v.cleared, v.quarantined, min(v.remaining, keepQuarantined))
+		if t.add(now, v.fingerprint, v.crashes, v.cleared, v.quarantined, min(v.remaining, keepQuarantined)) {
+			out = []Action{Announce{}}
+		}
 	}
-	return t.cancelQuarantined()
+	return append(out, t.cancelQuarantined()...)
 }
 
 // add unites new knowledge with the record of f and reports whether it changed.
--- a/measure/cmd/goldcrest-measure/main.go
+++ b/measure/cmd/goldcrest-measure/main.go
@@ -8,6 +8,8 @@
 	"os"
 
 	"github.com/cockroachdb/errors"
+
+	"goldcrestshore/measure/once"
 )
 
 // errUsage reports a command line that names no known subject.
@@ -21,7 +23,9 @@
 }
 
 // subjects lists the measurements in the order of docs/design.md section 8.
-var subjects = []subject{}
+var subjects = []subject{
+	{"once", once.Run},
+}
 
 func main() {
 	if err := run(os.Args[1:], os.Stdout); err != nil {
--- /dev/null
+++ b/measure/once/once.go
@@ -0,0 +1,69 @@
+package once
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/cockroachdb/errors"
+)
+
+// schedules is the number of fault schedules of one run.
+const schedules = 600
+
+// ErrGoal reports that a judge found a broken rule.
+var ErrGoal = errors.New("at-most-once goal is missed")
+
+// Run writes the report of all schedules and of the write rates to out. The
+// last line begins with "result".
+func Run(seed uint64, out io.Writer) error {
+	var total result
+	kinds := map[fault]int{}
+	for i := range uint64(schedules) {
+		r, w := runSchedule(seed, i, false)
+		for _, p := range w.faults {
+			kinds[p.fault]++
+		}
+		if r.missed() {
+			w.describe(out, i)
+		}
+		total.add(r)
+	}
+	for f := range faultKinds {
+		fmt.Fprintf(out, "fault %-16s %d\n", f, kinds[f])
+	}
+	fmt.Fprintf(out, "sendings=%d answers=%d notRun=%d broken=%d keyed=%d maxUpstreamsLostToOneFingerprint=%d innocentQuarantined=%d\n",
+		total.sendings, total.answers, total.notRun, total.broken, total.keyed, total.maxLost, total.innocentQuarantined)
+	fmt.Fprintln(out, total.line())
+	if total.missed() {
+		return ErrGoal
+	}
+	return nil
+}
+
+func (r *result) line() string {
+	perRequest := float64(r.writes) / float64(max(1, r.keyed))
+	return fmt.Sprintf("result once schedules=%d requests=%d duplicated=%d falseNotRun=%d wrong=%d cutByPlannedStop=%d unknown=%d writesPerRequest=%.2f",
+		r.schedules, r.requests, r.duplicated, r.falseNotRun, r.wrong, r.cutByPlannedStop, r.unknown, perRequest)
+}
+
+// runSchedule runs one schedule and judges it.
+func runSchedule(seed, number uint64, breakRule bool) (result, *world) {
+	w := newWorld(seed, number)
+	w.breakRule = breakRule
+	w.engine.run(start + 500) // the owners load their shards
+	w.plan(faultSpan)
+	w.calls(callsPerSchedule, faultSpan)
+	w.engine.run(start + scheduleSpan)
+	return w.judge(), w
+}
+
+func (w *world) describe(out io.Writer, number uint64) {
+	fmt.Fprintf(out, "schedule %d, faults:", number)
+	for _, p := range w.faults {
+		fmt.Fprintf(out, " %s@%d", p.fault, p.at)
+	}
+	fmt.Fprintln(out)
+	for _, s := range w.reports {
+		fmt.Fprintln(out, " ", s)
+	}
+}
--- /dev/null
+++ b/measure/once/platform.go
@@ -0,0 +1,133 @@
+package once
+
+import (
+	"slices"
+	"strings"
+
+	"goldcrestshore/core/process/clock"
+	"goldcrestshore/entry/request/claim"
+)
+
+const (
+	// platformTimeout is when an entry gives up a call.
+	platformTimeout = 800 * clock.Millis(1)
+	// platformWritesPerSecond is the limit of the object API.
+	platformWritesPerSecond = 400
+)
+
+// store is a fake of the platform's object API with conditional writes.
+type store struct {
+	engine  *engine
+	objects map[string]claim.Object
+	version uint64
+	writes  int
+	reads   int
+
+	down    clock.Millis // until when calls get no answer
+	slow    clock.Millis // until when calls take long
+	lose    int          // answers of writes still to be lost after the effect
+	latePut int          // writes still to take effect after the caller gave up
+
+	limited  bool
+	nextSlot clock.Millis // when the rate limit lets the next write pass, in 1/1000 ms
+}
+
+func newStore(e *engine) *store {
+	return &store{engine: e, objects: map[string]claim.Object{}}
+}
+
+// delay is the time of one call.
+func (s *store) delay() clock.Millis {
+	if s.engine.now < s.slow {
+		return s.engine.between(200, 1000)
+	}
+	return s.engine.between(2, 6)
+}
+
+// put serves a write for a process that handles the result.
+func (s *store) put(p *process, w claim.Write, handle func(claim.Wrote)) {
+	s.writes++
+	lost := claim.NewWrote(w.Ticket(), claim.Lost, 0)
+	if s.engine.now < s.down {
+		p.later(s.engine.between(1, platformTimeout), func() { handle(lost) })
+		return
+	}
+	if s.latePut > 0 {
+		s.latePut--
+		s.engine.after(s.engine.between(platformTimeout/2, 2*platformTimeout), func() { s.write(w) })
+		p.later(platformTimeout, func() { handle(lost) })
+		return
+	}
+	life := p.life
+	s.engine.after(s.delay()/2+s.queueing(), func() {
+		result := s.write(w)
+		if s.lose > 0 {
+			s.lose--
+			result = lost
+		}
+		back := s.delay() / 2
+		s.engine.after(back, func() { p.deliver(life, func() { handle(result) }) })
+	})
+}
+
+// queueing returns how long the rate limit holds a write back.
+func (s *store) queueing() clock.Millis {
+	if !s.limited {
+		return 0
+	}
+	now := s.engine.now * 1000
+	s.nextSlot = max(s.nextSlot, now) + 1000*clock.Second/platformWritesPerSecond
+	return (s.nextSlot - now) / 1000
+}
+
+func (s *store) write(w claim.Write) claim.Wrote {
+	if s.objects[w.Name()].Version() != w.Version() {
+		return claim.NewWrote(w.Ticket(), claim.Conflict, 0)
+	}
+	s.version++
+	s.objects[w.Name()] = claim.NewObject(w.Name(), s.version, w.Value())
+	return claim.NewWrote(w.Ticket(), claim.Took, s.version)
+}
+
+// get serves a read of one object.
+func (s *store) get(p *process, r claim.Read, handle func(claim.Got)) {
+	s.reads++
+	if s.engine.now < s.down {
+		p.later(s.engine.between(1, platformTimeout), func() { handle(claim.NewGetFailed(r.Ticket())) })
+		return
+	}
+	life := p.life
+	s.engine.after(s.delay()/2, func() {
+		o := s.objects[r.Name()]
+		s.engine.after(s.delay()/2, func() { p.deliver(life, func() { handle(claim.NewGot(r.Ticket(), o)) }) })
+	})
+}
+
+// list serves a read of all objects with a prefix, in two halves at different
+// instants, since the platform does not promise one state for a list.
+func (s *store) list(p *process, l claim.List, handle func(claim.Listed)) {
+	s.reads++
+	if s.engine.now < s.down {
+		p.later(s.engine.between(1, platformTimeout), func() { handle(claim.NewListFailed(l.Ticket())) })
+		return
+	}
+	life := p.life
+	s.engine.after(s.delay()/2, func() {
+		first := s.matching(l.Prefix(), 0)
+		s.engine.after(s.delay()/2, func() {
+			all := append(first, s.matching(l.Prefix(), 1)...)
+			p.deliver(life, func() { handle(claim.NewListed(l.Ticket(), all)) })
+		})
+	})
+}
+
+func (s *store) matching(prefix string, half int) []claim.Object {
+	var found []claim.Object
+	for name, o := range s.objects {
+		if strings.HasPrefix(name, prefix) && int(name[len(name)-1])%2 == half {
+			found = append(found, o)
+		}
+	}
+	slices.SortFunc(found, func(a, b claim.Object) int { return strings.Compare(a.Name(), b.Name()) })
+	return found
+}
--- /dev/null
+++ b/measure/once/world.go
@@ -0,0 +1,161 @@
+// Package once measures that non-idempotent requests run at most once. It
+// drives the decision packages of entries and agents through seeded fault
+// schedules in virtual time, with small fakes of platform, agents' connections,
+// plain services and callers. The services' ledger and the callers' checked
+// answers are the judges.
+package once
+
+import (
+	"container/heap"
+	"math/rand/v2"
+
+	"goldcrestshore/core/process/clock"
+)
+
+// step is something that happens at an instant.
+type step struct {
+	at    clock.Millis
+	order uint64
+	do    func()
+}
+
+type steps []step
+
+func (s steps) Len() int { return len(s) }
+func (s steps) Less(i, j int) bool {
+	if s[i].at != s[j].at {
+		return s[i].at < s[j].at
+	}
+	return s[i].order < s[j].order
+}
+func (s steps) Swap(i, j int) { s[i], s[j] = s[j], s[i] }
+
+// Push is for container/heap.
+func (s *steps) Push(x any) { *s = append(*s, x.(step)) }
+
+// Pop is for container/heap.
+func (s *steps) Pop() any {
+	last := (*s)[len(*s)-1]
+	*s = (*s)[:len(*s)-1]
+	return last
+}
+
+// engine runs steps in the order of virtual time.
+type engine struct {
+	now   clock.Millis
+	rng   *rand.Rand
+	queue steps
+	order uint64
+}
+
+// start is the first instant; 0 would look like an unset time.
+const start = 100 * clock.Second
+
+func newEngine(seed, stream uint64) *engine {
+	return &engine{now: start, rng: rand.New(rand.NewPCG(seed, stream))}
+}
+
+// after runs do when d has passed.
+func (e *engine) after(d clock.Millis, do func()) {
+	e.order++
+	heap.Push(&e.queue, step{e.now + d, e.order, do})
+}
+
+// run executes all steps up to an instant.
+func (e *engine) run(until clock.Millis) {
+	for len(e.queue) > 0 && e.queue[0].at <= until {
+		s := heap.Pop(&e.queue).(step)
+		e.now = s.at
+		s.do()
+	}
+	e.now = until
+}
+
+// between draws a span in [low, high].
+func (e *engine) between(low, high clock.Millis) clock.Millis {
+	return low + clock.Millis(e.rng.Int64N(int64(high-low+1)))
+}
+
+func (e *engine) chance(percent int) bool { return e.rng.IntN(100) < percent }
+
+// process is a program that may die, be paused and start again. Steps of a dead
+// life never run; steps of a paused one run when it wakes.
+type process struct {
+	engine  *engine
+	name    string
+	life    int
+	alive   bool
+	paused  bool
+	backlog []func()
+}
+
+func (p *process) start() {
+	p.life++
+	p.alive = true
+	p.paused = false
+	p.backlog = nil
+}
+
+func (p *process) die() { p.alive = false }
+
+// later runs do in this life of p after d.
+func (p *process) later(d clock.Millis, do func()) {
+	life := p.life
+	p.engine.after(d, func() { p.deliver(life, do) })
+}
+
+func (p *process) deliver(life int, do func()) {
+	switch {
+	case !p.alive || p.life != life:
+	case p.paused:
+		p.backlog = append(p.backlog, func() { p.deliver(life, do) })
+	default:
+		do()
+	}
+}
+
+func (p *process) pause() { p.paused = true }
+
+func (p *process) wake() {
+	if !p.paused {
+		return
+	}
+	p.paused = false
+	backlog := p.backlog
+	p.backlog = nil
+	for _, do := range backlog {
+		do()
+	}
+}
+
+// network carries messages between processes.
+type network struct {
+	engine *engine
+	silent map[[2]string]clock.Millis // until when a connection carries nothing
+	wild   clock.Millis               // until when messages are late or repeated
+}
+
+func pair(a, b string) [2]string {
+	if a > b {
+		a, b = b, a
+	}
+	return [2]string{a, b}
+}
+
+// send delivers do at to, unless the connection is silent or an end is dead.
+func (n *network) send(from, to *process, do func()) {
+	n.sendAfter(from, to, n.engine.between(1, 3), do)
+	if n.engine.now < n.wild && n.engine.chance(40) {
+		n.sendAfter(from, to, n.engine.between(1, 1500), do)
+	}
+}
+
+func (n *network) sendAfter(from, to *process, d clock.Millis, do func()) {
+	if n.engine.now < n.silent[pair(from.name, to.name)] {
+		return
+	}
+	if n.engine.now < n.wild && n.engine.chance(40) {
+		d += n.engine.between(1, 2500)
+	}
+	to.later(d, do)
+}
