Add goldcrestctl and the burn report

Cause: operators control the system only through the text and the marks, and must know what became of each write.

Change: check, get, diff, apply, datacentre, instance, status and report burn. apply replaces only the version that the file was written for. Each write carries an id in a comment at the end of the text; after a lost answer apply repeats the same conditional write until the base is replaced, and then tells from the ids whether its write took effect, was overwritten or came too late. core/process/burn counts requests in 5 min, 1 h and 6 h windows.

Conclusion: an operator never gets a verdict that a late write can overturn.

--- a/core/connection/platform/fake/fake.go
+++ b/core/connection/platform/fake/fake.go
@@ -23,6 +23,7 @@
 	objects   map[string]object // by "kind/name"
 	instances []platform.Instance
 	changed   chan struct{}
+	address   string
 	down      bool
 	lose      int
 }
@@ -58,9 +59,13 @@
 	mux.HandleFunc("GET /instances", p.listInstances)
 	server := httptest.NewServer(p.faulty(mux))
 	t.Cleanup(server.Close)
+	p.address = server.URL
 	return p, platform.New(server.URL)
 }
 
+// Address returns the URL of the platform.
+func (p *Platform) Address() string { return p.address }
+
 // SetDown makes the platform refuse every call, or answer again.
 func (p *Platform) SetDown(down bool) {
 	p.mu.Lock()
--- /dev/null
+++ b/core/process/burn/burn_test.go
@@ -0,0 +1,115 @@
+package burn
+
+import (
+	"testing"
+
+	"goldcrestshore/core/process/check"
+	"goldcrestshore/core/process/clock"
+)
+
+const start = 1000 * clock.Hour
+
+// count adds n requests of one outcome.
+func count(c *Counter, at clock.Millis, n int, good bool) {
+	for range n {
+		c.Count(at, "redactor", FirstToken, good)
+	}
+}
+
+func assertTotal(t *testing.T, what string, got Total, good, bad uint64) {
+	t.Helper()
+	check.Equal(t, what, got, Total{good, bad})
+}
+
+// Guards against requests that stay in a window too long or leave it too early.
+func TestWindows(t *testing.T) {
+	var c Counter
+	count(&c, start, 3, false)
+	sum := func(now clock.Millis) Line { return Sum(now, []Report{c.Report("e", now)})[0] }
+	for _, w := range Windows() {
+		assertTotal(t, w.Name()+" at once", sum(start).Total(w), 0, 3)
+		assertTotal(t, w.Name()+" at its end", sum(start+w.Span()).Total(w), 0, 3)
+		assertTotal(t, w.Name()+" a bucket later", sum(start+w.Span()+tiers[w].bucket).Total(w), 0, 0)
+	}
+}
+
+// Guards against a counter that grows with time or with unknown services.
+func TestBounded(t *testing.T) {
+	var c Counter
+	for at := start; at < start+24*clock.Hour; at += clock.Minute {
+		count(&c, at, 1, true)
+	}
+	r := c.Report("e", start+24*clock.Hour)
+	for w := range r.rows[key{"redactor", FirstToken}] {
+		check.Equal(t, "buckets", len(r.rows[key{"redactor", FirstToken}][w]), tiers[w].buckets)
+	}
+	check.AtMost(t, "bytes of a row", len(r.Encode()), 1024)
+	for i := range 2 * maxRows {
+		c.Count(start, string(rune(i)), Answered, true)
+	}
+	check.Equal(t, "rows", len(c.rows), maxRows)
+}
+
+// Guards against counts that are lost when an entry restarts, or between the
+// entries and the operator.
+func TestReportsAddUp(t *testing.T) {
+	var before, after, other Counter
+	count(&before, start, 5, true)
+	written, err := Parse(before.Report("e1", start).Encode())
+	check.NoError(t, "parse", err)
+	after.Absorb(written)
+	count(&after, start+clock.Minute, 2, false)
+	count(&other, start, 10, true)
+	lines := Sum(start+clock.Minute, []Report{after.Report("e1", 0), other.Report("e2", 0)})
+	check.Equal(t, "lines", len(lines), 1)
+	assertTotal(t, "total", lines[0].Total(Hour), 15, 2)
+	_, err = Parse([]byte(`{"rows":[{"service":"x"}]}`))
+	check.Is(t, "malformed", err, ErrMalformed)
+}
+
+// Guards against a report that is changed by later counts.
+func TestReportIsACopy(t *testing.T) {
+	var c Counter
+	count(&c, start, 1, true)
+	r := c.Report("e", start)
+	count(&c, start, 1, true)
+	assertTotal(t, "total", Sum(start, []Report{r})[0].Total(Hour), 1, 0)
+}
+
+// Guards against a report that hides how soon the budget ends.
+func TestExhaustion(t *testing.T) {
+	// 6 hours of 1,000 requests a half-hour, then 5 minutes with misses.
+	line := func(misses int) Line {
+		var c Counter
+		for at := start; at < start+6*clock.Hour; at += 30 * clock.Minute {
+			count(&c, at, 1000, true)
+		}
+		now := start + 6*clock.Hour
+		count(&c, now, 100-misses, true)
+		count(&c, now, misses, false)
+		return Sum(now, []Report{c.Report("e", now)})[0]
+	}
+	t.Run("within the objective", func(t *testing.T) {
+		check.Equal(t, "never", line(5).Exhaustion(95).Never(), true)
+		check.Equal(t, "rate", line(5).Rate(FiveMinutes, 95) < 1.001, true)
+	})
+	t.Run("beyond the objective", func(t *testing.T) {
+		// Allowed 5% of 12,100 are 605; 505 are left after 100 misses. Each 5
+		// minutes uses 100 and adds 5.
+		got := line(100).Exhaustion(95)
+		check.Equal(t, "never", got.Never(), false)
+		check.Equal(t, "minutes", got.After()/clock.Minute, 26)
+		check.Equal(t, "rate", int(line(100).Rate(FiveMinutes, 95)+0.5), 20)
+	})
+	t.Run("exhausted", func(t *testing.T) {
+		check.Equal(t, "time left", line(100).Exhaustion(99.9), Exhaustion{})
+	})
+	t.Run("promise without a budget", func(t *testing.T) {
+		check.Equal(t, "time left", line(1).Exhaustion(100), Exhaustion{})
+		check.Equal(t, "rate", line(1).Rate(FiveMinutes, 100), 100.0)
+	})
+	t.Run("no requests", func(t *testing.T) {
+		check.Equal(t, "never", Line{}.Exhaustion(95).Never(), true)
+		check.Equal(t, "rate", Line{}.Rate(Hour, 95), 0.0)
+	})
+}
--- a/ctl/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package ctl is the root of its module.
-package ctl
--- /dev/null
+++ b/ctl/process/burn/burn.go
@@ -0,0 +1,129 @@
+// Package burn reports how fast services use up their error budgets, from the
+// counts that entries write to the platform.
+package burn
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"goldcrestshore/core/connection/platform"
+	"goldcrestshore/core/process/burn"
+	"goldcrestshore/core/process/clock"
+	"goldcrestshore/core/version/text"
+)
+
+// Report is the burn of every service and objective that has counts.
+type Report struct {
+	entries   int
+	malformed int
+	rows      []row
+}
+
+type row struct {
+	burn.Line
+	percent float64
+}
+
+// New returns the report at an instant. Services that the text no longer has, or
+// has without an objective, are left out.
+func New(now clock.Millis, t *text.Text, objects []platform.Object) *Report {
+	r := &Report{}
+	var reports []burn.Report
+	for _, o := range objects {
+		parsed, err := burn.Parse(o.Value())
+		if err != nil {
+			r.malformed++
+			continue
+		}
+		reports = append(reports, parsed)
+	}
+	r.entries = len(reports)
+	for _, l := range burn.Sum(now, reports) {
+		s, ok := t.Service(l.Service())
+		if ok && s.Objective().Percent() > 0 {
+			r.rows = append(r.rows, row{l, s.Objective().Percent()})
+		}
+	}
+	return r
+}
+
+// lastNever is what the text says when the budget is not used up.
+const lastNever = "not at this rate"
+
+// WriteText prints a table for operators.
+func (r *Report) WriteText(w io.Writer) error {
+	table := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
+	fmt.Fprint(table, "service\tobjective\tpromise")
+	for _, window := range burn.Windows() {
+		fmt.Fprintf(table, "\t%[1]s good\t%[1]s bad\t%[1]s burn", window.Name())
+	}
+	fmt.Fprint(table, "\tbudget exhausted in\n")
+	for _, row := range r.rows {
+		fmt.Fprintf(table, "%s\t%s\t%g%%", row.Service(), row.Objective(), row.percent)
+		for _, window := range burn.Windows() {
+			t := row.Total(window)
+			fmt.Fprintf(table, "\t%d\t%d\t%.2f", t.Good(), t.Bad(), row.Rate(window, row.percent))
+		}
+		fmt.Fprintf(table, "\t%s\n", row.left())
+	}
+	fmt.Fprintf(table, "\ncounts of %d entries\n", r.entries)
+	if r.malformed > 0 {
+		fmt.Fprintf(table, "%d malformed reports left out\n", r.malformed)
+	}
+	return table.Flush()
+}
+
+func (r row) left() string {
+	e := r.Exhaustion(r.percent)
+	if e.Never() {
+		return lastNever
+	}
+	return e.After().Duration().String()
+}
+
+type reportBody struct {
+	Entries   int       `json:"entries"`
+	Malformed int       `json:"malformed"`
+	Rows      []rowBody `json:"rows"`
+}
+
+type rowBody struct {
+	Service     string         `json:"service"`
+	Objective   burn.Objective `json:"objective"`
+	Percent     float64        `json:"percent"`
+	Windows     []windowBody   `json:"windows"`
+	ExhaustedMs *int64         `json:"exhaustedMs"` // null when not at this rate
+}
+
+type windowBody struct {
+	Window string  `json:"window"`
+	Good   uint64  `json:"good"`
+	Bad    uint64  `json:"bad"`
+	Burn   float64 `json:"burn"`
+}
+
+// WriteJSON prints the report for programs.
+func (r *Report) WriteJSON(w io.Writer) error {
+	body := reportBody{r.entries, r.malformed, []rowBody{}}
+	for _, row := range r.rows {
+		body.Rows = append(body.Rows, row.body())
+	}
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(body)
+}
+
+func (r row) body() rowBody {
+	b := rowBody{Service: r.Service(), Objective: r.Objective(), Percent: r.percent}
+	for _, window := range burn.Windows() {
+		t := r.Total(window)
+		b.Windows = append(b.Windows, windowBody{window.Name(), t.Good(), t.Bad(), r.Rate(window, r.percent)})
+	}
+	if e := r.Exhaustion(r.percent); !e.Never() {
+		after := int64(e.After())
+		b.ExhaustedMs = &after
+	}
+	return b
+}
--- /dev/null
+++ b/ctl/process/burn/burn_test.go
@@ -0,0 +1,51 @@
+package burn
+
+import (
+	"bytes"
+	"os"
+	"testing"
+
+	"goldcrestshore/core/connection/platform"
+	"goldcrestshore/core/process/burn"
+	"goldcrestshore/core/process/check"
+	"goldcrestshore/core/process/clock"
+	"goldcrestshore/core/version/text"
+)
+
+const now = 1000 * clock.Hour
+
+// object is the counts of one entry: good and bad requests of two services.
+func object(name string, good, bad int) platform.Object {
+	var c burn.Counter
+	for i := range good + bad {
+		c.Count(now, "asistente", burn.FirstToken, i < good)
+		c.Count(now, "loan-desk", burn.Answered, true)
+		c.Count(now, "removed", burn.Answered, false)
+	}
+	return platform.NewObject(name, 1, c.Report(name, now).Encode())
+}
+
+// Guards against a report that changes its form or its sums unnoticed.
+// GOLDEN_UPDATE=1 rewrites the golden files.
+func TestGolden(t *testing.T) {
+	raw, err := os.ReadFile("../../../core/version/text/testdata/handcycles.jsonc")
+	check.NoError(t, "read text", err)
+	parsed, err := text.Parse(raw)
+	check.NoError(t, "parse text", err)
+	report := New(now, parsed, []platform.Object{object("e1", 70, 30), object("e2", 100, 0), platform.NewObject("x", 1, []byte("{"))})
+	var table, body bytes.Buffer
+	check.NoError(t, "text", report.WriteText(&table))
+	check.NoError(t, "JSON", report.WriteJSON(&body))
+	assertGolden(t, "testdata/report.txt", table.Bytes())
+	assertGolden(t, "testdata/report.json", body.Bytes())
+}
+
+func assertGolden(t *testing.T, file string, got []byte) {
+	t.Helper()
+	if os.Getenv("GOLDEN_UPDATE") != "" {
+		check.NoError(t, "write", os.WriteFile(file, got, 0o644))
+	}
+	want, err := os.ReadFile(file)
+	check.NoError(t, "read", err)
+	check.Equal(t, file, string(got), string(want))
+}
--- /dev/null
+++ b/ctl/process/operator/check.go
@@ -0,0 +1,63 @@
+package operator
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/cockroachdb/errors"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"goldcrestshore/core/version/text"
+)
+
+func (t *tool) checkCommand() *ffcli.Command {
+	return &ffcli.Command{
+		Name:       "check",
+		ShortUsage: "goldcrestctl check <file>",
+		ShortHelp:  "Check a configuration text without the platform.",
+		LongHelp: `Prints each fault with its line and column. Examples:
+
+  goldcrestctl check services.jsonc
+  generate-services | goldcrestctl check -`,
+		FlagSet: t.flags("goldcrestctl check"),
+		Exec: func(_ context.Context, args []string) error {
+			if len(args) != 1 {
+				return errors.Wrap(errUsage, "want one file")
+			}
+			return t.check(args[0])
+		},
+	}
+}
+
+func (t *tool) check(file string) error {
+	raw, err := readFile(file)
+	if err != nil {
+		return err
+	}
+	parsed, err := parse(file, raw)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(t.out, "%s: %d data centres, %d services, %d customers, no faults\n",
+		file, len(parsed.DataCentres()), len(parsed.Services()), len(parsed.Customers()))
+	return nil
+}
+
+// readFile reads a file, or the standard input for "-".
+func readFile(file string) ([]byte, error) {
+	if file == "-" {
+		raw, err := io.ReadAll(io.LimitReader(os.Stdin, text.MaxBytes+1))
+		return raw, errors.Wrap(err, "read standard input")
+	}
+	raw, err := os.ReadFile(file)
+	return raw, errors.Wrap(err, "read text")
+}
+
+// parse checks a text with the room that its stamp needs.
+func parse(file string, raw []byte) (*text.Text, error) {
+	own, ids := split(raw)
+	parsed, err := text.Parse(ids.joined(own, "0000000000000000"))
+	return parsed, errors.Wrapf(err, "%s", file)
+}
--- /dev/null
+++ b/ctl/process/operator/exit.go
@@ -0,0 +1,57 @@
+package operator
+
+import (
+	"context"
+	"flag"
+
+	"github.com/cockroachdb/errors"
+
+	"goldcrestshore/core/connection/platform"
+	"goldcrestshore/core/version/text"
+)
+
+// Exit codes, as documented in docs/operators.md.
+const (
+	exitDone        = 0
+	exitFailed      = 1 // an error that no other code describes
+	exitUsage       = 2 // the command line is wrong
+	exitRefused     = 3 // the text or a name has faults; nothing was written
+	exitConflict    = 4 // another version is in force; nothing was written
+	exitUnavailable = 5 // the platform gave no answer; the outcome is not known
+	exitNotApplied  = 6 // read back: the write did not take effect
+	exitOverwritten = 7 // read back: the write took effect and was replaced since
+	exitDiffers     = 8 // diff found differences
+)
+
+// Errors that decide the exit code.
+var (
+	errUsage       = errors.New("wrong command line")
+	errUnknownName = errors.New("unknown name")
+	errNotApplied  = errors.New("the write did not take effect")
+	errOverwritten = errors.New("the write took effect and has been overwritten since")
+	errDiffers     = errors.New("the file differs from the text in force")
+)
+
+// exitCode returns the code for the error of a command.
+func exitCode(err error) int {
+	var problems text.Problems
+	switch {
+	case err == nil, errors.Is(err, flag.ErrHelp):
+		return exitDone
+	case errors.Is(err, errUsage):
+		return exitUsage
+	case errors.As(err, &problems), errors.Is(err, errUnknownName):
+		return exitRefused
+	case errors.Is(err, platform.ErrConflict):
+		return exitConflict
+	case errors.Is(err, errNotApplied):
+		return exitNotApplied
+	case errors.Is(err, errOverwritten):
+		return exitOverwritten
+	case errors.Is(err, errDiffers):
+		return exitDiffers
+	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, context.Canceled):
+		return exitUnavailable
+	}
+	return exitFailed
+}
