Move the dispatcher and the agent pool into packages of their own

Change: entry/request/dispatch and entry/connection/agent.Pool, with a Dial field for tests; both daemons subscribe to relays and serve subscribers.

--- a/agent/process/server/server.go
+++ b/agent/process/server/server.go
@@ -90,7 +90,10 @@
 	s.self = peer.NewIdentity(platform.RoleAgent, s.Settings.Instance(), s.Settings.DataCentre())
 	s.clock = clock.System()
 	s.platform = platform.New(s.Settings.Platform())
-	s.views = &relay.Client{Platform: s.platform, Log: s.Log, Clock: s.clock}
+	s.views = &relay.Client{
+		Platform: s.platform, Log: s.Log, Clock: s.clock, Self: s.self, Address: s.Settings.Listen(),
+		Key: s.Settings.Key(), Contacts: s.Settings.Contacts(), Load: func() frame.Load { return s.heartbeat().Load() },
+	}
 	s.gate = &gate{limit: s.limit, refusal: s.outOfService, held: map[frame.ID]bool{}}
 	s.entries = &entry.Server{
 		Clock:          s.clock,
@@ -140,10 +143,19 @@
 }
 
 func (s *Server) serveEntries(ctx context.Context, l net.Listener) error {
-	listener := &peer.Listener{Self: s.self, Key: s.Settings.Key(), Log: s.Log, Serve: s.entries.Serve}
+	listener := &peer.Listener{Self: s.self, Key: s.Settings.Key(), Log: s.Log, Serve: s.serve}
 	return listener.Run(ctx, l)
 }
 
+// serve runs a connection by the role of its peer.
+func (s *Server) serve(ctx context.Context, c *peer.Conn) {
+	if c.Peer().Role() == relay.RoleSubscriber {
+		s.views.Serve(ctx, c)
+		return
+	}
+	s.entries.Serve(ctx, c)
+}
+
 func (s *Server) serveAdmin(ctx context.Context) error {
 	return metric.Serve(ctx, s.Settings.Admin(), map[string]http.Handler{"/metrics": s.Metrics.Handler()})
 }
--- a/core/connection/peer/conn.go
+++ b/core/connection/peer/conn.go
@@ -72,6 +72,11 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "dial %s", address)
 	}
+	return Open(conn, self, key)
+}
+
+// Open authenticates a connection that this process has opened.
+func Open(conn net.Conn, self Identity, key []byte) (*Conn, error) {
 	return authenticate(conn, self, key, true)
 }
 
--- a/entry/connection/agent/link.go
+++ b/entry/connection/agent/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"sync"
 	"time"
 
@@ -36,6 +37,8 @@
 	Clock     *clock.Clock
 	Log       *event.Log
 	Heartbeat func() *frame.Heartbeat
+	// Dial connects to the agent; nil dials TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// OnHeartbeat receives the agent's load reports.
 	OnHeartbeat func(link *Link, beat *frame.Heartbeat)
 	// OnChange is told when the link gains or loses its connection.
@@ -52,7 +55,7 @@
 func (l *Link) Run(ctx context.Context) {
 	wait := minRedial
 	for ctx.Err() == nil {
-		c, err := peer.Dial(ctx, l.Address, l.Self, l.Key)
+		c, err := l.dial(ctx)
 		if err == nil {
 			wait = minRedial
 			l.serve(ctx, c)
@@ -71,6 +74,17 @@
 	l.abandon(func(*Exchange) bool { return true })
 }
 
+func (l *Link) dial(ctx context.Context) (*peer.Conn, error) {
+	if l.Dial == nil {
+		return peer.Dial(ctx, l.Address, l.Self, l.Key)
+	}
+	conn, err := l.Dial(ctx, l.Address)
+	if err != nil {
+		return nil, err
+	}
+	return peer.Open(conn, l.Self, l.Key)
+}
+
 func (l *Link) serve(ctx context.Context, c *peer.Conn) {
 	c.Handle = func(id frame.ID, m frame.Message) { l.handle(c, id, m) }
 	c.Heartbeat = l.Heartbeat
--- a/entry/process/server/pool.go
+++ b/entry/connection/agent/pool.go
@@ -1,10 +1,9 @@
-// Package server wires the entry: callers, connections to agents, routing and
-// the configuration.
-package server
+package agent
 
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"sync"
 	"time"
 
@@ -14,27 +13,31 @@
 	"goldcrestshore/core/process/clock"
 	"goldcrestshore/core/process/event"
 	"goldcrestshore/core/version/relay"
-	"goldcrestshore/entry/connection/agent"
 )
 
 // refreshInterval is how often links follow the instance list.
 const refreshInterval = 200 * clock.Millis(1)
 
-// pool keeps a link to each agent of the instance list.
-type pool struct {
-	self  peer.Identity
-	key   []byte
-	clock *clock.Clock
-	log   *event.Log
-	view  func() *relay.Snapshot
+// Pool keeps a link to each agent of the instance list. Exported fields are set
+// before Run.
+type Pool struct {
+	Self peer.Identity
+	Key  []byte
+	Log  *event.Log
+	// Clock times lost connections.
+	Clock *clock.Clock
+	// View returns the configuration and the instance list.
+	View func() *relay.Snapshot
+	// Dial connects to an agent; nil dials TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 
 	mu    sync.Mutex
-	links map[string]*link
+	links map[string]*member
 }
 
-// link is one agent with its last load report.
-type link struct {
-	*agent.Link
+// member is one agent of the pool with its last load report.
+type member struct {
+	*Link
 	instance platform.Instance
 	cancel   context.CancelFunc
 
@@ -42,8 +45,8 @@
 	load frame.Load
 }
 
-// run follows the instance list until ctx is done.
-func (p *pool) run(ctx context.Context) {
+// Run follows the instance list until ctx is done.
+func (p *Pool) Run(ctx context.Context) {
 	ticker := time.NewTicker(refreshInterval.Duration())
 	defer ticker.Stop()
 	for {
@@ -56,11 +59,14 @@
 	}
 }
 
-func (p *pool) refresh(ctx context.Context) {
+func (p *Pool) refresh(ctx context.Context) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.links == nil {
+		p.links = map[string]*member{}
+	}
 	listed := map[string]bool{}
-	for _, i := range p.view().Instances() {
+	for _, i := range p.View().Instances() {
 		if i.Role() != platform.RoleAgent {
 			continue
 		}
@@ -82,40 +88,40 @@
 }
 
 // open must be called with mu held.
-func (p *pool) open(ctx context.Context, i platform.Instance) {
+func (p *Pool) open(ctx context.Context, i platform.Instance) {
 	if old := p.links[i.Name()]; old != nil {
 		old.cancel()
 	}
 	running, cancel := context.WithCancel(ctx)
-	l := &link{instance: i, cancel: cancel}
-	l.Link = &agent.Link{
-		Name: i.Name(), Address: i.Address(), Self: p.self, Key: p.key, Clock: p.clock, Log: p.log,
-		Heartbeat:   func() *frame.Heartbeat { return frame.NewHeartbeat(p.view().Version(), frame.Load{}) },
-		OnHeartbeat: func(_ *agent.Link, beat *frame.Heartbeat) { l.setLoad(beat.Load()) },
-		OnChange:    func(*agent.Link, bool) {},
+	l := &member{instance: i, cancel: cancel}
+	l.Link = &Link{
+		Dial: p.Dial, Name: i.Name(), Address: i.Address(), Self: p.Self, Key: p.Key, Clock: p.Clock, Log: p.Log,
+		Heartbeat:   func() *frame.Heartbeat { return frame.NewHeartbeat(p.View().Version(), frame.Load{}) },
+		OnHeartbeat: func(_ *Link, beat *frame.Heartbeat) { l.setLoad(beat.Load()) },
+		OnChange:    func(*Link, bool) {},
 	}
 	p.links[i.Name()] = l
 	go l.Run(running)
 }
 
-func (l *link) setLoad(load frame.Load) {
+func (l *member) setLoad(load frame.Load) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.load = load
 }
 
-func (l *link) lastLoad() frame.Load {
+func (l *member) lastLoad() frame.Load {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.load
 }
 
-// choose returns the less loaded of two random links that take work of the
+// Choose returns the less loaded of two random links that take work of the
 // service and were not tried yet, nil for none.
-func (p *pool) choose(service string, tried map[string]bool) *link {
+func (p *Pool) Choose(service string, tried map[string]bool) *Link {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var candidates []*link
+	var candidates []*member
 	for name, l := range p.links {
 		if !tried[name] && p.usable(l, service) {
 			candidates = append(candidates, l)
@@ -127,11 +133,11 @@
 	a := candidates[rand.IntN(len(candidates))]
 	b := candidates[rand.IntN(len(candidates))]
 	if b.Open() < a.Open() {
-		return b
+		return b.Link
 	}
-	return a
+	return a.Link
 }
 
-func (p *pool) usable(l *link, service string) bool {
-	return l.instance.Service() == service && l.Connected() && p.view().Takes(l.instance) && !l.lastLoad().Condition().Leaving()
+func (p *Pool) usable(l *member, service string) bool {
+	return l.instance.Service() == service && l.Connected() && p.View().Takes(l.instance) && !l.lastLoad().Condition().Leaving()
 }
--- a/entry/process/server/server.go
+++ b/entry/process/server/server.go
@@ -1,10 +1,14 @@
+// Package server wires the entry: callers, connections to agents, routing and
+// the configuration.
 package server
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
@@ -16,9 +20,14 @@
 	"goldcrestshore/core/process/metric"
 	"goldcrestshore/core/process/settings"
 	"goldcrestshore/core/version/relay"
+	"goldcrestshore/entry/connection/agent"
 	"goldcrestshore/entry/request/caller"
+	"goldcrestshore/entry/request/dispatch"
 )
 
+// deregisterTimeout bounds the last platform call of a stopping entry.
+const deregisterTimeout = 2 * time.Second
+
 // Server is the entry process. Exported fields are set before Run.
 type Server struct {
 	Settings *settings.Common
@@ -30,10 +39,11 @@
 	Log            *event.Log
 	Metrics        *metric.Registry
 
+	self     peer.Identity
 	clock    *clock.Clock
 	platform *platform.Client
 	views    *relay.Client
-	pool     *pool
+	pool     *agent.Pool
 	callers  *caller.Server
 }
 
@@ -43,10 +53,16 @@
 	defer stop()
 	running, cancel := context.WithCancel(ctx)
 	defer cancel()
+	listener, err := net.Listen("tcp", s.Settings.Listen())
+	if err != nil {
+		return errors.Wrap(err, "listen for other processes")
+	}
 	s.build()
 	group, running := errgroup.WithContext(running)
 	group.Go(func() error { return s.views.Run(running) })
-	group.Go(func() error { s.pool.run(running); return nil })
+	group.Go(func() error { s.pool.Run(running); return nil })
+	group.Go(func() error { return s.servePeers(running, listener) })
+	group.Go(func() error { s.register(running); return nil })
 	group.Go(func() error {
 		return metric.Serve(running, s.Settings.Admin(), map[string]http.Handler{"/metrics": s.Metrics.Handler()})
 	})
@@ -54,6 +70,7 @@
 		<-stopping.Done()
 		s.Log.Emit(event.ProcessStopping, event.Fields{"held": s.callers.Open()})
 		s.callers.Stop()
+		s.deregister(running)
 		return nil
 	})
 	group.Go(func() error {
@@ -62,7 +79,7 @@
 		return s.callers.Run()
 	})
 	s.Log.Emit(event.ProcessStarted, event.Fields{"address": s.Callers})
-	err := group.Wait()
+	err = group.Wait()
 	s.Log.Emit(event.ProcessStopped, nil)
 	if errors.Is(err, context.Canceled) {
 		return nil
@@ -70,17 +87,40 @@
 	return err
 }
 
+func (s *Server) servePeers(ctx context.Context, l net.Listener) error {
+	listener := &peer.Listener{Self: s.self, Key: s.Settings.Key(), Log: s.Log, Serve: s.views.Serve}
+	return listener.Run(ctx, l)
+}
+
+// register announces the entry to the platform and tries again until it works.
+func (s *Server) register(ctx context.Context) {
+	i := platform.NewInstance(s.Settings.Instance(), platform.RoleEntry, s.Settings.DataCentre(), s.Settings.Listen())
+	platform.Announce(ctx, s.platform, i, func(err error) { s.Log.Error(event.PlatformFailed, err, nil) })
+}
+
+// deregister takes the entry off the list, so that its duties move.
+func (s *Server) deregister(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, deregisterTimeout)
+	defer cancel()
+	if err := s.platform.Deregister(ctx, s.Settings.Instance()); err != nil {
+		s.Log.Error(event.PlatformFailed, err, nil)
+	}
+}
+
 func (s *Server) build() {
-	self := peer.NewIdentity(platform.RoleEntry, s.Settings.Instance(), s.Settings.DataCentre())
+	s.self = peer.NewIdentity(platform.RoleEntry, s.Settings.Instance(), s.Settings.DataCentre())
 	s.clock = clock.System()
 	s.platform = platform.New(s.Settings.Platform())
-	s.views = &relay.Client{Platform: s.platform, Log: s.Log, Clock: s.clock}
-	s.pool = &pool{self: self, key: s.Settings.Key(), clock: s.clock, log: s.Log, view: s.views.Current, links: map[string]*link{}}
+	s.views = &relay.Client{
+		Platform: s.platform, Log: s.Log, Clock: s.clock, Self: s.self, Address: s.Settings.Listen(),
+		Key: s.Settings.Key(), Contacts: s.Settings.Contacts(),
+	}
+	s.pool = &agent.Pool{Self: s.self, Key: s.Settings.Key(), Log: s.Log, Clock: s.clock, View: s.views.Current}
 	s.callers = &caller.Server{
 		Clock:          s.clock,
 		Log:            s.Log,
 		View:           s.views.Current,
-		Dispatcher:     &dispatcher{pool: s.pool, clock: s.clock, log: s.Log, incarnation: self.Incarnation()},
+		Dispatcher:     &dispatch.Dispatcher{Pool: s.pool, Clock: s.clock, Log: s.Log, Incarnation: s.self.Incarnation()},
 		Listen:         s.Callers,
 		MaxConnections: s.MaxConnections,
 		MaxRequests:    s.MaxRequests,
--- a/entry/request/claim/client.go
+++ b/entry/request/claim/client.go
@@ -295,7 +295,7 @@
 func (c *Client) gaveUp(now clock.Millis, e GaveUp) []ClientAction {
 	p := c.requests[e.request]
 	if p == nil {
-		return []ClientAction{Refuse{e.request, e.refusal}}
+		return []ClientAction{Refuse(e)}
 	}
 	if p.stage != refused {
 		return nil
--- a/entry/process/server/dispatch.go
+++ b/entry/request/dispatch/dispatch.go
@@ -1,4 +1,6 @@
-package server
+// Package dispatch runs callers' requests on upstreams: it chooses an agent,
+// copies the answer, and decides whether a failed request is sent to another.
+package dispatch
 
 import (
 	"context"
@@ -16,28 +18,29 @@
 	"goldcrestshore/entry/request/retry"
 )
 
-// dispatcher runs requests on agents.
-type dispatcher struct {
-	pool        *pool
-	clock       *clock.Clock
-	log         *event.Log
-	incarnation uint64
-	sequence    atomic.Uint64
-
-	mu     sync.Mutex
-	budget retry.Budget
+// Dispatcher runs requests on agents. Exported fields are set before use.
+type Dispatcher struct {
+	Pool  *agent.Pool
+	Clock *clock.Clock
+	Log   *event.Log
+	// Incarnation is that of this entry; it makes request ids unique.
+	Incarnation uint64
+
+	sequence atomic.Uint64
+	mu       sync.Mutex
+	budget   retry.Budget
 }
 
 // Dispatch implements caller.Dispatcher.
-func (d *dispatcher) Dispatch(ctx context.Context, r *caller.Request, a *caller.Answer) error {
-	if !d.pool.view().Available(r.Service().Name()) {
+func (d *Dispatcher) Dispatch(ctx context.Context, r *caller.Request, a *caller.Answer) error {
+	if !d.Pool.View().Available(r.Service().Name()) {
 		return outcome.Refuse(outcome.DependencyOut, outcome.NotRun, int64(clock.Second))
 	}
 	d.decide(retry.First{})
 	tried := map[string]bool{}
 	state := retry.NewRequest(r.Idempotent())
 	for {
-		l := d.pool.choose(r.Service().Name(), tried)
+		l := d.Pool.Choose(r.Service().Name(), tried)
 		if l == nil {
 			return noUpstream(state)
 		}
@@ -50,18 +53,18 @@
 		if !errors.As(err, &failed) {
 			return err
 		}
-		switch next := d.decide(failed.event(state, r.Deadline()-d.clock.Now())).(type) {
+		switch next := d.decide(failed.event(state, r.Deadline()-d.Clock.Now())).(type) {
 		case retry.GiveUp:
 			return errors.Wrapf(next.Refusal(), "%v", err)
 		case retry.Again:
 			state = next.Request()
-			d.log.Error(event.RequestRetried, err, event.Fields{"upstream": l.Name})
+			d.Log.Error(event.RequestRetried, err, event.Fields{"upstream": l.Name})
 		}
 	}
 }
 
 // decide passes an event to the budget that all requests share.
-func (d *dispatcher) decide(e retry.Event) retry.Action {
+func (d *Dispatcher) decide(e retry.Event) retry.Action {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.budget.Handle(e)
@@ -78,8 +81,8 @@
 
 // attempt runs the request once. Its error is an attemptError unless the caller
 // has left or the deadline has passed.
-func (d *dispatcher) attempt(ctx context.Context, l *link, r *caller.Request, a *caller.Answer) error {
-	id := frame.NewID(d.incarnation, d.sequence.Add(1))
+func (d *Dispatcher) attempt(ctx context.Context, l *agent.Link, r *caller.Request, a *caller.Answer) error {
+	id := frame.NewID(d.Incarnation, d.sequence.Add(1))
 	e, err := l.Submit(id, d.submit(r))
 	if err != nil {
 		return &attemptError{retry.LostBeforeSubmit, outcome.NoUpstream, 0}
@@ -88,8 +91,8 @@
 	return copyAnswer(ctx, e, a)
 }
 
-func (d *dispatcher) submit(r *caller.Request) *frame.Submit {
-	left := r.Deadline() - d.clock.Now()
+func (d *Dispatcher) submit(r *caller.Request) *frame.Submit {
+	left := r.Deadline() - d.Clock.Now()
 	terms := frame.NewTerms(int64(left), r.Customer().Priority(), r.Idempotent(), r.Stream(), "")
 	return frame.NewSubmit(r.Service().Name(), r.Customer().Name(), r.Call(), terms, r.Size(), r.ConfigVersion())
 }
