Model engines and fleets; keep prompt affinity under saturation

Change: measure/engine and measure/fleet model engines, agents and entries in virtual time. The route table keeps up to 16 ready requests and gives a free upstream the one its cache fits best. First tokens are judged against two marks, since cached prompts are several times faster than others.

--- a/agent/request/admission/admission.go
+++ b/agent/request/admission/admission.go
@@ -280,14 +280,20 @@
 	}
 	took := a.pace.served(now, h)
 	a.pace.noteFirstToken(now, h, took)
-	if a.temperature.observe(classOf(h.prompt), took) || h.slow {
+	b := a.baseline(h)
+	fast := !h.slow && b.fast(took, a.temperature.slow > 0)
+	if b.slow(took) {
 		a.markSlow(h)
-		return
 	}
-	a.temperature.noteFast(h.epoch)
-	a.proven = max(a.proven, h.order)
+	b.learn(took, a.temperature.cold() || a.temperature.slow > 0)
+	if fast {
+		a.temperature.noteFast(h.epoch)
+		a.proven = max(a.proven, h.order)
+	}
 }
 
+func (a *Admission) baseline(h *held) *baseline { return &a.temperature.baselines[classOf(h.prompt)] }
+
 // markSlow counts a first token as slow, once.
 func (a *Admission) markSlow(h *held) {
 	if h.slow {
@@ -301,7 +307,7 @@
 // that has stopped answering is found without waiting for its answer.
 func (a *Admission) watchFirstTokens(now clock.Millis) {
 	for _, h := range a.held {
-		if h.observed && !h.answered && a.temperature.overdue(classOf(h.prompt), a.pace.served(now, h)) {
+		if h.observed && !h.answered && a.baseline(h).slow(a.pace.served(now, h)) {
 			a.markSlow(h)
 		}
 	}
@@ -355,12 +361,13 @@
 	a.reach.probes = l.probes
 }
 
-// Load returns the report for the entries. A limit of 0 means that the
+// Load returns the report for the entries. Waiting work counts as held, so that
+// entries do not send more of it. A limit of 0 means that the
 // upstream takes no work now.
 func (a *Admission) Load() frame.Load {
 	return frame.NewLoad(
 		a.service,
-		frame.NewOccupancy(len(a.held)+a.orphans.held, a.openLimit(), a.memory.reservedBytes(), a.memory.usableBytes()),
+		frame.NewOccupancy(len(a.held)+a.orphans.held+a.waiting.len(), a.openLimit(), a.memory.reservedBytes(), a.memory.usableBytes()),
 		frame.NewCondition(a.temperature.cold(), a.leaving || a.out || a.stopping, a.reach.incarnation, a.crashes),
 		frame.NewPace(int64(a.queueing()), int64(a.pace.firstToken)),
 	)
--- /dev/null
+++ b/agent/request/admission/baseline.go
@@ -0,0 +1,89 @@
+package admission
+
+import (
+	"math/bits"
+
+	"goldcrestshore/core/process/clock"
+)
+
+const (
+	// slowMultiple times the baseline makes a first token slow.
+	slowMultiple = 2.5
+	// slowFloor keeps the jitter of very short first-token times from counting.
+	slowFloor = 100 * clock.Millis(1)
+	// usualMultiple times the high mark is still usual.
+	usualMultiple = 1.25
+	// The baseline has two marks, since cached prompts are answered several
+	// times faster than others. Only times far above the high mark show a cold
+	// upstream, and once there was one, only times near the low mark show a warm
+	// one: a cold upstream answers cached prompts as fast as a warm one others.
+	lowQuantile  = 0.2
+	highQuantile = 0.9
+	// quantileStep is the relative size of a correction of a mark.
+	quantileStep = 0.05
+	// coldStep is used instead for slow samples and while the upstream is cold: a
+	// cold start must not pass for normal, but a lasting change is learnt in the
+	// end.
+	coldStep = 0.005
+	// learnFast samples of a class are learnt with four times the step. From
+	// enough samples on, a slow one is known as such.
+	learnFast = 40
+	enough    = 8
+	classes   = 32
+)
+
+// classOf groups requests whose first tokens take similar time, by the
+// logarithm of their prompt length.
+func classOf(promptTokens int) int { return min(bits.Len(uint(max(promptTokens, 0))), classes-1) }
+
+// baseline is the usual first-token time of one class.
+type baseline struct {
+	samples int
+	low     float64
+	high    float64
+}
+
+// learn moves the marks towards their quantiles.
+func (b *baseline) learn(took clock.Millis, cold bool) {
+	sample := max(float64(took), 1)
+	b.samples++
+	if b.samples == 1 {
+		b.low, b.high = sample, sample
+		return
+	}
+	step := quantileStep
+	switch {
+	case b.samples > enough && b.slow(took), b.samples > learnFast && cold:
+		step = coldStep
+	case b.samples <= learnFast:
+		step *= 4
+	}
+	b.low = track(b.low, sample, lowQuantile, step)
+	b.high = track(b.high, sample, highQuantile, step)
+}
+
+// track returns the mark after a sample: in balance, the given part of the
+// samples is below it.
+func track(mark, sample, quantile, step float64) float64 {
+	if sample > mark {
+		return mark * (1 + step*quantile)
+	}
+	return mark * (1 - step*(1-quantile))
+}
+
+// slow reports whether a first token that took so long shows a cold upstream.
+func (b *baseline) slow(took clock.Millis) bool {
+	return b.samples > 0 && took > slowFloor && float64(took) > slowMultiple*b.high
+}
+
+// fast reports whether a first token that took so long proves a warm upstream;
+// suspect tells that slow ones came before.
+func (b *baseline) fast(took clock.Millis, suspect bool) bool {
+	if b.samples == 0 || took <= slowFloor {
+		return true
+	}
+	if suspect {
+		return float64(took) <= slowMultiple*b.low
+	}
+	return float64(took) <= usualMultiple*b.high
+}
--- a/agent/request/admission/pace.go
+++ b/agent/request/admission/pace.go
@@ -10,9 +10,14 @@
 	paceTokens = 64
 )
 
+// sameStep is the time within which two first tokens come from the same step of
+// the upstream.
+const sameStep = 5 * clock.Millis(1)
+
 // pace is how fast the upstream answers.
 type pace struct {
 	answeredAt clock.Millis // the latest first token of any request
+	beforeAt   clock.Millis // the first token of the step before
 	firstToken float64      // smoothed first-token time in ms
 	perToken   float64      // smoothed time in ms per prompt token
 }
@@ -21,11 +26,18 @@
 // starts on a prompt when it is done with those before, so that a queue of
 // prompts does not make it look slow.
 func (p *pace) served(now clock.Millis, h *held) clock.Millis {
-	return now - max(h.admittedAt, p.answeredAt)
+	before := p.answeredAt
+	if now-before < sameStep {
+		before = p.beforeAt
+	}
+	return now - max(h.admittedAt, before)
 }
 
 func (p *pace) noteFirstToken(now clock.Millis, h *held, took clock.Millis) {
-	p.answeredAt = now
+	if now-p.answeredAt >= sameStep {
+		p.beforeAt = p.answeredAt
+		p.answeredAt = now
+	}
 	smooth(&p.firstToken, float64(now-h.admittedAt))
 	if h.prompt >= paceTokens {
 		smooth(&p.perToken, float64(took)/float64(h.prompt))
--- a/agent/request/admission/temperature.go
+++ b/agent/request/admission/temperature.go
@@ -1,31 +1,7 @@
 package admission
 
-import (
-	"math/bits"
-
-	"goldcrestshore/core/process/clock"
-)
-
-const (
-	// slowMultiple times the baseline makes a first token slow. Queueing behind
-	// other prompts is not part of the measured time.
-	slowMultiple = 2.5
-	// slowFloor keeps jitter of very short first-token times from counting.
-	slowFloor = 100 * clock.Millis(1)
-	// slowRun slow first tokens without a fast one between make an upstream cold.
-	slowRun = 3
-	// baselineWeight is the weight of a fast sample in the baseline.
-	baselineWeight = 0.05
-	// slowWeight is the weight of a slow sample. It is small, so that a cold
-	// start does not pass for normal, and not zero, so that a lasting change of
-	// the workload is learnt in the end.
-	slowWeight = 0.01
-	classes    = 32
-)
-
-// classOf groups requests whose first tokens take similar time, by the
-// logarithm of their prompt length.
-func classOf(promptTokens int) int { return min(bits.Len(uint(max(promptTokens, 0))), classes-1) }
+// slowRun slow first tokens without a fast one between make an upstream cold.
+const slowRun = 3
 
 // temperature is how much work the upstream can take. Anything may lower the
 // limit at once; only completions raise it.
@@ -39,7 +15,7 @@
 	epoch       uint64
 	done        int
 	slow        int
-	baseline    [classes]float64
+	baselines   [classes]baseline
 }
 
 func (t *temperature) configure(cold, warm int) {
@@ -90,27 +66,6 @@
 	t.done = 0
 }
 
-// observe learns from a first-token time and reports whether it was slow.
-func (t *temperature) observe(class int, took clock.Millis) bool {
-	slow := t.overdue(class, took)
-	base := &t.baseline[class]
-	switch {
-	case *base == 0:
-		*base = float64(took)
-	case slow:
-		*base += slowWeight * (float64(took) - *base)
-	default:
-		*base += baselineWeight * (float64(took) - *base)
-	}
-	return slow
-}
-
-// overdue reports whether a first token that has taken so long is slow.
-func (t *temperature) overdue(class int, took clock.Millis) bool {
-	base := t.baseline[class]
-	return base > 0 && took > slowFloor && float64(took) > slowMultiple*base
-}
-
 func (t *temperature) noteSlow(epoch uint64) {
 	if epoch != t.epoch || t.reported {
 		return
--- a/entry/request/customer/shed.go
+++ b/entry/request/customer/shed.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"math"
 
 	"goldcrestshore/core/process/clock"
 )
@@ -11,6 +12,9 @@
 	drainWindow = 2 * clock.Second
 	// runWeight is the weight of a new sample in the smoothed run time.
 	runWeight = 0.05
+	// spreads is how many mean deviations above the mean a long run takes; 2 of
+	// them cover about 95% of the run times.
+	spreads = 2
 )
 
 // drain is how fast the upstreams take queued work.
@@ -20,7 +24,8 @@
 	idle    bool // the queue was empty at some time in the window
 	perMs   float64
 	known   bool
-	run     float64
+	run     float64 // smoothed time in ms from dispatch to the end
+	spread  float64 // smoothed deviation from it
 	started bool
 }
 
@@ -56,9 +61,14 @@
 		d.run = float64(took)
 		return
 	}
-	d.run += runWeight * (float64(took) - d.run)
+	off := float64(took) - d.run
+	d.run += runWeight * off
+	d.spread += runWeight * (math.Abs(off) - d.spread)
 }
 
+// longRun is the time within which nearly all dispatched requests end.
+func (d *drain) longRun() float64 { return d.run + spreads*d.spread }
+
 // late returns the requests to shed so that the others are expected to be
 // answered before their deadlines. In order of service, as soon as a request
 // would be late, the least important one up to it goes, the latest first among
@@ -95,7 +105,7 @@
 	if s.drain.known && s.drain.perMs > 0 {
 		wait = float64(cost) / s.drain.perMs
 	}
-	return float64(now)+wait+s.drain.run <= float64(deadline)
+	return float64(now)+wait+s.drain.longRun() <= float64(deadline)
 }
 
 // backlog is the work that stays queued ahead of a request.
--- a/entry/request/route/choose.go
+++ b/entry/request/route/choose.go
@@ -124,3 +124,7 @@
 	}
 	return ms
 }
+
+// Named returns the choice of an upstream that was settled earlier, as by the
+// claim of an earlier attempt.
+func Named(upstream string) Choice { return Choice{upstream: upstream} }
--- /dev/null
+++ b/entry/request/route/ready.go
@@ -0,0 +1,120 @@
+package route
+
+import (
+	"slices"
+
+	"goldcrestshore/core/connection/frame"
+	"goldcrestshore/core/process/clock"
+)
+
+const (
+	// Lookahead is how many requests may be ready at a time beyond the room. A
+	// full upstream that gets room takes the one that its cache fits best, which
+	// keeps the share of cached prompts from collapsing under saturation.
+	Lookahead = 16
+	// maxReady is how long a ready request may be passed over.
+	maxReady = 1500 * clock.Millis(1)
+)
+
+// ready is a request that has its turn and waits for an upstream with room.
+type ready struct {
+	id      frame.ID
+	request Request
+	tried   []string
+	since   clock.Millis
+}
+
+// Ready tells that a request has its turn.
+type Ready struct {
+	id      frame.ID
+	request Request
+	tried   []string
+}
+
+// NewReady returns the event of a request that has its turn and is not to go to
+// the upstreams tried.
+func NewReady(id frame.ID, request Request, tried []string) Ready {
+	return Ready{id, request, tried}
+}
+
+// Withdrawn tells that a ready request is not to be sent any more.
+type Withdrawn struct{ id frame.ID }
+
+// NewWithdrawn returns the event of a withdrawn request.
+func NewWithdrawn(id frame.ID) Withdrawn { return Withdrawn{id} }
+
+func (Ready) event()     {}
+func (Withdrawn) event() {}
+
+// ReadyCount returns how many requests of a service are ready.
+func (t *Table) ReadyCount(service string) int {
+	if s := t.services[service]; s != nil {
+		return len(s.ready)
+	}
+	return 0
+}
+
+func (t *Table) ready(now clock.Millis, e Ready) {
+	s := t.services[e.request.service]
+	if s == nil {
+		s = &service{}
+		t.services[e.request.service] = s
+	}
+	s.ready = append(s.ready, ready{e.id, e.request, e.tried, now})
+}
+
+func (t *Table) withdraw(id frame.ID) {
+	for _, s := range t.services {
+		s.ready = slices.DeleteFunc(s.ready, func(r ready) bool { return r.id == id })
+	}
+}
+
+// Next returns a ready request of a service and the upstream to send it to,
+// false when no request can be sent now. It counts the request as sent.
+func (t *Table) Next(now clock.Millis, name string) (frame.ID, Choice, bool) {
+	s := t.services[name]
+	if s == nil || len(s.ready) == 0 || t.Room(now, name) == 0 {
+		return frame.ID{}, Choice{}, false
+	}
+	if len(s.ready) > 1 && now-s.ready[0].since < maxReady {
+		if i, ok := t.fitting(now, s); ok {
+			return t.take(now, s, i)
+		}
+	}
+	for i := range s.ready {
+		if id, choice, ok := t.take(now, s, i); ok {
+			return id, choice, true
+		}
+	}
+	return frame.ID{}, Choice{}, false
+}
+
+// take sends the i-th ready request if an upstream has room for it.
+func (t *Table) take(now clock.Millis, s *service, i int) (frame.ID, Choice, bool) {
+	r := s.ready[i]
+	choice, err := t.Choose(now, r.request, r.tried)
+	if err != nil {
+		return frame.ID{}, Choice{}, false
+	}
+	s.ready = slices.Delete(s.ready, i, i+1)
+	t.sent(now, Sent{r.id, choice, r.request})
+	return r.id, choice, true
+}
+
+// fitting returns the ready request with the most cached prompt tokens at an
+// upstream that has room.
+func (t *Table) fitting(now clock.Millis, s *service) (int, bool) {
+	best, most := 0, 0
+	for i, r := range s.ready {
+		hits := t.prefixes.find(r.request.prefixes)
+		if len(hits) == 0 {
+			continue
+		}
+		for _, u := range s.subset {
+			if cached := hitTokens(u, hits); cached > most && u.usable(now) && u.free(r.request.bytes) > 0 && !slices.Contains(r.tried, u.name) {
+				best, most = i, cached
+			}
+		}
+	}
+	return best, most > 0
+}
--- a/entry/request/route/route_test.go
+++ b/entry/request/route/route_test.go
@@ -245,3 +245,50 @@
 		check.AtMost(t, "hashes", len(b.r.prefixes.young)+len(b.r.prefixes.old), 2*generation)
 	})
 }
+
+func TestReady(t *testing.T) {
+	hashes := Prefixes(make([]byte, 4*BlockBytes))
+	ready := func(b *bench, sequence uint64, prefixes []uint64) frame.ID {
+		id := frame.NewID(2, sequence)
+		b.r.Apply(b.now, NewReady(id, NewRequest(model, 1024, 0, prefixes), nil))
+		return id
+	}
+	t.Run("the request that fits the cache goes first", func(t *testing.T) {
+		b := newBench(t, 1)
+		b.r.Apply(b.now, NewCacheEvent("u0", 1, hashes[3], true))
+		ready(b, 1, nil)
+		fits := ready(b, 2, hashes)
+		id, _, _ := b.r.Next(b.now, model)
+		check.Equal(t, "first", id, fits)
+	})
+	t.Run("a request is not passed over for long", func(t *testing.T) {
+		b := newBench(t, 1)
+		b.r.Apply(b.now, NewCacheEvent("u0", 1, hashes[3], true))
+		old := ready(b, 1, nil)
+		b.now += maxReady
+		b.beat(0, 0, 10, 0)
+		ready(b, 2, hashes)
+		id, _, _ := b.r.Next(b.now, model)
+		check.Equal(t, "first", id, old)
+	})
+	t.Run("nothing is sent without room", func(t *testing.T) {
+		b := newBench(t, 1)
+		b.beat(0, 10, 10, 0)
+		ready(b, 1, nil)
+		_, _, ok := b.r.Next(b.now, model)
+		check.Equal(t, "sent", ok, false)
+	})
+	t.Run("a withdrawn request is not sent", func(t *testing.T) {
+		b := newBench(t, 1)
+		b.r.Apply(b.now, NewWithdrawn(ready(b, 1, nil)))
+		_, _, ok := b.r.Next(b.now, model)
+		check.Equal(t, "sent", ok, false)
+	})
+	t.Run("a sent request counts", func(t *testing.T) {
+		b := newBench(t, 1)
+		ready(b, 1, nil)
+		_, choice, _ := b.r.Next(b.now, model)
+		check.Equal(t, "upstream", choice.Upstream(), "u0")
+		check.Equal(t, "room", b.r.Room(b.now, model), 9)
+	})
+}
--- a/entry/request/route/table.go
+++ b/entry/request/route/table.go
@@ -51,6 +51,7 @@
 // service is the subset of upstreams that this entry uses for one service.
 type service struct {
 	subset []*upstream
+	ready  []ready
 	pace   pace
 }
 
@@ -95,6 +96,10 @@
 		if u := t.upstreams[e.upstream]; u != nil {
 			u.lost()
 		}
+	case Ready:
+		t.ready(now, e)
+	case Withdrawn:
+		t.withdraw(e.id)
 	case Sent:
 		t.sent(now, e)
 	case FirstToken:
@@ -125,7 +130,7 @@
 	}
 	for name := range t.services {
 		if byService[name] == nil {
-			delete(t.services, name)
+			t.services[name].subset = nil
 		}
 	}
 	for name, members := range byService {
--- /dev/null
+++ b/measure/engine/cache.go
@@ -0,0 +1,63 @@
+package engine
+
+import (
+	"container/list"
+)
+
+// BlockTokens is the number of prompt tokens of one cache block.
+const BlockTokens = 64
+
+// cache is a prompt-prefix cache with least-recently-used eviction.
+type cache struct {
+	blocks  map[uint64]*list.Element
+	recency *list.List
+	changed func(hash uint64, stored bool)
+}
+
+func newCache(changed func(hash uint64, stored bool)) *cache {
+	c := &cache{changed: changed}
+	c.clear()
+	return c
+}
+
+// clear empties the cache without events, as a failure does.
+func (c *cache) clear() {
+	c.blocks = make(map[uint64]*list.Element)
+	c.recency = list.New()
+}
+
+// use looks up the blocks of a prompt, stores them and returns how many prompt
+// tokens were cached.
+func (c *cache) use(hashes []uint64) int {
+	found := 0
+	for _, h := range hashes {
+		if c.blocks[h] == nil {
+			break
+		}
+		found++
+	}
+	// The last block is touched first, so that a prefix outlives what extends it.
+	for i := len(hashes) - 1; i >= 0; i-- {
+		c.touch(hashes[i])
+	}
+	return found * BlockTokens
+}
+
+func (c *cache) touch(hash uint64) {
+	if at := c.blocks[hash]; at != nil {
+		c.recency.MoveToFront(at)
+		return
+	}
+	c.blocks[hash] = c.recency.PushFront(hash)
+	c.changed(hash, true)
+}
+
+// shrink evicts until at most tokens are held.
+func (c *cache) shrink(tokens int64) {
+	for int64(len(c.blocks))*BlockTokens > max(tokens, 0) {
+		last := c.recency.Back()
+		hash := c.recency.Remove(last).(uint64)
+		delete(c.blocks, hash)
+		c.changed(hash, false)
+	}
+}
--- /dev/null
+++ b/measure/engine/simulation.go
@@ -0,0 +1,84 @@
+// Package engine models model engines in virtual time for the measurements:
+// continuous batching, a prompt-prefix cache in limited memory, cold starts,
+// memory that kills an engine that outgrows it, lagging load reports and late
+// cache events with gaps.
+package engine
+
+import (
+	"container/heap"
+
+	"goldcrestshore/core/process/clock"
+)
+
+// Simulation runs functions in order of virtual time.
+type Simulation struct {
+	now   clock.Millis
+	count uint64
+	queue schedule
+}
+
+// NewSimulation returns a simulation that starts at one hour, so that no
+// decision mistakes an instant for the zero value.
+func NewSimulation() *Simulation { return &Simulation{now: clock.Hour} }
+
+// Now returns the present instant.
+func (s *Simulation) Now() clock.Millis { return s.now }
+
+// After runs f when wait has passed. Functions due at the same instant run in
+// the order in which they were scheduled.
+func (s *Simulation) After(wait clock.Millis, f func()) {
+	s.count++
+	heap.Push(&s.queue, scheduled{s.now + max(wait, 0), s.count, f})
+}
+
+// Every runs f each interval until the simulation ends.
+func (s *Simulation) Every(interval clock.Millis, f func()) {
+	s.After(interval, func() {
+		f()
+		s.Every(interval, f)
+	})
+}
+
+// Run lets the given time pass.
+func (s *Simulation) Run(span clock.Millis) {
+	end := s.now + span
+	for len(s.queue) > 0 && s.queue[0].at <= end {
+		next := heap.Pop(&s.queue).(scheduled)
+		s.now = next.at
+		next.run()
+	}
+	s.now = end
+}
+
+type scheduled struct {
+	at    clock.Millis
+	count uint64
+	run   func()
+}
+
+type schedule []scheduled
+
+// Len returns the number of scheduled functions.
+func (s schedule) Len() int { return len(s) }
+
+// Less orders by instant, then by order of scheduling.
+func (s schedule) Less(i, j int) bool {
+	if s[i].at != s[j].at {
+		return s[i].at < s[j].at
+	}
+	return s[i].count < s[j].count
+}
+
+// Swap exchanges two entries.
+func (s schedule) Swap(i, j int) { s[i], s[j] = s[j], s[i] }
+
+// Push appends an entry.
+func (s *schedule) Push(x any) { *s = append(*s, x.(scheduled)) }
+
+// Pop removes the last entry.
+func (s *schedule) Pop() any {
+	old := *s
+	last := old[len(old)-1]
+	*s = old[:len(old)-1]
+	return last
+}
--- /dev/null
+++ b/measure/fleet/agent.go
@@ -0,0 +1,173 @@
+package fleet
+
+import (
+	"math/rand/v2"
+
+	"goldcrestshore/core/connection/frame"
+	"goldcrestshore/core/process/clock"
+	"goldcrestshore/core/request/outcome"
+	"goldcrestshore/measure/engine"
+)
+
+// Agent is the process beside one engine.
+type Agent struct {
+	fleet      *Fleet
+	name       string
+	dataCentre string
+	engine     *engine.Engine
+	gate       Gate
+	calls      map[frame.ID]*call
+	life       int // number of restarts; callbacks of an earlier life are void
+	outSince   clock.Millis
+}
+
+// call is a request at an agent.
+type call struct {
+	id     frame.ID
+	entry  *Entry
+	record *Record
+}
+
+func newAgent(f *Fleet, i int) *Agent {
+	centres := f.options.DataCentres
+	a := &Agent{
+		fleet:      f,
+		name:       upstreamName(i),
+		dataCentre: centres[i%len(centres)],
+		engine:     engine.New(f.Sim, f.options.Engine(i), rand.New(rand.NewPCG(f.options.Seed, 100+uint64(i)))),
+		calls:      make(map[frame.ID]*call),
+	}
+	a.gate = f.options.Gate(f.Sim.Now(), f.options.Limits)
+	return a
+}
+
+func (a *Agent) run() {
+	sim := a.fleet.Sim
+	a.engine.OnCacheEvent = func(e engine.CacheEvent) {
+		for _, entry := range a.fleet.entries {
+			sim.After(a.fleet.delay(a.dataCentre, entry.dataCentre), func() {
+				entry.router.CacheEvent(sim.Now(), a.name, e)
+			})
+		}
+	}
+	// Processes do not run in step: each starts its timers at its own offset.
+	sim.After(clock.Millis(a.fleet.random.Int64N(int64(pollInterval))), func() { sim.Every(pollInterval, a.poll) })
+	sim.After(clock.Millis(a.fleet.random.Int64N(int64(heartbeatInterval))), func() { sim.Every(heartbeatInterval, a.beat) })
+	sim.Every(tickInterval, func() { a.do(a.gate.Tick(sim.Now())) })
+}
+
+// Name returns the name of the upstream.
+func (a *Agent) Name() string { return a.name }
+
+// DataCentre returns the data centre of the upstream.
+func (a *Agent) DataCentre() string { return a.dataCentre }
+
+// Engine returns the upstream.
+func (a *Agent) Engine() *engine.Engine { return a.engine }
+
+// Limit returns the number of requests that the agent admits at a time.
+func (a *Agent) Limit() int { return a.gate.Load().Occupancy().Limit() }
+
+// Cold reports whether the agent takes its upstream for cold.
+func (a *Agent) Cold() bool { return a.gate.Load().Condition().Cold() }
+
+// Restart replaces the agent process. Its answers break off, while the engine
+// goes on with the work that it holds.
+func (a *Agent) Restart() {
+	a.life++
+	calls := a.calls
+	a.calls = make(map[frame.ID]*call)
+	a.gate = a.fleet.options.Gate(a.fleet.Sim.Now(), a.fleet.options.Limits)
+	for _, id := range sortedIDs(calls) {
+		c := calls[id]
+		a.reply(c, func() { c.entry.ended(c.id, false) })
+	}
+	a.beat()
+}
+
+func (a *Agent) poll() {
+	load, ok := a.engine.Load()
+	if !ok {
+		a.do(a.gate.Crash(a.fleet.Sim.Now()))
+		return
+	}
+	a.do(a.gate.Report(a.fleet.Sim.Now(), load))
+}
+
+func (a *Agent) beat() {
+	load := a.gate.Load()
+	for _, e := range a.fleet.entries {
+		a.fleet.Sim.After(a.fleet.delay(a.dataCentre, e.dataCentre), func() { e.heartbeat(a, load) })
+	}
+}
+
+// submit takes a request from an entry.
+func (a *Agent) submit(c *call) {
+	a.calls[c.id] = c
+	now := a.fleet.Sim.Now()
+	size := frame.NewSize(c.record.Request.Prompt, c.record.Request.Limit)
+	a.do(a.gate.Submit(now, c.id, a.fleet.terms(c.record, now), size))
+}
+
+// do carries out verdicts.
+func (a *Agent) do(verdicts []Verdict) {
+	for _, v := range verdicts {
+		c := a.calls[v.ID]
+		if c == nil {
+			continue
+		}
+		if v.Code != "" {
+			a.refuse(c, v.Code)
+			continue
+		}
+		a.start(c)
+	}
+	if a.gate.Urgent() {
+		a.beat()
+	}
+}
+
+func (a *Agent) refuse(c *call, code outcome.Code) {
+	delete(a.calls, c.id)
+	a.reply(c, func() { c.entry.refused(c.id, a, code) })
+}
+
+// start passes an admitted request to the engine.
+func (a *Agent) start(c *call) {
+	sim, life := a.fleet.Sim, a.life
+	if a.outSince > 0 && sim.Now() > a.outSince+DrainBound {
+		a.fleet.late++
+	}
+	r := c.record.Request
+	job := &engine.Job{Prompt: r.Prompt, Prefixes: r.Prefixes, Output: r.Output, Priority: r.Priority}
+	job.First = func() {
+		if a.life == life {
+			a.reply(c, func() { c.entry.firstToken(c.id) })
+			a.do(a.gate.FirstToken(sim.Now(), c.id))
+		}
+	}
+	job.End = func(ok bool) {
+		if a.life == life {
+			a.end(c, ok)
+		}
+	}
+	if !a.engine.Submit(job) {
+		a.do(a.gate.Crash(sim.Now()))
+		a.do(a.gate.Complete(sim.Now(), c.id, false))
+		a.refuse(c, outcome.NoUpstream)
+	}
+}
+
+func (a *Agent) end(c *call, ok bool) {
+	delete(a.calls, c.id)
+	a.reply(c, func() { c.entry.ended(c.id, ok) })
+	now := a.fleet.Sim.Now()
+	if !ok {
+		a.do(a.gate.Crash(now))
+	}
+	a.do(a.gate.Complete(now, c.id, ok))
+}
+
+func (a *Agent) reply(c *call, f func()) {
+	a.fleet.Sim.After(a.fleet.delay(a.dataCentre, c.entry.dataCentre), f)
+}
--- /dev/null
+++ b/measure/fleet/fleet.go
@@ -0,0 +1,203 @@
+// Package fleet joins modelled engines, agents and entries in virtual time. The
+// decisions of agents and entries are the product's own packages or baselines
+// that stand in for them.
+package fleet
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+
+	"goldcrestshore/agent/request/admission"
+	"goldcrestshore/core/connection/frame"
+	"goldcrestshore/core/process/clock"
+	"goldcrestshore/entry/request/customer"
+	"goldcrestshore/entry/request/route"
+	"goldcrestshore/measure/engine"
+)
+
+// Service is the name of the modelled service.
+const Service = "asistente"
+
+// Times of the modelled processes.
+const (
+	heartbeatInterval = 250 * clock.Millis(1)
+	pollInterval      = 200 * clock.Millis(1)
+	tickInterval      = 50 * clock.Millis(1)
+	sharesInterval    = 1 * clock.Second
+	nearDelay         = 1 * clock.Millis(1)
+	farDelay          = 2 * clock.Millis(1)
+	// spreadLeast and spreadMost bound the time in which an out mark reaches a
+	// process; the configuration's own goal is 3 s.
+	spreadLeast = 50 * clock.Millis(1)
+	spreadMost  = 2500 * clock.Millis(1)
+)
+
+// DrainBound is the time after which a data centre that is out may get no new
+// work.
+const DrainBound = 3 * clock.Second
+
+// Options describe a fleet. Exported fields are set before New.
+type Options struct {
+	Seed        uint64
+	Entries     int
+	DataCentres []string
+	PerCentre   int // upstreams in each data centre
+	Limits      admission.Limits
+	Deadline    clock.Millis // time that callers give each request
+	Customers   []customer.Limits
+	Engine      func(i int) engine.Options
+	Gate        func(now clock.Millis, limits admission.Limits) Gate
+	Router      func(entry, dataCentre string, table *Table) Router
+}
+
+// DefaultOptions returns two entries and three data centres of four upstreams,
+// as the users run.
+func DefaultOptions(seed uint64) Options {
+	o := engine.DefaultOptions()
+	return Options{
+		Seed:        seed,
+		Entries:     2,
+		DataCentres: []string{"bilbao", "oviedo", "pamplona"},
+		PerCentre:   4,
+		Limits:      admission.NewLimits(o.ColdCapacity, o.Batch, 1, o.BudgetTokens),
+		Deadline:    30 * clock.Second,
+		Engine:      func(int) engine.Options { return engine.DefaultOptions() },
+		Gate:        NewAdmissionGate,
+		Router:      func(_, _ string, table *Table) Router { return table },
+	}
+}
+
+// Fleet is a running model.
+type Fleet struct {
+	Sim     *engine.Simulation
+	options Options
+	random  *rand.Rand
+	agents  []*Agent
+	entries []*Entry
+	records []*Record
+	sent    int
+	resent  int
+	late    int
+}
+
+// New builds a fleet. Its processes know each other and their configuration.
+func New(options Options) *Fleet {
+	f := &Fleet{
+		Sim:     engine.NewSimulation(),
+		options: options,
+		random:  rand.New(rand.NewPCG(options.Seed, 11)),
+	}
+	var list []route.Upstream
+	for i := range options.PerCentre * len(options.DataCentres) {
+		a := newAgent(f, i)
+		f.agents = append(f.agents, a)
+		list = append(list, route.NewUpstream(a.name, Service, a.dataCentre))
+	}
+	for i := range options.Entries {
+		f.entries = append(f.entries, newEntry(f, i, list))
+	}
+	for _, a := range f.agents {
+		a.run()
+	}
+	for _, e := range f.entries {
+		e.run()
+	}
+	f.Sim.Every(sharesInterval, f.exchangeShares)
+	return f
+}
+
+// Agents returns the agents in order of their upstreams' names.
+func (f *Fleet) Agents() []*Agent { return f.agents }
+
+func (f *Fleet) agent(name string) *Agent {
+	return f.agents[slices.IndexFunc(f.agents, func(a *Agent) bool { return a.name == name })]
+}
+
+// Entries returns the entries.
+func (f *Fleet) Entries() []*Entry { return f.entries }
+
+// Records returns what happened to each request, in order of arrival.
+func (f *Fleet) Records() []*Record { return f.records }
+
+// LateNewWork returns how many requests an upstream started after its data
+// centre had been out for DrainBound.
+func (f *Fleet) LateNewWork() int { return f.late }
+
+// RetryShare returns the requests sent again over those sent first.
+func (f *Fleet) RetryShare() float64 { return float64(f.resent) / float64(max(f.sent, 1)) }
+
+// delay returns the time of a message between two data centres.
+func (f *Fleet) delay(a, b string) clock.Millis {
+	if a == b {
+		return nearDelay
+	}
+	return farDelay
+}
+
+// spread runs fn for each process after the time its out mark takes.
+func (f *Fleet) spread(fn func()) {
+	f.Sim.After(spreadLeast+clock.Millis(f.random.Int64N(int64(spreadMost-spreadLeast))), fn)
+}
+
+// SetOut takes a data centre out of service or back in.
+func (f *Fleet) SetOut(dataCentre string, out bool) {
+	now := f.Sim.Now()
+	for _, a := range f.agents {
+		if a.dataCentre != dataCentre {
+			continue
+		}
+		a.outSince = 0
+		if out {
+			a.outSince = now
+		}
+		f.spread(func() { a.do(a.gate.Out(f.Sim.Now(), out)) })
+	}
+	for _, e := range f.entries {
+		f.spread(func() {
+			e.router.Out(f.Sim.Now(), dataCentre, out)
+			e.table.Out(f.Sim.Now(), dataCentre, out)
+			e.pump()
+		})
+	}
+}
+
+func (f *Fleet) exchangeShares() {
+	for _, e := range f.entries {
+		shares := e.queue.Shares(f.Sim.Now())
+		for _, other := range f.entries {
+			if other != e {
+				f.Sim.After(farDelay, func() {
+					other.do(other.queue.Apply(f.Sim.Now(), customer.NewShares(e.name, shares)))
+				})
+			}
+		}
+	}
+}
+
+// Offer sends one request to an entry drawn at random.
+func (f *Fleet) Offer(r engine.Request) *Record {
+	e := f.entries[f.random.IntN(len(f.entries))]
+	return e.arrive(r)
+}
+
+// Load offers requests of w at a rate for a span from now.
+func (f *Fleet) Load(w *engine.Workload, span clock.Millis, perSecond float64) {
+	end := f.Sim.Now() + span
+	var next func()
+	next = func() {
+		if f.Sim.Now() >= end {
+			return
+		}
+		f.Offer(w.Next())
+		f.Sim.After(w.Wait(perSecond), next)
+	}
+	f.Sim.After(w.Wait(perSecond), next)
+}
+
+// terms returns what an agent learns of a request.
+func (f *Fleet) terms(r *Record, now clock.Millis) frame.Terms {
+	return frame.NewTerms(int64(r.Deadline-now), r.Request.Priority, true, true, "")
+}
+
+func upstreamName(i int) string { return fmt.Sprintf("upstream-%02d", i) }
--- /dev/null
+++ b/measure/fleet/gate.go
@@ -0,0 +1,93 @@
+package fleet
+
+import (
+	"goldcrestshore/agent/request/admission"
+	"goldcrestshore/core/connection/frame"
+	"goldcrestshore/core/process/clock"
+	"goldcrestshore/core/request/outcome"
+	"goldcrestshore/measure/engine"
+)
+
+// Verdict is what a gate decided on a request; an empty code admits it.
+type Verdict struct {
+	ID   frame.ID
+	Code outcome.Code
+}
+
+// Gate decides at an agent which work enters the engine.
+type Gate interface {
+	Submit(now clock.Millis, id frame.ID, terms frame.Terms, size frame.Size) []Verdict
+	FirstToken(now clock.Millis, id frame.ID) []Verdict
+	Complete(now clock.Millis, id frame.ID, ok bool) []Verdict
+	Report(now clock.Millis, load engine.Load) []Verdict
+	Crash(now clock.Millis) []Verdict
+	Out(now clock.Millis, out bool) []Verdict
+	Tick(now clock.Millis) []Verdict
+	Load() frame.Load
+	// Urgent reports whether entries must learn of a change at once, and
+	// forgets it.
+	Urgent() bool
+}
+
+// admissionGate is the product's own admission.
+type admissionGate struct {
+	admission *admission.Admission
+	urgent    bool
+}
+
+// NewAdmissionGate returns the product's admission, configured and waiting for
+// a report of its engine.
+func NewAdmissionGate(now clock.Millis, limits admission.Limits) Gate {
+	g := &admissionGate{admission: admission.New(Service, now)}
+	g.apply(now, admission.NewConfigConfirmed(limits))
+	return g
+}
+
+func (g *admissionGate) apply(now clock.Millis, e admission.Event) []Verdict {
+	var verdicts []Verdict
+	for _, action := range g.admission.Apply(now, e) {
+		switch action := action.(type) {
+		case admission.Admit:
+			verdicts = append(verdicts, Verdict{ID: action.ID()})
+		case admission.Refuse:
+			verdicts = append(verdicts, Verdict{action.ID(), action.Refusal().Code()})
+		case admission.Report:
+			g.urgent = true
+		}
+	}
+	return verdicts
+}
+
+func (g *admissionGate) Submit(now clock.Millis, id frame.ID, terms frame.Terms, size frame.Size) []Verdict {
+	return g.apply(now, admission.NewSubmit(id, terms, size))
+}
+
+func (g *admissionGate) FirstToken(now clock.Millis, id frame.ID) []Verdict {
+	return g.apply(now, admission.NewFirstToken(id))
+}
+
+func (g *admissionGate) Complete(now clock.Millis, id frame.ID, ok bool) []Verdict {
+	return g.apply(now, admission.NewComplete(id, ok))
+}
+
+func (g *admissionGate) Report(now clock.Millis, l engine.Load) []Verdict {
+	return g.apply(now, admission.NewEngineReport(l.Held, l.HeldTokens, l.Cold, l.Incarnation))
+}
+
+func (g *admissionGate) Crash(now clock.Millis) []Verdict {
+	return g.apply(now, admission.UpstreamCrash{})
+}
+
+func (g *admissionGate) Out(now clock.Millis, out bool) []Verdict {
+	return g.apply(now, admission.NewOut(out))
+}
+
+func (g *admissionGate) Tick(now clock.Millis) []Verdict { return g.apply(now, admission.Tick{}) }
+
+func (g *admissionGate) Load() frame.Load { return g.admission.Load() }
+
+func (g *admissionGate) Urgent() bool {
+	urgent := g.urgent
+	g.urgent = false
+	return urgent
+}
--- /dev/null
+++ b/measure/fleet/record.go
@@ -0,0 +1,93 @@
+package fleet
+
+import (
+	"slices"
+
+	"goldcrestshore/core/process/clock"
+	"goldcrestshore/core/request/outcome"
+	"goldcrestshore/measure/engine"
+)
+
+// Result tells how a request ended.
+type Result int
+
+// Results.
+const (
+	Open     Result = iota // no outcome yet
+	Answered               // the whole answer was delivered
+	Refused                // refused as not run
+	Broken                 // the answer broke off
+)
+
+// Record is the history of one request.
+type Record struct {
+	Request  engine.Request
+	Arrived  clock.Millis
+	Deadline clock.Millis
+	First    clock.Millis // instant of the first token, 0 for none
+	Ended    clock.Millis
+	Result   Result
+	Code     outcome.Code
+	Attempts int
+}
+
+// InTime reports whether the request was answered before its deadline.
+func (r *Record) InTime() bool { return r.Result == Answered && r.Ended <= r.Deadline }
+
+// FirstToken returns the time to the first token.
+func (r *Record) FirstToken() clock.Millis { return r.First - r.Arrived }
+
+// Summary counts the results of a set of requests.
+type Summary struct {
+	Requests int
+	Answered int
+	InTime   int
+	Refused  int
+	Broken   int
+	Lost     int
+	P50      clock.Millis
+	P95      clock.Millis
+	P99      clock.Millis
+}
+
+// Summarize counts the records that keep holds for; nil holds for all. First
+// token times are those of answered requests; a refused one counts as not
+// answered within any time.
+func Summarize(records []*Record, keep func(*Record) bool) Summary {
+	var s Summary
+	var times []clock.Millis
+	for _, r := range records {
+		if keep != nil && !keep(r) {
+			continue
+		}
+		s.Requests++
+		switch r.Result {
+		case Answered:
+			s.Answered++
+			times = append(times, r.FirstToken())
+		case Refused:
+			s.Refused++
+		case Broken:
+			s.Broken++
+		default:
+			s.Lost++
+		}
+		if r.InTime() {
+			s.InTime++
+		}
+	}
+	slices.Sort(times)
+	s.P50 = percentile(times, 50)
+	s.P95 = percentile(times, 95)
+	s.P99 = percentile(times, 99)
+	return s
+}
+
+// percentile returns the p-th percentile of sorted times by the nearest rank.
+func percentile(times []clock.Millis, p int) clock.Millis {
+	if len(times) == 0 {
+		return 0
+	}
+	rank := (len(times)*p + 99) / 100
+	return times[max(rank, 1)-1]
+}
--- /dev/null
+++ b/measure/fleet/router.go
@@ -0,0 +1,108 @@
+package fleet
+
+import (
+	"math/rand/v2"
+
+	"goldcrestshore/core/connection/frame"
+	"goldcrestshore/core/process/clock"
+	"goldcrestshore/entry/request/route"
+	"goldcrestshore/measure/engine"
+)
+
+// Router chooses upstreams at an entry.
+type Router interface {
+	Choose(now clock.Millis, r route.Request, tried []string) (string, error)
+	Sent(now clock.Millis, id frame.ID, upstream string, r route.Request)
+	FirstToken(now clock.Millis, id frame.ID)
+	Refused(now clock.Millis, id frame.ID)
+	Done(now clock.Millis, id frame.ID, ok bool)
+	Heartbeat(now clock.Millis, upstream string, load frame.Load)
+	Out(now clock.Millis, dataCentre string, out bool)
+	CacheEvent(now clock.Millis, upstream string, e engine.CacheEvent)
+}
+
+// Table is the product's own choice of upstream.
+type Table struct {
+	table  *route.Table
+	choice route.Choice
+	out    []string
+}
+
+// NewTable returns the product's table for an entry over the live list.
+func NewTable(now clock.Millis, entry, dataCentre string, list []route.Upstream, random *rand.Rand) *Table {
+	t := &Table{table: route.New(entry, dataCentre, random)}
+	t.table.Apply(now, route.NewList(list))
+	return t
+}
+
+// Room returns how many requests the upstreams can take.
+func (t *Table) Room(now clock.Millis) int { return t.table.Room(now, Service) }
+
+// Usable returns how many upstreams can be chosen.
+func (t *Table) Usable(now clock.Millis) int { return t.table.Usable(now, Service) }
+
+// ReadyCount returns how many requests wait for an upstream with room.
+func (t *Table) ReadyCount() int { return t.table.ReadyCount(Service) }
+
+// Ready adds a request that has its turn.
+func (t *Table) Ready(now clock.Millis, id frame.ID, r route.Request, tried []string) {
+	t.table.Apply(now, route.NewReady(id, r, tried))
+}
+
+// Withdraw takes a ready request back.
+func (t *Table) Withdraw(now clock.Millis, id frame.ID) { t.table.Apply(now, route.NewWithdrawn(id)) }
+
+// Next returns a request to send and its upstream.
+func (t *Table) Next(now clock.Millis) (frame.ID, string, bool) {
+	id, choice, ok := t.table.Next(now, Service)
+	return id, choice.Upstream(), ok
+}
+
+// Choose returns the upstream for a request.
+func (t *Table) Choose(now clock.Millis, r route.Request, tried []string) (string, error) {
+	choice, err := t.table.Choose(now, r, tried)
+	t.choice = choice
+	return choice.Upstream(), err
+}
+
+// Sent notes a request sent to the upstream that Choose returned last, or to
+// the one that a baseline chose.
+func (t *Table) Sent(now clock.Millis, id frame.ID, upstream string, r route.Request) {
+	choice := t.choice
+	if choice.Upstream() != upstream {
+		choice = route.Named(upstream)
+	}
+	t.table.Apply(now, route.NewSent(id, choice, r))
+}
+
+// FirstToken notes a first answer byte.
+func (t *Table) FirstToken(now clock.Millis, id frame.ID) {
+	t.table.Apply(now, route.NewFirstToken(id))
+}
+
+// Refused notes a refusal.
+func (t *Table) Refused(now clock.Millis, id frame.ID) { t.table.Apply(now, route.NewRefused(id)) }
+
+// Done notes the end of a request.
+func (t *Table) Done(now clock.Millis, id frame.ID, ok bool) {
+	t.table.Apply(now, route.NewDone(id, ok))
+}
+
+// Heartbeat notes a load report.
+func (t *Table) Heartbeat(now clock.Millis, upstream string, load frame.Load) {
+	t.table.Apply(now, route.NewHeartbeat(upstream, load))
+}
+
+// Out notes a changed out mark.
+func (t *Table) Out(now clock.Millis, dataCentre string, out bool) {
+	t.out = nil
+	if out {
+		t.out = []string{dataCentre}
+	}
+	t.table.Apply(now, route.NewOutMarks(t.out, nil))
+}
+
+// CacheEvent notes a changed prefix cache.
+func (t *Table) CacheEvent(now clock.Millis, upstream string, e engine.CacheEvent) {
+	t.table.Apply(now, route.NewCacheEvent(upstream, e.Sequence, e.Hash, e.Stored))
+}
