Measure the memory of slow readers with real processes

Cause: both organisations watch the memory held for slow readers; the goal is at most 64 KB in entry and agent together, and no harm to normal callers. Change: make measure-readers runs platform, four engines with agents and one entry, first with normal callers alone, then beside 1,000 readers of 1 KB/s and 50 that stop, and judges the resident peaks and the callers' times.

--- a/Makefile
+++ b/Makefile
@@ -31,3 +31,7 @@
 # Virtual-time measurements over the decision packages; each ends with a line "result …".
 measure-%: build
 	@bin/goldcrest-measure $* -seed $(SEED)
+
+# Measurements on real processes.
+measure-readers: build
+	@SEED=$(SEED) scripts/readers.sh
--- /dev/null
+++ b/scripts/readers.sh
@@ -0,0 +1,119 @@
+#!/usr/bin/env bash
+# Measures the memory that slow readers take in entry and agents, and what they
+# do to normal callers, with real processes on loopback (docs/design.md section 8).
+#
+# Two runs with the same seed: normal callers alone, then beside 1,000 readers of
+# 1 KB/s and 50 readers that stop. Bytes per slow reader are the growth of the
+# resident peaks of the entry and of all agents together, divided by the slow
+# and stopped readers. The engines' time does not depend on their batch here, so
+# that the comparison of the normal callers shows the balancer alone.
+set -eu
+cd "$(dirname "$0")/.."
+
+SEED=${SEED:-1}
+SLOW=${SLOW:-1000}
+STOPPED=${STOPPED:-50}
+ENGINES=${ENGINES:-4}
+# 1,640 events of 160 bytes are 256 KB.
+SLOW_TOKENS=1640
+NORMAL_SECONDS=${NORMAL_SECONDS:-20}
+NORMAL_RATE=${NORMAL_RATE:-20}
+DC=gt-central-a
+MAX_BYTES_PER_READER=65536
+MAX_P95_PERCENT=120
+
+BASE_PORT=${BASE_PORT:-23000}
+RUN_DIR=${RUN_DIR:-run/readers}
+. scripts/fleet.sh
+
+# fleet_up: platform, engines with agents and one entry, ready for requests.
+fleet_up() {
+	fleet_init
+	NEXT_PORT=$((BASE_PORT + 1))
+	ENTRIES=
+	start_platform
+	until curl -sf -o /dev/null -X PUT --data-binary @scripts/testdata/readers.jsonc \
+		"http://$PLATFORM/objects/configuration/root"; do sleep 0.1; done
+	for i in $(seq 0 $((ENGINES - 1))); do
+		start_engine $DC "$i" asistente -coldCapacity 1000 -warmCapacity 1000 -batchPercent 0 -bytesPerToken 1024
+	done
+	start_entry $DC 0
+	for _ in $(seq 100); do
+		load normal -rate 5 -duration 500ms -outputTokens 2 >"$RUN_DIR/ready.out" 2>&1 &&
+			grep -q '^result.* requests=[1-9].* notRun=0 .*unreached=0' "$RUN_DIR/ready.out" && return
+		sleep 0.3
+	done
+	echo "the fleet did not get ready"
+	exit 1
+}
+
+# load CUSTOMER FLAGS: runs the load generator.
+load() {
+	local customer=$1
+	shift
+	bin/goldcrest-standin load -entries "$ENTRIES" -services asistente=model -mix streamed=1 \
+		-keys "$customer=key-of-$customer" -seed "$SEED" "$@"
+}
+
+# peak NAME: resident peak of a process in bytes.
+peak() { awk '/^VmHWM/ {print $2 * 1024}' "/proc/${PID[$1]}/status"; }
+
+# peaks: sets ENTRY_PEAK and AGENTS_PEAK, the sum over all agents.
+peaks() {
+	ENTRY_PEAK=$(peak "entry-$DC-0")
+	AGENTS_PEAK=0
+	for i in $(seq 0 $((ENGINES - 1))); do
+		AGENTS_PEAK=$((AGENTS_PEAK + $(peak "agent-asistente-$DC-$i")))
+	done
+}
+
+# field NAME FILE: a value of the result line.
+field() { grep '^result load' "$2" | sed "s/.* $1=\([^ ]*\).*/\1/"; }
+
+normal() {
+	load normal -rate "$NORMAL_RATE" -duration "${NORMAL_SECONDS}s" -outputTokens 64-128 -window 10s | tee "$1"
+	return "${PIPESTATUS[0]}"
+}
+
+fleet_down() {
+	local names=("entry-$DC-0")
+	for i in $(seq 0 $((ENGINES - 1))); do names+=("agent-asistente-$DC-$i"); done
+	stop "${names[@]}"
+	fleet_kill
+	PID=()
+}
+
+failed=0
+mkdir -p /tmp/goldcrest-readers
+OUT=$(mktemp -d /tmp/goldcrest-readers/XXXXXX)
+
+fleet_up
+normal "$OUT/alone" || failed=1
+peaks
+BASE_ENTRY=$ENTRY_PEAK
+BASE_AGENTS=$AGENTS_PEAK
+fleet_down || failed=1
+
+fleet_up
+load slow -rate 0 -duration $((NORMAL_SECONDS + 25))s -deadlineMs 600000 -slowTokens $SLOW_TOKENS -slowStart 8s \
+	-slowReaders "$SLOW" -stoppedReaders "$STOPPED" -window 60s >"$OUT/slow" &
+SLOW_PID=$!
+sleep 15
+normal "$OUT/beside" || failed=1
+wait $SLOW_PID || failed=1
+peaks
+cat "$OUT/slow"
+fleet_down || failed=1
+
+PER_READER=$(((ENTRY_PEAK - BASE_ENTRY + AGENTS_PEAK - BASE_AGENTS) / (SLOW + STOPPED)))
+WRONG=$(($(field wrong "$OUT/alone") + $(field wrong "$OUT/beside") + $(field wrong "$OUT/slow")))
+CUT=$(($(field cut "$OUT/alone") + $(field cut "$OUT/beside") + $(field cut "$OUT/slow")))
+REFUSED=$(grep '^slow readers' "$OUT/slow" | sed 's/.* refused=\([0-9]*\).*/\1/')
+P95_ALONE=$(field firstTokenP95Ms "$OUT/alone")
+P95_BESIDE=$(field firstTokenP95Ms "$OUT/beside")
+RATIO=$(awk "BEGIN {print $P95_BESIDE / $P95_ALONE}")
+[ "$PER_READER" -le $MAX_BYTES_PER_READER ] || failed=1
+awk "BEGIN {exit !($RATIO * 100 <= $MAX_P95_PERCENT)}" || failed=1
+[ $((WRONG + CUT + REFUSED)) -eq 0 ] || failed=1
+echo "result readers seed=$SEED slow=$SLOW stopped=$STOPPED bytesPerSlowReader=$PER_READER entryPeakBytes=$ENTRY_PEAK agentsPeakBytes=$AGENTS_PEAK entryPeakAloneBytes=$BASE_ENTRY agentsPeakAloneBytes=$BASE_AGENTS p95AloneMs=$P95_ALONE p95Ms=$P95_BESIDE p95Ratio=$RATIO refused=$REFUSED cut=$CUT wrong=$WRONG"
+exit $failed
