--- a/agent/process/server/server.go
+++ b/agent/process/server/server.go
@@ -71,7 +71,7 @@
 	group.Go(func() error { return s.serveEntries(running, listener) })
 	group.Go(func() error { return s.serveAdmin(running) })
 	group.Go(func() error {
-		s.register(running)
+		s.register(stopping)
 		<-stopping.Done()
 		s.drain(running)
 		cancel()
@@ -91,14 +91,8 @@
 	s.clock = clock.System()
 	s.platform = platform.New(s.Settings.Platform())
 	s.views = &relay.Client{
-		Platform: s.platform,
-		Log:      s.Log,
-		Clock:    s.clock,
-		Self:     s.self,
-		Address:  s.Settings.Listen(),
-		Key:      s.Settings.Key(),
-		Contacts: s.Settings.Contacts(),
-		Load:     func() frame.Load { return s.heartbeat().Load() },
+		Platform: s.platform, Log: s.Log, Clock: s.clock, Self: s.self, Address: s.Settings.Listen(),
+		Key: s.Settings.Key(), Contacts: s.Settings.Contacts(), Load: func() frame.Load { return s.heartbeat().Load() },
 	}
 	s.gate = &gate{limit: s.limit, refusal: s.outOfService, held: map[frame.ID]bool{}}
 	s.entries = &entry.Server{
@@ -153,7 +147,7 @@
 	return listener.Run(ctx, l)
 }
 
-// serve tells entries from subscribers of configuration versions.
+// serve runs a connection by the role of its peer.
 func (s *Server) serve(ctx context.Context, c *peer.Conn) {
 	if c.Peer().Role() == relay.RoleSubscriber {
 		s.views.Serve(ctx, c)
--- a/ctl/process/operator/apply.go
+++ b/ctl/process/operator/apply.go
@@ -17,48 +17,28 @@
 const readBackWait = 200 * clock.Millis(1)
 
 func (t *tool) applyCommand() *ffcli.Command {
-	fs := t.online("goldcrestctl apply")
+	fs := t.shared("goldcrestctl apply")
 	base := fs.String("base", "", "version that the file was written for, 0 for none; the recorded one when empty")
 	return &ffcli.Command{
 		Name:       "apply",
 		ShortUsage: "goldcrestctl apply [flags] <file>",
 		ShortHelp:  "Put a configuration text in force.",
 		LongHelp: `The text replaces only the version that it was written for: the one recorded by
-get or by the last apply, or the one given by -base. When another version is in
+get or by the last apply, or the one given by -base. The first text of all needs
+neither. When another version is in
 force, apply shows the difference and writes nothing. When the platform's answer
 is lost, apply reads back what became of its write. Examples:
 
   goldcrestctl apply -platform 127.0.0.1:21000 services.jsonc
-  goldcrestctl apply -platform 127.0.0.1:21000 -base 0 first.jsonc`,
+  goldcrestctl apply -platform 127.0.0.1:21000 -base 42 services.jsonc`,
 		FlagSet: fs,
-		Options: environment(),
 		Exec: t.ready(1, "one file", func(ctx context.Context, args []string) error {
-			version, err := chooseBase(args[0], *base)
-			if err != nil {
-				return err
-			}
-			return t.apply(ctx, args[0], version)
+			return t.apply(ctx, args[0], *base)
 		}),
 	}
 }
 
-// chooseBase returns the version that a file may replace.
-func chooseBase(file, given string) (uint64, error) {
-	if given != "" {
-		version, err := strconv.ParseUint(given, 10, 64)
-		if err != nil {
-			return 0, errors.Wrapf(errUsage, "-base %q is no version", given)
-		}
-		return version, nil
-	}
-	version, err := readBase(file)
-	if errors.Is(err, errNoBase) {
-		return 0, errors.Wrapf(errUsage, "%v; run get first or give -base", err)
-	}
-	return version, err
-}
-
-func (t *tool) apply(ctx context.Context, file string, base uint64) error {
+func (t *tool) apply(ctx context.Context, file, givenBase string) error {
 	raw, err := readFile(file)
 	if err != nil {
 		return err
@@ -70,6 +50,10 @@
 	if err != nil {
 		return err
 	}
+	base, err := chooseBase(file, givenBase, current.version)
+	if err != nil {
+		return err
+	}
 	if current.version != base {
 		return t.conflict(current, file, raw)
 	}
@@ -78,8 +62,27 @@
 		return err
 	}
 	own, _ := split(raw)
-	w := write{file, base, id, own, current.ids.joined(own, id)}
-	return t.send(ctx, w)
+	return t.send(ctx, write{file, base, id, own, current.ids.joined(own, id)})
+}
+
+// chooseBase returns the version that a file may replace. The first text of all
+// needs no base, since it replaces nobody's.
+func chooseBase(file, given string, current uint64) (uint64, error) {
+	if given != "" {
+		version, err := strconv.ParseUint(given, 10, 64)
+		if err != nil {
+			return 0, errors.Wrapf(errUsage, "-base %q is no version", given)
+		}
+		return version, nil
+	}
+	version, err := readBase(file)
+	if !errors.Is(err, errNoBase) {
+		return version, err
+	}
+	if current == 0 {
+		return 0, nil
+	}
+	return 0, errors.Wrapf(errUsage, "%v; run get first or give -base", err)
 }
 
 // write is one attempt to replace the text.
--- a/ctl/process/operator/command.go
+++ b/ctl/process/operator/command.go
@@ -25,9 +25,12 @@
 	platform *platform.Client
 }
 
+// defaultTimeout bounds a command that the platform keeps waiting.
+const defaultTimeout = 10 * clock.Second
+
 // Run carries out one command line and returns the exit code.
 func Run(ctx context.Context, args []string, out, errs io.Writer) int {
-	t := &tool{out: out, errs: errs, clock: clock.System()}
+	t := &tool{out: out, errs: errs, clock: clock.System(), timeout: defaultTimeout}
 	err := t.root().ParseAndRun(ctx, args)
 	if err != nil && !errors.Is(err, flag.ErrHelp) {
 		fmt.Fprintln(errs, "goldcrestctl:", err)
@@ -51,7 +54,8 @@
 Exit codes: 0 done, 1 other error, 2 wrong command line, 3 faults in the text or
 unknown name, 4 another version is in force, 5 platform gave no answer, 6 write
 did not take effect, 7 write was overwritten since, 8 differences found.`,
-		FlagSet: t.flags("goldcrestctl"),
+		FlagSet: t.shared("goldcrestctl"),
+		Options: []ff.Option{ff.WithEnvVarPrefix("GOLDCREST")},
 		Subcommands: []*ffcli.Command{
 			t.checkCommand(), t.getCommand(), t.diffCommand(), t.applyCommand(),
 			t.marksCommand("datacentre"), t.marksCommand("instance"),
@@ -73,12 +77,12 @@
 	return fs
 }
 
-// online returns a flag set with the flags of a command that calls the platform.
-func (t *tool) online(name string) *flag.FlagSet {
+// shared returns the flags of the commands that call the platform. They may
+// stand before or after the command.
+func (t *tool) shared(name string) *flag.FlagSet {
 	fs := t.flags(name)
 	fs.StringVar(&t.address, "platform", "", "address of the platform's object API, ip:port")
 	fs.Func("timeout", "milliseconds to wait for the platform, in all (default 10000)", t.setTimeout)
-	t.timeout = 10 * clock.Second
 	return fs
 }
 
@@ -90,9 +94,6 @@
 	return err
 }
 
-// environment lets variables such as GOLDCREST_PLATFORM replace flags.
-func environment() []ff.Option { return []ff.Option{ff.WithEnvVarPrefix("GOLDCREST")} }
-
 // connect prepares a command with exactly n arguments that calls the platform.
 func (t *tool) connect(args []string, n int, want string) error {
 	if len(args) != n {
--- a/ctl/process/operator/diff.go
+++ b/ctl/process/operator/diff.go
@@ -23,8 +23,7 @@
 		LongHelp: `The version stands in <file>.base; apply refuses to replace any other. Example:
 
   goldcrestctl get -platform 127.0.0.1:21000 services.jsonc`,
-		FlagSet: t.online("goldcrestctl get"),
-		Options: environment(),
+		FlagSet: t.shared("goldcrestctl get"),
 		Exec:    t.ready(1, "one file", t.get),
 	}
 }
@@ -54,8 +53,7 @@
 code 8 when there are any. Example:
 
   goldcrestctl diff -platform 127.0.0.1:21000 services.jsonc`,
-		FlagSet: t.online("goldcrestctl diff"),
-		Options: environment(),
+		FlagSet: t.shared("goldcrestctl diff"),
 		Exec:    t.ready(1, "one file", t.diff),
 	}
 }
--- a/ctl/process/operator/marks.go
+++ b/ctl/process/operator/marks.go
@@ -41,8 +41,7 @@
 		ShortUsage: fmt.Sprintf("goldcrestctl %s %s [flags] <name>", what, direction),
 		ShortHelp:  fmt.Sprintf("Take a %s %s.", what, direction),
 		LongHelp:   fmt.Sprintf("Example:\n\n  goldcrestctl %s %s -platform 127.0.0.1:21000 %s", what, direction, exampleName[what]),
-		FlagSet:    t.online("goldcrestctl " + what + " " + direction),
-		Options:    environment(),
+		FlagSet:    t.shared("goldcrestctl " + what + " " + direction),
 		Exec: t.ready(1, "one name", func(ctx context.Context, args []string) error {
 			if err := t.known(ctx, what, args[0]); err != nil {
 				return err
--- a/ctl/process/operator/report.go
+++ b/ctl/process/operator/report.go
@@ -23,7 +23,7 @@
 }
 
 func (t *tool) burnCommand() *ffcli.Command {
-	fs := t.online("goldcrestctl report burn")
+	fs := t.shared("goldcrestctl report burn")
 	asJSON := fs.Bool("json", false, "print JSON")
 	return &ffcli.Command{
 		Name:       "burn",
@@ -36,7 +36,6 @@
   goldcrestctl report burn -platform 127.0.0.1:21000
   goldcrestctl report burn -platform 127.0.0.1:21000 --json`,
 		FlagSet: fs,
-		Options: environment(),
 		Exec:    t.ready(0, "none", func(ctx context.Context, _ []string) error { return t.reportBurn(ctx, *asJSON) }),
 	}
 }
--- a/ctl/process/operator/status.go
+++ b/ctl/process/operator/status.go
@@ -29,8 +29,7 @@
 		LongHelp: `The figures come from the relays' reports, which are up to 5 s old. Example:
 
   goldcrestctl status -platform 127.0.0.1:21000`,
-		FlagSet: t.online("goldcrestctl status"),
-		Options: environment(),
+		FlagSet: t.shared("goldcrestctl status"),
 		Exec: t.ready(0, "none", func(ctx context.Context, _ []string) error {
 			o, err := t.observe(ctx)
 			if err != nil {
--- a/entry/process/server/server.go
+++ b/entry/process/server/server.go
@@ -1,3 +1,5 @@
+// Package server wires the entry: callers, connections to agents, routing and
+// the configuration.
 package server
 
 import (
@@ -6,6 +8,7 @@
 	"net/http"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
@@ -17,9 +20,14 @@
 	"goldcrestshore/core/process/metric"
 	"goldcrestshore/core/process/settings"
 	"goldcrestshore/core/version/relay"
+	"goldcrestshore/entry/connection/agent"
 	"goldcrestshore/entry/request/caller"
+	"goldcrestshore/entry/request/dispatch"
 )
 
+// deregisterTimeout bounds the last platform call of a stopping entry.
+const deregisterTimeout = 2 * time.Second
+
 // Server is the entry process. Exported fields are set before Run.
 type Server struct {
 	Settings *settings.Common
@@ -31,11 +39,11 @@
 	Log            *event.Log
 	Metrics        *metric.Registry
 
+	self     peer.Identity
 	clock    *clock.Clock
 	platform *platform.Client
-	self     peer.Identity
 	views    *relay.Client
-	pool     *pool
+	pool     *agent.Pool
 	callers  *caller.Server
 }
 
@@ -52,9 +60,9 @@
 	s.build()
 	group, running := errgroup.WithContext(running)
 	group.Go(func() error { return s.views.Run(running) })
+	group.Go(func() error { s.pool.Run(running); return nil })
 	group.Go(func() error { return s.servePeers(running, listener) })
-	group.Go(func() error { s.register(running, stopping); return nil })
-	group.Go(func() error { s.pool.run(running); return nil })
+	group.Go(func() error { s.register(stopping); return nil })
 	group.Go(func() error {
 		return metric.Serve(running, s.Settings.Admin(), map[string]http.Handler{"/metrics": s.Metrics.Handler()})
 	})
@@ -62,6 +70,7 @@
 		<-stopping.Done()
 		s.Log.Emit(event.ProcessStopping, event.Fields{"held": s.callers.Open()})
 		s.callers.Stop()
+		s.deregister(running)
 		return nil
 	})
 	group.Go(func() error {
@@ -78,43 +87,42 @@
 	return err
 }
 
+func (s *Server) servePeers(ctx context.Context, l net.Listener) error {
+	listener := &peer.Listener{Self: s.self, Key: s.Settings.Key(), Log: s.Log, Serve: s.views.Serve}
+	return listener.Run(ctx, l)
+}
+
+// register announces the entry to the platform and tries again until it works.
+func (s *Server) register(ctx context.Context) {
+	i := platform.NewInstance(s.Settings.Instance(), platform.RoleEntry, s.Settings.DataCentre(), s.Settings.Listen())
+	platform.Announce(ctx, s.platform, i, func(err error) { s.Log.Error(event.PlatformFailed, err, nil) })
+}
+
+// deregister takes the entry off the list, so that its duties move.
+func (s *Server) deregister(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, deregisterTimeout)
+	defer cancel()
+	if err := s.platform.Deregister(ctx, s.Settings.Instance()); err != nil {
+		s.Log.Error(event.PlatformFailed, err, nil)
+	}
+}
+
 func (s *Server) build() {
 	s.self = peer.NewIdentity(platform.RoleEntry, s.Settings.Instance(), s.Settings.DataCentre())
 	s.clock = clock.System()
 	s.platform = platform.New(s.Settings.Platform())
 	s.views = &relay.Client{
-		Platform: s.platform,
-		Log:      s.Log,
-		Clock:    s.clock,
-		Self:     s.self,
-		Address:  s.Settings.Listen(),
-		Key:      s.Settings.Key(),
-		Contacts: s.Settings.Contacts(),
+		Platform: s.platform, Log: s.Log, Clock: s.clock, Self: s.self, Address: s.Settings.Listen(),
+		Key: s.Settings.Key(), Contacts: s.Settings.Contacts(),
 	}
-	s.pool = &pool{self: s.self, key: s.Settings.Key(), clock: s.clock, log: s.Log, view: s.views.Current, links: map[string]*link{}}
+	s.pool = &agent.Pool{Self: s.self, Key: s.Settings.Key(), Log: s.Log, Clock: s.clock, View: s.views.Current}
 	s.callers = &caller.Server{
 		Clock:          s.clock,
 		Log:            s.Log,
 		View:           s.views.Current,
-		Dispatcher:     &dispatcher{pool: s.pool, clock: s.clock, log: s.Log, incarnation: s.self.Incarnation()},
+		Dispatcher:     &dispatch.Dispatcher{Pool: s.pool, Clock: s.clock, Log: s.Log, Incarnation: s.self.Incarnation()},
 		Listen:         s.Callers,
 		MaxConnections: s.MaxConnections,
 		MaxRequests:    s.MaxRequests,
 	}
 }
-
-// servePeers passes configuration versions on to the processes that subscribe.
-func (s *Server) servePeers(ctx context.Context, l net.Listener) error {
-	listener := &peer.Listener{Self: s.self, Key: s.Settings.Key(), Log: s.Log, Serve: s.views.Serve}
-	return listener.Run(ctx, l)
-}
-
-// register enters the instance in the platform's list until stopping is done.
-func (s *Server) register(running, stopping context.Context) {
-	i := platform.NewInstance(s.Settings.Instance(), platform.RoleEntry, s.Settings.DataCentre(), s.Settings.Listen())
-	platform.Announce(stopping, s.platform, i, func(err error) { s.Log.Error(event.PlatformFailed, err, nil) })
-	<-stopping.Done()
-	if err := s.platform.Deregister(running, s.Settings.Instance()); err != nil {
-		s.Log.Error(event.PlatformFailed, err, nil)
-	}
-}
