--- a/agent/process/server/server.go
+++ b/agent/process/server/server.go
@@ -71,7 +71,7 @@
 	group.Go(func() error { return s.serveEntries(running, listener) })
 	group.Go(func() error { return s.serveAdmin(running) })
 	group.Go(func() error {
-		s.register(running)
+		s.register(stopping)
 		<-stopping.Done()
 		s.drain(running)
 		cancel()
--- a/entry/process/server/server.go
+++ b/entry/process/server/server.go
@@ -62,7 +62,7 @@
 	group.Go(func() error { return s.views.Run(running) })
 	group.Go(func() error { s.pool.Run(running); return nil })
 	group.Go(func() error { return s.servePeers(running, listener) })
-	group.Go(func() error { s.register(running); return nil })
+	group.Go(func() error { s.register(stopping); return nil })
 	group.Go(func() error {
 		return metric.Serve(running, s.Settings.Admin(), map[string]http.Handler{"/metrics": s.Metrics.Handler()})
 	})
