Count kept and missed objectives at the entry

Cause: the burn report had no counts to read.

Change: the entry counts each request whose caller stayed as answered or not, and its first token and gaps against the service's objective; refusals that are the caller's doing count for nothing. entry/process/burn writes the counts to the platform every 15 s, adds the counts from before a restart, and removes reports that no window reaches any more.

Figures: six outcomes of a request and a lost answer, an outage and a restart of the recorder checked in virtual time.

Conclusion: goldcrestctl report burn reads real counts.

--- /dev/null
+++ b/entry/process/burn/recorder_test.go
@@ -0,0 +1,73 @@
+package burn
+
+import (
+	"context"
+	"io"
+	"testing"
+
+	"goldcrestshore/core/connection/platform"
+	"goldcrestshore/core/connection/platform/fake"
+	"goldcrestshore/core/process/burn"
+	"goldcrestshore/core/process/check"
+	"goldcrestshore/core/process/clock"
+	"goldcrestshore/core/process/event"
+)
+
+const start = 1000 * clock.Hour
+
+func newRecorder(t *testing.T, p *platform.Client, c *clock.Clock, instance string) *Recorder {
+	t.Helper()
+	log, err := event.NewLog(io.Discard, "error", "entry", instance)
+	check.NoError(t, "log", err)
+	return &Recorder{Platform: p, Clock: c, Log: log, Instance: instance, Interval: DefaultInterval}
+}
+
+func assertBad(t *testing.T, f *fake.Platform, instance string, now clock.Millis, want uint64) {
+	t.Helper()
+	report, err := burn.Parse([]byte(f.Value(platform.KindBurn, instance)))
+	check.NoError(t, "parse", err)
+	check.Equal(t, "bad", burn.Sum(now, []burn.Report{report})[0].Total(burn.Hour).Bad(), want)
+}
+
+// Guards against counts that an outage or a restart loses or doubles.
+func TestCountsSurvive(t *testing.T) {
+	f, p := fake.New(t)
+	c, ctx := clock.NewManual(start), context.Background()
+	first := newRecorder(t, p, c, "e")
+	first.Count("s", burn.Answered, false)
+	f.SetDown(true)
+	check.Is(t, "write while down", first.write(ctx), platform.ErrUnavailable)
+	f.SetDown(false)
+	check.NoError(t, "write", first.write(ctx))
+	assertBad(t, f, "e", start, 1)
+	first.Count("s", burn.Answered, false)
+	f.LoseAnswers(1)
+	check.Is(t, "lost answer", first.write(ctx), platform.ErrUnavailable)
+	check.NoError(t, "repeated write", first.write(ctx))
+	assertBad(t, f, "e", start, 2)
+	second := newRecorder(t, p, c, "e")
+	second.Count("s", burn.Answered, false)
+	stopped, cancel := context.WithCancel(ctx)
+	cancel()
+	second.Run(stopped)
+	assertBad(t, f, "e", start, 3)
+}
+
+// Guards against reports of replaced entries that fill the platform, and against
+// the removal of counts that a window still covers.
+func TestTidy(t *testing.T) {
+	f, p := fake.New(t)
+	c, ctx := clock.NewManual(start), context.Background()
+	old := newRecorder(t, p, c, "old")
+	old.Count("s", burn.Answered, false)
+	check.NoError(t, "write", old.write(ctx))
+	keeper := newRecorder(t, p, c, "keeper")
+	c.Advance(expiry - 1)
+	check.NoError(t, "tidy without election", keeper.tidy(ctx))
+	keeper.Elected = func() bool { return true }
+	check.NoError(t, "tidy early", keeper.tidy(ctx))
+	check.Equal(t, "kept", f.Value(platform.KindBurn, "old") != "", true)
+	c.Advance(1)
+	check.NoError(t, "tidy", keeper.tidy(ctx))
+	check.Equal(t, "removed", f.Value(platform.KindBurn, "old"), "")
+}
--- a/entry/process/server/server.go
+++ b/entry/process/server/server.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os/signal"
+	"slices"
 	"syscall"
 	"time"
 
@@ -16,11 +17,14 @@
 	"goldcrestshore/core/connection/peer"
 	"goldcrestshore/core/connection/platform"
 	"goldcrestshore/core/process/clock"
+	"goldcrestshore/core/process/duty"
 	"goldcrestshore/core/process/event"
 	"goldcrestshore/core/process/metric"
+	"goldcrestshore/core/process/rendezvous"
 	"goldcrestshore/core/process/settings"
 	"goldcrestshore/core/version/relay"
 	"goldcrestshore/entry/connection/agent"
+	"goldcrestshore/entry/process/burn"
 	"goldcrestshore/entry/request/caller"
 	"goldcrestshore/entry/request/dispatch"
 )
@@ -44,6 +48,7 @@
 	platform *platform.Client
 	views    *relay.Client
 	pool     *agent.Pool
+	burn     *burn.Recorder
 	callers  *caller.Server
 }
 
@@ -63,6 +68,7 @@
 	group.Go(func() error { s.pool.Run(running); return nil })
 	group.Go(func() error { return s.servePeers(running, listener) })
 	group.Go(func() error { s.register(stopping); return nil })
+	group.Go(func() error { s.burn.Run(running); return nil })
 	group.Go(func() error {
 		return metric.Serve(running, s.Settings.Admin(), map[string]http.Handler{"/metrics": s.Metrics.Handler()})
 	})
@@ -116,7 +122,12 @@
 		Key: s.Settings.Key(), Contacts: s.Settings.Contacts(),
 	}
 	s.pool = &agent.Pool{Self: s.self, Key: s.Settings.Key(), Log: s.Log, Clock: s.clock, View: s.views.Current}
+	s.burn = &burn.Recorder{
+		Platform: s.platform, Clock: s.clock, Log: s.Log, Instance: s.Settings.Instance(),
+		Interval: burn.DefaultInterval, Elected: s.elected,
+	}
 	s.callers = &caller.Server{
+		Recorder:       s.burn,
 		Clock:          s.clock,
 		Log:            s.Log,
 		View:           s.views.Current,
@@ -126,3 +137,11 @@
 		MaxRequests:    s.MaxRequests,
 	}
 }
+
+// elected tells whether the list makes this entry the one that removes the
+// counts of entries that are gone. Two of them do no harm.
+func (s *Server) elected() bool {
+	v := s.views.Current()
+	entries := duty.Eligible(v.Instances(), v.Out(), func(i platform.Instance) bool { return i.Role() == platform.RoleEntry })
+	return slices.Equal(rendezvous.Top("burn", entries, 1), []string{s.Settings.Instance()})
+}
--- a/entry/request/caller/answer.go
+++ b/entry/request/caller/answer.go
@@ -5,6 +5,7 @@
 	"strings"
 
 	"goldcrestshore/core/connection/frame"
+	"goldcrestshore/core/process/clock"
 )
 
 // holdBytes is how much of a whole answer is held until its end is verified. A
@@ -23,6 +24,11 @@
 	held    []byte
 	started bool
 	written int64
+
+	clock      *clock.Clock
+	firstAt    clock.Millis // when the caller was given the first byte
+	lastAt     clock.Millis
+	longestGap clock.Millis // between two parts of a stream
 }
 
 type heldHead struct {
@@ -32,7 +38,15 @@
 }
 
 // NewAnswer returns an answer that is written to w.
-func NewAnswer(w http.ResponseWriter) *Answer { return &Answer{w: w} }
+func NewAnswer(w http.ResponseWriter, c *clock.Clock) *Answer { return &Answer{w: w, clock: c} }
+
+// status returns the status of the attempt's head, 0 before it.
+func (a *Answer) status() int {
+	if a.head == nil {
+		return 0
+	}
+	return a.head.status
+}
 
 // Head takes the status line and header of a fresh attempt.
 func (a *Answer) Head(status int, header []frame.Field) {
@@ -75,6 +89,8 @@
 		return
 	}
 	a.started = true
+	a.firstAt = a.clock.Now()
+	a.lastAt = a.firstAt
 	for _, f := range a.head.header {
 		a.w.Header().Add(f.Name(), f.Value())
 	}
@@ -87,6 +103,8 @@
 
 func (a *Answer) pass(p []byte) error {
 	if len(p) > 0 {
+		now := a.clock.Now()
+		a.longestGap, a.lastAt = max(a.longestGap, now-a.lastAt), now
 		n, err := a.w.Write(p)
 		a.written += int64(n)
 		if err != nil {
--- /dev/null
+++ b/entry/request/caller/level_test.go
@@ -0,0 +1,95 @@
+package caller
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+
+	"goldcrestshore/core/connection/frame"
+	"goldcrestshore/core/process/burn"
+	"goldcrestshore/core/process/check"
+	"goldcrestshore/core/process/clock"
+	"goldcrestshore/core/request/outcome"
+	"goldcrestshore/core/version/relay"
+	"goldcrestshore/core/version/text"
+)
+
+// tally keeps counts in the order in which they came.
+type tally []string
+
+func (c *tally) Count(_ string, objective burn.Objective, good bool) {
+	*c = append(*c, fmt.Sprint(objective, " ", good))
+}
+
+// Guards against counts that blame the service for its callers' faults, or that
+// miss a slow, broken or refused answer.
+func TestCounts(t *testing.T) {
+	promise := `"kind": "model", "objective": {"firstTokenMs": 1000, "betweenTokensMs": 50, "percent": 95}`
+	parsed, err := text.Parse([]byte(strings.Replace(sample, `"kind": "model"`, promise, 1)))
+	check.NoError(t, "parse", err)
+	snapshot := relay.NewSnapshot(1, parsed, nil)
+	stream := []frame.Field{frame.NewField("Content-Type", eventStreamType)}
+	rows := []struct {
+		name string
+		run  func(c *clock.Clock, a *Answer) error
+		want []string
+	}{
+		{"in time", func(c *clock.Clock, a *Answer) error {
+			a.Head(200, stream)
+			c.Advance(1000)
+			_ = a.Write([]byte("a"))
+			c.Advance(50)
+			return a.Finish()
+		}, []string{"answered true", "firstToken true", "betweenTokens true"}},
+		{"late and slow", func(c *clock.Clock, a *Answer) error {
+			a.Head(200, stream)
+			c.Advance(1001)
+			_ = a.Write([]byte("a"))
+			c.Advance(51)
+			return a.Finish()
+		}, []string{"answered true", "firstToken false", "betweenTokens false"}},
+		{"error of the upstream", func(_ *clock.Clock, a *Answer) error {
+			a.Head(500, nil)
+			return a.Finish()
+		}, []string{"answered false", "firstToken true"}},
+		{"refused", func(*clock.Clock, *Answer) error {
+			return outcome.Refuse(outcome.Overloaded, outcome.NotRun, 0)
+		}, []string{"answered false"}},
+		{"customer's own limit", func(*clock.Clock, *Answer) error {
+			return outcome.Refuse(outcome.CustomerLimit, outcome.NotRun, 0)
+		}, nil},
+		{"broken", func(_ *clock.Clock, a *Answer) error {
+			a.Head(200, stream)
+			_ = a.Write([]byte("a"))
+			return outcome.Refuse(outcome.UpstreamFailed, outcome.Unknown, 0)
+		}, []string{"answered false", "firstToken true", "betweenTokens true"}},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			var got tally
+			manual := clock.NewManual(1000)
+			s := newServer(t, func(_ context.Context, _ *Request, a *Answer) error { return row.run(manual, a) })
+			s.Clock, s.Recorder = manual, &got
+			s.View = func() *relay.Snapshot { return snapshot }
+			serve(t, s)
+			check.Equal(t, "counts", slices.Equal(got, row.want), true)
+		})
+	}
+}
+
+// serve answers one request to the model service and takes an aborted answer as
+// the HTTP server does.
+func serve(t *testing.T, s *Server) {
+	t.Helper()
+	defer func() {
+		if cause := recover(); cause != nil && cause != http.ErrAbortHandler {
+			panic(cause)
+		}
+	}()
+	body := strings.NewReader(`{"model":"m","stream":true,"messages":[]}`)
+	s.ServeHTTP(httptest.NewRecorder(), request(t, "POST", "http://e"+chatPath, body))
+}
--- a/entry/request/caller/server.go
+++ b/entry/request/caller/server.go
@@ -52,6 +52,8 @@
 	// MaxRequests bounds the requests in progress, each with a body of MaxBodyBytes
 	// at most.
 	MaxRequests int64
+	// Recorder counts kept and missed objectives; nil counts nothing.
+	Recorder Recorder
 	// OnListen receives the address once connections are accepted; it may be nil.
 	OnListen func(net.Addr)
 
@@ -148,8 +150,12 @@
 func (s *Server) answer(w http.ResponseWriter, q *http.Request, r *Request) {
 	ctx, cancel := context.WithTimeout(q.Context(), (r.Deadline() - s.Clock.Now()).Duration())
 	defer cancel()
-	a := NewAnswer(w)
+	a := NewAnswer(w, s.Clock)
+	began := s.Clock.Now()
 	err := s.Dispatcher.Dispatch(ctx, r, a)
+	if q.Context().Err() == nil {
+		s.record(r, a, began, err)
+	}
 	switch {
 	case err == nil:
 		return
