--- a/core/process/settings/common.go
+++ b/core/process/settings/common.go
@@ -19,7 +19,6 @@
 	key         string
 	listen      string
 	admin       string
-	contacts    string
 	logLevel    string
 	contacts    string
 	memoryLimit int64
@@ -34,7 +33,6 @@
 	fs.StringVar(&c.key, "key", "", "key shared by all goldcrestshore processes; keep it in the settings file")
 	fs.StringVar(&c.listen, "listen", "", "address for other goldcrestshore processes, ip:port")
 	fs.StringVar(&c.admin, "admin", "", "address of the metrics and status endpoints, ip:port; empty for none")
-	fs.StringVar(&c.contacts, "contacts", "", "addresses of some other processes, divided by commas, for a start while the platform is down")
 	fs.StringVar(&c.logLevel, "logLevel", "info", "lowest severity that is logged")
 	fs.StringVar(&c.contacts, "contacts", "", "addresses of some other processes, ip:port with commas, for a start while the platform is down")
 	fs.Int64Var(&c.memoryLimit, "memoryLimitBytes", 0, "soft memory limit of the Go runtime, 0 for none")
@@ -77,14 +75,6 @@
 // Admin returns the address of the metrics and status endpoints.
 func (c *Common) Admin() string { return c.admin }
 
-// Contacts returns the addresses of some other processes.
-func (c *Common) Contacts() []string {
-	if c.contacts == "" {
-		return nil
-	}
-	return strings.Split(c.contacts, ",")
-}
-
 // LogLevel returns the lowest severity that is logged.
 func (c *Common) LogLevel() string { return c.logLevel }
 
