--- a/core/process/settings/common.go
+++ b/core/process/settings/common.go
@@ -20,6 +20,7 @@
 	listen      string
 	admin       string
 	logLevel    string
+	contacts    string
 	memoryLimit int64
 }
 
@@ -33,6 +34,7 @@
 	fs.StringVar(&c.listen, "listen", "", "address for other goldcrestshore processes, ip:port")
 	fs.StringVar(&c.admin, "admin", "", "address of the metrics and status endpoints, ip:port; empty for none")
 	fs.StringVar(&c.logLevel, "logLevel", "info", "lowest severity that is logged")
+	fs.StringVar(&c.contacts, "contacts", "", "addresses of some other processes, ip:port with commas, for a start while the platform is down")
 	fs.Int64Var(&c.memoryLimit, "memoryLimitBytes", 0, "soft memory limit of the Go runtime, 0 for none")
 	return c
 }
@@ -75,3 +77,8 @@
 
 // LogLevel returns the lowest severity that is logged.
 func (c *Common) LogLevel() string { return c.logLevel }
+
+// Contacts returns the addresses of some other processes.
+func (c *Common) Contacts() []string {
+	return strings.FieldsFunc(c.contacts, func(r rune) bool { return r == ',' || r == ' ' })
+}
