Let the owner confirm refusals of keyed requests

Change: GaveUp goes through the owner for every keyed request. Agents run one suspect at a time. Conclusion: late verdicts still let a crashing request cost a third upstream.

--- a/agent/request/suspect/suspect.go
+++ b/agent/request/suspect/suspect.go
@@ -3,6 +3,8 @@
 //
 // Entries learn of a crash by messages that may be late. The agent knows at
 // once which requests were in flight, so it refuses them for a while on its own.
+// It also runs one suspect at a time: two suspects sent by two entries could
+// otherwise be in flight at the same second crash, and one of them is innocent.
 package suspect
 
 import (
@@ -28,10 +30,19 @@
 type Event interface{ event() }
 
 // Submitted asks whether a request may enter the upstream.
-type Submitted struct{ print fingerprint.Fingerprint }
+type Submitted struct {
+	print   fingerprint.Fingerprint
+	suspect bool
+}
+
+// NewSubmitted describes a submit frame; suspect is the entry's verdict.
+func NewSubmitted(f fingerprint.Fingerprint, suspect bool) Submitted { return Submitted{f, suspect} }
 
-// NewSubmitted describes a submit frame.
-func NewSubmitted(f fingerprint.Fingerprint) Submitted { return Submitted{f} }
+// Left tells that an admitted request has left the upstream.
+type Left struct{ print fingerprint.Fingerprint }
+
+// NewLeft describes a request that ended.
+func NewLeft(f fingerprint.Fingerprint) Left { return Left{f} }
 
 // Crashed tells that the upstream died with requests in flight.
 type Crashed struct{ prints []fingerprint.Fingerprint }
@@ -40,6 +51,7 @@
 func NewCrashed(prints []fingerprint.Fingerprint) Crashed { return Crashed{prints} }
 
 func (Submitted) event() {}
+func (Left) event()      {}
 func (Crashed) event()   {}
 
 // Action is an output of Gate.Handle.
@@ -64,7 +76,11 @@
 
 // Gate holds the requests that were in flight at recent crashes. The zero value
 // has none. It is not safe for concurrent use.
-type Gate struct{ prints []aboard }
+type Gate struct {
+	prints  []aboard
+	suspect fingerprint.Fingerprint // the suspect in flight, if running > 0
+	running int
+}
 
 // Len returns the number of fingerprints kept.
 func (g *Gate) Len() int { return len(g.prints) }
@@ -74,11 +90,13 @@
 	g.prints = slices.DeleteFunc(g.prints, func(a aboard) bool { return a.expires <= now })
 	switch e := e.(type) {
 	case Submitted:
-		if slices.ContainsFunc(g.prints, func(a aboard) bool { return a.print == e.print }) {
-			return Refuse{outcome.Refuse(outcome.Overloaded, outcome.NotRun, retryAfterMs)}
+		return g.submitted(e)
+	case Left:
+		if g.running > 0 && g.suspect == e.print {
+			g.running--
 		}
-		return Admit{}
 	case Crashed:
+		g.running = 0
 		for _, f := range e.prints {
 			g.prints = append(g.prints, aboard{f, now + keep})
 		}
@@ -86,3 +104,15 @@
 	}
 	return nil
 }
+
+func (g *Gate) submitted(e Submitted) Action {
+	crashed := slices.ContainsFunc(g.prints, func(a aboard) bool { return a.print == e.print })
+	if crashed || e.suspect && g.running > 0 && g.suspect != e.print {
+		return Refuse{outcome.Refuse(outcome.Overloaded, outcome.NotRun, retryAfterMs)}
+	}
+	if e.suspect {
+		g.suspect = e.print
+		g.running++
+	}
+	return Admit{}
+}
--- a/agent/request/suspect/suspect_test.go
+++ b/agent/request/suspect/suspect_test.go
@@ -12,12 +12,12 @@
 // entry has not heard of the first crash.
 func TestGate(t *testing.T) {
 	g := &Gate{}
-	check.Equal(t, "before", g.Handle(0, NewSubmitted(1)), Action(Admit{}))
+	check.Equal(t, "before", g.Handle(0, NewSubmitted(1, false)), Action(Admit{}))
 	g.Handle(0, NewCrashed([]fingerprint.Fingerprint{1, 2}))
-	_, refused := g.Handle(clock.Second, NewSubmitted(1)).(Refuse)
+	_, refused := g.Handle(clock.Second, NewSubmitted(1, false)).(Refuse)
 	check.Equal(t, "after", refused, true)
-	check.Equal(t, "another", g.Handle(clock.Second, NewSubmitted(3)), Action(Admit{}))
-	check.Equal(t, "expired", g.Handle(keep, NewSubmitted(1)), Action(Admit{}))
+	check.Equal(t, "another", g.Handle(clock.Second, NewSubmitted(3, false)), Action(Admit{}))
+	check.Equal(t, "expired", g.Handle(keep, NewSubmitted(1, false)), Action(Admit{}))
 	check.Equal(t, "kept", g.Len(), 0)
 }
 
@@ -29,3 +29,15 @@
 	}
 	check.Equal(t, "kept", g.Len(), maxPrints)
 }
+
+// TestOneSuspect guards against two suspects in flight at one crash.
+func TestOneSuspect(t *testing.T) {
+	g := &Gate{}
+	check.Equal(t, "first suspect", g.Handle(0, NewSubmitted(1, true)), Action(Admit{}))
+	_, refused := g.Handle(0, NewSubmitted(2, true)).(Refuse)
+	check.Equal(t, "second suspect refused", refused, true)
+	check.Equal(t, "other work", g.Handle(0, NewSubmitted(3, false)), Action(Admit{}))
+	g.Handle(0, NewLeft(3))
+	g.Handle(0, NewLeft(1))
+	check.Equal(t, "after the first left", g.Handle(0, NewSubmitted(2, true)), Action(Admit{}))
+}
--- a/entry/request/claim/client.go
+++ b/entry/request/claim/client.go
@@ -60,16 +60,17 @@
 // NewAgentLost describes a request with unknown outcome.
 func NewAgentLost(request uint64) AgentLost { return AgentLost{request} }
 
-// GaveUp tells that a request is not tried again after AgentRefused, or not at
-// all. The client then gives the refusal, which may differ from the one given
-// here: another sending of the key may have run.
+// GaveUp tells that a request is not tried again after AgentRefused, or is
+// refused before a Begin. The client then gives the refusal, which may differ
+// from the one given here: another sending of the key may have run.
 type GaveUp struct {
 	request uint64
+	key     Key
 	refusal *outcome.Refusal
 }
 
 // NewGaveUp describes a request that ends without an answer.
-func NewGaveUp(request uint64, r *outcome.Refusal) GaveUp { return GaveUp{request, r} }
+func NewGaveUp(request uint64, k Key, r *outcome.Refusal) GaveUp { return GaveUp{request, k, r} }
 
 // Finished tells that the whole answer has arrived. The answer is kept for
 // callers that send the key again if it is small.
@@ -227,16 +228,9 @@
 	return nil
 }
 
-// ask asks for a claim with a new reference, so that late replies to an earlier
-// one are recognised.
 func (c *Client) ask(now clock.Millis, p *pursuit) []ClientAction {
-	c.drop(p.begin.request)
-	c.sequence++
-	p.ref = Ref{c.entry, c.sequence}
+	c.renew(now, p)
 	p.stage = asking
-	p.asked = now
-	c.requests[p.begin.request] = p
-	c.refs[p.ref] = p.begin.request
 	return []ClientAction{SendAsk{p.ask()}}
 }
 
@@ -290,27 +284,43 @@
 	return append([]ClientAction{report}, c.ask(now, p)...)
 }
 
-// gaveUp ends a request. If it held a grant, the owner knows whether another
-// sending of the key was granted after the agent refused this one.
+// gaveUp ends a request. Only the owner knows whether another sending of the
+// key was granted.
 func (c *Client) gaveUp(now clock.Millis, e GaveUp) []ClientAction {
 	p := c.requests[e.request]
 	if p == nil {
-		return []ClientAction{Refuse{e.request, e.refusal}}
+		p = &pursuit{begin: Begin{request: e.request, key: e.key}, stage: refused}
 	}
 	if p.stage != refused {
 		return nil
 	}
-	c.sequence++
-	delete(c.refs, p.ref)
-	p.ref = Ref{c.entry, c.sequence}
-	c.refs[p.ref] = e.request
+	c.renew(now, p)
 	p.stage = withdrawing
 	p.refusal = e.refusal
-	p.asked = now
 	p.begin.deadline = max(p.begin.deadline, now+withdrawPatience)
 	return []ClientAction{SendWithdraw{p.withdraw()}}
 }
 
+// renew gives p a new reference, so that late replies to an earlier one are
+// recognised.
+func (c *Client) renew(now clock.Millis, p *pursuit) {
+	c.drop(p.begin.request)
+	c.sequence++
+	p.ref = Ref{c.entry, c.sequence}
+	p.asked = now
+	c.requests[p.begin.request] = p
+	c.refs[p.ref] = p.begin.request
+}
+
+// unconfirmed is the refusal when the owner did not reply. This sending did not
+// run, but another one with the key may have.
+func (p *pursuit) unconfirmed() *outcome.Refusal {
+	if p.refusal != nil {
+		return outcome.Refuse(p.refusal.Code(), outcome.Unknown, p.refusal.RetryAfterMs())
+	}
+	return outcome.Refuse(outcome.DeadlineExceeded, outcome.Unknown, 0)
+}
+
 func (p *pursuit) withdraw() Withdraw {
 	return Withdraw{p.ref, p.begin.key, p.grant, p.refusal.Code(), p.refusal.RetryAfterMs()}
 }
@@ -353,10 +363,8 @@
 		switch {
 		case p.stage == submitted || p.stage == refused:
 		case now >= p.begin.deadline+askEvery:
-			// The owner did not reply. This sending did not run, but an earlier one
-			// with the key may have.
 			c.drop(request)
-			out = append(out, Refuse{request, outcome.Refuse(outcome.DeadlineExceeded, outcome.Unknown, 0)})
+			out = append(out, Refuse{request, p.unconfirmed()})
 		case now-p.asked < askEvery:
 		case p.stage == withdrawing:
 			p.asked = now
--- a/entry/request/claim/event.go
+++ b/entry/request/claim/event.go
@@ -237,6 +237,9 @@
 }
 
 // Grant returns the claim.
+// Key returns the claimed key.
+func (q Query) Key() Key { return q.key }
+
 func (q Query) Grant() Grant { return q.grant }
 
 // Upstream returns the agent to ask.
--- a/entry/request/suspect/tracker.go
+++ b/entry/request/suspect/tracker.go
@@ -138,6 +138,7 @@
 	if !changed {
 		return nil
 	}
+	t.blame()
 	return append([]Action{Announce{}}, t.cancelQuarantined()...)
 }
 
@@ -163,6 +164,9 @@
 			out = []Action{Announce{}}
 		}
 	}
+	if out != nil {
+		t.blame()
+	}
 	return append(out, t.cancelQuarantined()...)
 }
 
@@ -192,9 +196,6 @@
 	if r.quarantined && !wasQuarantined && !quarantined {
 		r.expires = now + keepQuarantined
 	}
-	if r.quarantined && changed {
-		t.blame()
-	}
 	return changed
 }
 
@@ -210,7 +211,9 @@
 	return left
 }
 
-// blame recomputes the crashes explained by quarantined fingerprints.
+// blame recomputes the crashes explained by quarantined fingerprints. It runs
+// after all fingerprints of a crash have been judged, so that of two that were
+// in flight at the same two crashes both are quarantined.
 func (t *Tracker) blame() {
 	t.blamed = map[Crash]bool{}
 	for _, r := range t.records {
--- a/measure/once/agent.go
+++ b/measure/once/agent.go
@@ -38,6 +38,7 @@
 	crashes  bool
 	claimKey string
 	print    suspect.Fingerprint
+	suspect  bool
 }
 
 // verdict is what an agent answers to a submit.
@@ -106,8 +107,7 @@
 			return
 		}
 	}
-	_, suspected := a.gate.Handle(a.engine.now, agentsuspect.NewSubmitted(j.print)).(agentsuspect.Refuse)
-	if suspected || a.leaving || !a.upstreamUp || a.engine.chance(refusedPercent) {
+	if a.leaving || !a.upstreamUp || a.engine.chance(refusedPercent) || a.bars(j) {
 		a.tableEvent(j, agentclaim.NewRejected(j.claimKey))
 		a.settle(h, verdict{failure: refusedNotRun})
 		return
@@ -115,6 +115,12 @@
 	a.execute(h)
 }
 
+// bars tells whether the job may not run because of a crash.
+func (a *agent) bars(j job) bool {
+	_, barred := a.gate.Handle(a.engine.now, agentsuspect.NewSubmitted(j.print, j.suspect)).(agentsuspect.Refuse)
+	return barred
+}
+
 func (a *agent) tableEvent(j job, e agentclaim.Event) {
 	if j.claimKey != "" {
 		a.table.Handle(a.engine.now, e)
@@ -143,6 +149,7 @@
 			return
 		}
 		a.holds--
+		a.gate.Handle(a.engine.now, agentsuspect.NewLeft(j.print))
 		body := fmt.Sprintf("%s#%d", j.body, number)
 		a.tableEvent(j, agentclaim.NewFinished(j.claimKey, agentclaim.NewAnswer(200, nil, []byte(body))))
 		a.settle(h, verdict{failure: answered, answer: body})
--- a/measure/once/caller.go
+++ b/measure/once/caller.go
@@ -97,8 +97,9 @@
 	return body == c.body && x.body == c.body && x.key == c.key && c.world.callOf[x.sending] == c
 }
 
-// refused records a refusal and sends the call again when that is safe.
-func (c *call) refused(sending int, r *outcome.Refusal) {
+// refused records a refusal, decided at an instant, and sends the call again
+// when that is safe.
+func (c *call) refused(sending int, r *outcome.Refusal, decided clock.Millis) {
 	if !c.open[sending] {
 		return
 	}
@@ -111,7 +112,7 @@
 	}
 	if r.Outcome() == outcome.NotRun {
 		w.notRun++
-		w.refusedNotRun[sending] = w.engine.now
+		w.refusedNotRun[sending] = decided
 	} else {
 		w.unknown++
 		c.unknown = true
--- a/measure/once/entry.go
+++ b/measure/once/entry.go
@@ -30,6 +30,7 @@
 	print    suspect.Fingerprint
 	deadline clock.Millis
 	upstream string
+	suspect  bool
 	attempt  uint64 // request id of the attempt under way, 0 for none
 	number   uint64
 	done     bool
@@ -49,6 +50,7 @@
 	works    map[uint64]*work
 	next     uint64
 	stopping bool
+	decided  clock.Millis // when the owner decided the reply in hand, 0 for none
 }
 
 func (e *entry) boot() {
@@ -147,12 +149,14 @@
 // attempt chooses an upstream and sends w there, through a claim if it has a key.
 func (e *entry) attempt(w *work) {
 	names := e.world.upstreamNames()
+	w.suspect = false
 	switch a := e.tracker.Handle(e.engine.now, suspect.NewArrived(w.print, names))[0].(type) {
 	case suspect.Refuse:
 		e.giveUp(w, e.refusalOf(w, a.Refusal()))
 		return
 	case suspect.Alone:
 		w.upstream = a.Upstream()
+		w.suspect = true
 	default:
 		w.upstream = names[e.engine.rng.IntN(len(names))]
 	}
@@ -180,7 +184,7 @@
 	w.attempt = id
 	e.tracker.Handle(e.engine.now, suspect.NewSent(id, w.print, w.upstream))
 	a := e.world.agents[w.upstream]
-	j := job{id, w.sending, w.call.key, w.call.body, w.call.crashes, claimKey, w.print}
+	j := job{id, w.sending, w.call.key, w.call.body, w.call.crashes, claimKey, w.print, w.suspect}
 	life := a.life
 	if !a.alive {
 		// The dial fails, nothing was sent.
@@ -280,7 +284,7 @@
 // giveUp refuses w; the client of the claims checks the refusal of keyed work.
 func (e *entry) giveUp(w *work, r *outcome.Refusal) {
 	if w.call.key != "" {
-		e.clientEvent(claim.NewGaveUp(w.number, r))
+		e.clientEvent(claim.NewGaveUp(w.number, claim.KeyOf(w.call.customer, w.call.key), r))
 		return
 	}
 	e.refuse(w, r)
@@ -322,7 +326,11 @@
 }
 
 func (e *entry) refuse(w *work, r *outcome.Refusal) {
-	e.finish(w, func(c *call, sending int) { c.refused(sending, r) })
+	at := e.engine.now
+	if e.decided != 0 {
+		at = e.decided
+	}
+	e.finish(w, func(c *call, sending int) { c.refused(sending, r, at) })
 }
 
 func (e *entry) finish(w *work, tell func(*call, int)) {
@@ -419,14 +427,23 @@
 		if other.number != a.Ref().Entry() {
 			continue
 		}
+		decided := e.engine.now
 		if other == e {
-			e.clientEvent(claim.NewArrived(a))
+			e.arrived(a, decided)
 			return
 		}
-		e.world.network.send(&e.process, &other.process, func() { other.clientEvent(claim.NewArrived(a)) })
+		e.world.network.send(&e.process, &other.process, func() { other.arrived(a, decided) })
 	}
 }
 
+// arrived handles an owner's reply. A refusal tells the state at the instant at
+// which the owner decided: a concurrent sending may run while the reply travels.
+func (e *entry) arrived(a claim.Answered, decided clock.Millis) {
+	e.decided = decided
+	e.clientEvent(claim.NewArrived(a))
+	e.decided = 0
+}
+
 // query asks an agent about a claim.
 func (e *entry) query(shard int, q claim.Query) {
 	a := e.world.agents[q.Upstream().Name()]
