Add golden files of whole sessions in virtual time

Cause: the request path had no proof of whole sessions under failure. Change: measure/session plays callers' requests through the real entry and agent code over recorded pipes with 1 ms latency under testing/synctest: plain and streamed call, connection cut and gone silent in mid-stream, upstream that breaks off, failed non-idempotent call, refusal, data centre out and back. The race detector found a random source shared by links; each has its own now.

--- a/core/version/relay/available.go
+++ b/core/version/relay/available.go
@@ -24,7 +24,7 @@
 	if !ok {
 		return true
 	}
-	if !s.anyTakes(name) {
+	if !s.AnyTakes(name) {
 		return false
 	}
 	for _, needed := range service.DependsOn() {
@@ -35,7 +35,8 @@
 	return true
 }
 
-func (s *Snapshot) anyTakes(service string) bool {
+// AnyTakes tells whether a service has an agent that takes new work.
+func (s *Snapshot) AnyTakes(service string) bool {
 	for _, i := range s.instances {
 		if i.Role() == platform.RoleAgent && i.Service() == service && s.Takes(i) {
 			return true
--- a/core/version/relay/snapshot.go
+++ b/core/version/relay/snapshot.go
@@ -93,7 +93,7 @@
 	return &next, true
 }
 
-// NewSnapshot returns a ready snapshot for fakes, without out marks.
-func NewSnapshot(version uint64, t *text.Text, instances []platform.Instance) *Snapshot {
-	return &Snapshot{ready: true, config: held{version: version}, text: t, instances: instances}
+// NewSnapshot returns a ready snapshot for fakes.
+func NewSnapshot(version uint64, t *text.Text, marks mark.Set, instances []platform.Instance) *Snapshot {
+	return &Snapshot{ready: true, config: held{version: version}, text: t, marks: marks, instances: instances}
 }
--- a/entry/connection/agent/link.go
+++ b/entry/connection/agent/link.go
@@ -39,6 +39,8 @@
 	Heartbeat func() *frame.Heartbeat
 	// Dial connects to the agent; nil dials TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Random spreads the times of new dials; nil uses the global source.
+	Random *rand.Rand
 	// OnHeartbeat receives the agent's load reports.
 	OnHeartbeat func(link *Link, beat *frame.Heartbeat)
 	// OnChange is told when the link gains or loses its connection.
@@ -64,7 +66,7 @@
 		}
 		l.expire()
 		// Random times keep many entries from dialling a restarted agent at once.
-		pause := clock.Millis(rand.Int64N(int64(wait))) + wait/2
+		pause := l.random(wait) + wait/2
 		wait = min(2*wait, maxRedial)
 		select {
 		case <-ctx.Done():
@@ -74,6 +76,14 @@
 	l.abandon(func(*Exchange) bool { return true })
 }
 
+// random returns a span below limit.
+func (l *Link) random(limit clock.Millis) clock.Millis {
+	if l.Random == nil {
+		return clock.Millis(rand.Int64N(int64(limit)))
+	}
+	return clock.Millis(l.Random.Int64N(int64(limit)))
+}
+
 func (l *Link) dial(ctx context.Context) (*peer.Conn, error) {
 	if l.Dial == nil {
 		return peer.Dial(ctx, l.Address, l.Self, l.Key)
--- a/entry/connection/agent/pool.go
+++ b/entry/connection/agent/pool.go
@@ -30,6 +30,8 @@
 	View func() *relay.Snapshot
 	// Dial connects to an agent; nil dials TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Random seeds the jitter of each link; nil uses the global source.
+	Random *rand.Rand
 
 	mu    sync.Mutex
 	links map[string]*member
@@ -95,7 +97,7 @@
 	running, cancel := context.WithCancel(ctx)
 	l := &member{instance: i, cancel: cancel}
 	l.Link = &Link{
-		Dial: p.Dial, Name: i.Name(), Address: i.Address(), Self: p.Self, Key: p.Key, Clock: p.Clock, Log: p.Log,
+		Dial: p.Dial, Random: p.linkRandom(), Name: i.Name(), Address: i.Address(), Self: p.Self, Key: p.Key, Clock: p.Clock, Log: p.Log,
 		Heartbeat:   func() *frame.Heartbeat { return frame.NewHeartbeat(p.View().Version(), frame.Load{}) },
 		OnHeartbeat: func(_ *Link, beat *frame.Heartbeat) { l.setLoad(beat.Load()) },
 		OnChange:    func(*Link, bool) {},
@@ -104,6 +106,14 @@
 	go l.Run(running)
 }
 
+// linkRandom returns a source for one link; sources are not safe to share.
+func (p *Pool) linkRandom() *rand.Rand {
+	if p.Random == nil {
+		return nil
+	}
+	return rand.New(rand.NewPCG(p.Random.Uint64(), p.Random.Uint64()))
+}
+
 func (l *member) setLoad(load frame.Load) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/entry/request/caller/server_test.go
+++ b/entry/request/caller/server_test.go
@@ -16,6 +16,7 @@
 	"goldcrestshore/core/process/clock"
 	"goldcrestshore/core/process/event"
 	"goldcrestshore/core/request/outcome"
+	"goldcrestshore/core/version/mark"
 	"goldcrestshore/core/version/relay"
 	"goldcrestshore/core/version/text"
 )
@@ -40,7 +41,7 @@
 	t.Helper()
 	parsed, err := text.Parse([]byte(sample))
 	check.NoError(t, "Parse", err)
-	return relay.NewSnapshot(1, parsed, nil)
+	return relay.NewSnapshot(1, parsed, mark.Set{}, nil)
 }
 
 func newServer(t *testing.T, d dispatch) *Server {
--- a/entry/request/dispatch/dispatch.go
+++ b/entry/request/dispatch/dispatch.go
@@ -13,6 +13,7 @@
 	"goldcrestshore/core/process/clock"
 	"goldcrestshore/core/process/event"
 	"goldcrestshore/core/request/outcome"
+	"goldcrestshore/core/version/relay"
 	"goldcrestshore/entry/connection/agent"
 	"goldcrestshore/entry/request/caller"
 	"goldcrestshore/entry/request/retry"
@@ -34,7 +35,7 @@
 // Dispatch implements caller.Dispatcher.
 func (d *Dispatcher) Dispatch(ctx context.Context, r *caller.Request, a *caller.Answer) error {
 	if !d.Pool.View().Available(r.Service().Name()) {
-		return outcome.Refuse(outcome.DependencyOut, outcome.NotRun, int64(clock.Second))
+		return unavailable(d.Pool.View(), r.Service().Name())
 	}
 	d.decide(retry.First{})
 	tried := map[string]bool{}
@@ -55,7 +56,7 @@
 		}
 		switch next := d.decide(failed.event(state, r.Deadline()-d.Clock.Now())).(type) {
 		case retry.GiveUp:
-			return errors.Wrapf(next.Refusal(), "%v", err)
+			return next.Refusal()
 		case retry.Again:
 			state = next.Request()
 			d.Log.Error(event.RequestRetried, err, event.Fields{"upstream": l.Name})
@@ -63,6 +64,16 @@
 	}
 }
 
+// unavailable refuses a request whose service, or one that it depends on, has
+// no upstream that takes work.
+func unavailable(v *relay.Snapshot, service string) error {
+	code := outcome.DependencyOut
+	if !v.AnyTakes(service) {
+		code = outcome.NoUpstream
+	}
+	return outcome.Refuse(code, outcome.NotRun, int64(clock.Second))
+}
+
 // decide passes an event to the budget that all requests share.
 func (d *Dispatcher) decide(e retry.Event) retry.Action {
 	d.mu.Lock()
--- /dev/null
+++ b/measure/session/harness_test.go
@@ -0,0 +1,368 @@
+package session
+
+import (
+	"bytes"
+	"cmp"
+	"context"
+	"encoding/base64"
+	"encoding/binary"
+	"flag"
+	"fmt"
+	"io"
+	"maps"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/tinylib/msgp/msgp"
+
+	"goldcrestshore/agent/connection/entry"
+	"goldcrestshore/agent/request/upstream"
+	"goldcrestshore/core/connection/frame"
+	"goldcrestshore/core/connection/peer"
+	"goldcrestshore/core/connection/platform"
+	"goldcrestshore/core/process/check"
+	"goldcrestshore/core/process/clock"
+	"goldcrestshore/core/process/event"
+	"goldcrestshore/core/request/outcome"
+	"goldcrestshore/core/version/mark"
+	"goldcrestshore/core/version/relay"
+	"goldcrestshore/core/version/text"
+	"goldcrestshore/entry/connection/agent"
+	"goldcrestshore/entry/request/caller"
+	"goldcrestshore/entry/request/dispatch"
+)
+
+var update = flag.Bool("update", false, "rewrite the golden files")
+
+const configuration = `{
+  "dataCentres": [{"name": "bilbao", "region": "norte-es"}, {"name": "oviedo", "region": "norte-es"}],
+  "services": [
+    {"name": "redactor", "kind": "model", "coldLimit": 1, "warmLimit": 2},
+    {"name": "registro", "kind": "plain", "coldLimit": 1, "warmLimit": 2, "routes": [
+      {"method": "GET", "path": "/certificates/*", "idempotent": true}, {"method": "POST", "path": "/certificates"}]},
+  ],
+  "customers": [{"name": "auctions", "keyHashes": ["8254c329a92850f6d539dd376f4816ee2764517da5e0235514af433164480d7a"]}],
+}`
+
+var key = []byte("shared key")
+
+// latency is the time one way between the entry and an agent.
+const latency = time.Millisecond
+
+// script is what a fake upstream does with one call.
+type script func(ctx context.Context, m *frame.Submit, answer upstream.Answer) error
+
+// Run implements entry.Upstream.
+func (s script) Run(ctx context.Context, _ string, m *frame.Submit, answer upstream.Answer) error {
+	return s(ctx, m, answer)
+}
+
+// openGate admits everything but what it is told to refuse.
+type openGate struct{ refusal *outcome.Refusal }
+
+func (g *openGate) Submit(_ frame.ID, _ *frame.Submit, decide func(*outcome.Refusal)) {
+	decide(g.refusal)
+}
+func (g *openGate) FirstByte(frame.ID)   {}
+func (g *openGate) Done(frame.ID, error) {}
+func (g *openGate) Withdraw(frame.ID)    {}
+
+// session is one entry with two agents in virtual time and the record of
+// everything that passes between them.
+type session struct {
+	t      *testing.T
+	ctx    context.Context
+	start  time.Time
+	view   atomic.Pointer[relay.Snapshot]
+	caller *caller.Server
+	agents map[string]*entry.Server
+	gates  map[string]*openGate
+	self   map[string]peer.Identity
+
+	mu     sync.Mutex
+	record []line
+	conns  []net.Conn
+	silent map[net.Conn]bool
+}
+
+// run plays one session and compares its record with the golden file.
+func run(t *testing.T, name string, upstreams map[string]script, play func(s *session)) {
+	t.Helper()
+	var got string
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s := newSession(t, ctx, upstreams)
+		play(s)
+		cancel()
+		synctest.Wait()
+		got = s.text()
+	})
+	path := filepath.Join("testdata", name+".golden")
+	if *update {
+		check.NoError(t, "WriteFile", os.WriteFile(path, []byte(got), 0o644))
+	}
+	want, err := os.ReadFile(path)
+	check.NoError(t, "ReadFile", err)
+	check.Equal(t, name, got, string(want))
+}
+
+func newSession(t *testing.T, ctx context.Context, upstreams map[string]script) *session {
+	t.Helper()
+	log, err := event.NewLog(io.Discard, "error", "entry", "entry-1")
+	check.NoError(t, "NewLog", err)
+	s := &session{t: t, ctx: ctx, start: time.Now(), agents: map[string]*entry.Server{}, gates: map[string]*openGate{}, self: map[string]peer.Identity{}, silent: map[net.Conn]bool{}}
+	s.configure(1, mark.Set{}, upstreams)
+	for name, u := range upstreams {
+		s.gates[name], s.self[name] = &openGate{}, peer.NewIdentity(platform.RoleAgent, name, dataCentreOf(name))
+		s.agents[name] = &entry.Server{
+			Clock: clock.System(), Log: log, Gate: s.gates[name], Upstream: u,
+			Heartbeat:      func() *frame.Heartbeat { return frame.NewHeartbeat(1, frame.Load{}) },
+			Incarnation:    s.self[name].Incarnation(),
+			MaxStreamBytes: 1 << 20,
+		}
+		s.agents[name].Start(ctx)
+		go s.agents[name].Run(ctx)
+	}
+	self := peer.NewIdentity(platform.RoleEntry, "entry-1", "bilbao")
+	pool := &agent.Pool{Self: self, Key: key, Log: log, Clock: clock.System(), View: s.view.Load, Dial: s.dial, Random: rand.New(rand.NewPCG(1, 1))}
+	go pool.Run(ctx)
+	s.caller = &caller.Server{
+		Clock: clock.System(), Log: log, View: s.view.Load, MaxConnections: 10, MaxRequests: 10,
+		Dispatcher: &dispatch.Dispatcher{Pool: pool, Clock: clock.System(), Log: log, Incarnation: self.Incarnation()},
+	}
+	s.wait(100)
+	return s
+}
+
+// dataCentreOf reads names such as "bilbao-redactor".
+func dataCentreOf(agent string) string { return agent[:strings.Index(agent, "-")] }
+
+func (s *session) configure(version uint64, marks mark.Set, upstreams map[string]script) {
+	parsed, err := text.Parse([]byte(configuration))
+	check.NoError(s.t, "Parse", err)
+	var list []platform.Instance
+	for _, name := range slices.Sorted(maps.Keys(upstreams)) {
+		service := name[strings.Index(name, "-")+1:]
+		list = append(list, platform.NewInstance(name, platform.RoleAgent, dataCentreOf(name), name).WithUpstream("u", service))
+	}
+	s.view.Store(relay.NewSnapshot(version, parsed, marks, list))
+}
+
+// wait lets virtual time pass.
+func (s *session) wait(ms int) {
+	time.Sleep(time.Duration(ms) * time.Millisecond)
+	synctest.Wait()
+}
+
+// line is one entry of the record. Lines of one instant and one label keep their
+// order; different labels at one instant have none, so they are sorted.
+type line struct {
+	at    time.Duration
+	label string
+	text  string
+}
+
+// note adds a line to the record.
+func (s *session) note(label, format string, args ...any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.record = append(s.record, line{time.Since(s.start), label, fmt.Sprintf(format, args...)})
+}
+
+// text returns the record in the order of time.
+func (s *session) text() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	slices.SortStableFunc(s.record, func(a, b line) int {
+		return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.label, b.label))
+	})
+	var out strings.Builder
+	for _, l := range s.record {
+		fmt.Fprintf(&out, "%6d ms  %s  %s\n", l.at.Milliseconds(), l.label, l.text)
+	}
+	return out.String()
+}
+
+// dial connects the entry to an agent by a pipe whose frames are recorded.
+func (s *session) dial(ctx context.Context, name string) (net.Conn, error) {
+	server := s.agents[name]
+	if server == nil || s.ctx.Err() != nil {
+		return nil, errors.Newf("no agent %q", name)
+	}
+	near, far := net.Pipe()
+	s.mu.Lock()
+	s.conns = append(s.conns, near, far)
+	s.mu.Unlock()
+	go func() {
+		c, err := peer.Accept(newTap(s, far, name+" -> entry"), s.self[name], key)
+		if err == nil {
+			server.Serve(s.ctx, c)
+		}
+	}()
+	return newTap(s, near, "entry -> "+name), nil
+}
+
+// cut closes every connection between the entry and its agents.
+func (s *session) cut() {
+	s.note("fault", "all connections are cut")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.conns {
+		_ = c.Close()
+	}
+	s.conns = nil
+}
+
+// silence drops everything that is sent on the present connections, which stay
+// open.
+func (s *session) silence() {
+	s.note("fault", "all connections go silent")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.conns {
+		s.silent[c] = true
+	}
+}
+
+func (s *session) isSilent(c net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.silent[c]
+}
+
+// call sends one request and notes the answer that the caller sees.
+func (s *session) call(method, path, body string) {
+	s.note("caller -> entry", "%s %s %s", method, path, body)
+	q := httptest.NewRequestWithContext(s.ctx, method, path, strings.NewReader(body))
+	q.Header.Set("Authorization", "Bearer k")
+	w := httptest.NewRecorder()
+	aborted := serve(s.caller, w, q)
+	s.note("entry -> caller", "%d %s whole=%t %s", w.Code, w.Header().Get(outcome.Header), !aborted, shorten(w.Body.String()))
+	s.wait(1)
+}
+
+// serve reports whether the handler broke the answer off.
+func serve(h http.Handler, w http.ResponseWriter, q *http.Request) (aborted bool) {
+	defer func() {
+		if r := recover(); r != nil {
+			aborted = r == http.ErrAbortHandler
+		}
+	}()
+	h.ServeHTTP(w, q)
+	return false
+}
+
+// tap records the frames written to a connection. Like a socket, and unlike a
+// bare pipe, it takes data before the other end reads it.
+type tap struct {
+	net.Conn
+	s     *session
+	label string
+	rest  []byte
+	queue chan packet
+}
+
+// packet is written data with the instant of its arrival.
+type packet struct {
+	at   time.Time
+	data []byte
+}
+
+func newTap(s *session, c net.Conn, label string) *tap {
+	t := &tap{Conn: c, s: s, label: label, queue: make(chan packet, 1024)}
+	go t.pump()
+	return t
+}
+
+func (c *tap) pump() {
+	for {
+		select {
+		case <-c.s.ctx.Done():
+			return
+		case b := <-c.queue:
+			time.Sleep(time.Until(b.at))
+			if c.s.isSilent(c.Conn) {
+				continue
+			}
+			c.split(b.data)
+			if _, err := c.Conn.Write(b.data); err != nil {
+				return
+			}
+		}
+	}
+}
+
+// Write implements net.Conn.
+func (c *tap) Write(b []byte) (int, error) {
+	c.queue <- packet{time.Now().Add(latency), bytes.Clone(b)}
+	return len(b), nil
+}
+
+// split notes each whole frame.
+func (c *tap) split(b []byte) {
+	c.rest = append(c.rest, b...)
+	for len(c.rest) >= frame.HeaderBytes {
+		size := frame.HeaderBytes + int(binary.BigEndian.Uint32(c.rest))
+		if len(c.rest) < size {
+			return
+		}
+		c.log(c.rest[:size])
+		c.rest = c.rest[size:]
+	}
+}
+
+var (
+	incarnation = regexp.MustCompile(`"incarnation":\d+`)
+	binaryField = regexp.MustCompile(`"(bytes|body)":"([^"]*)"`)
+)
+
+// maxShownBytes is how much of a body the record shows.
+const maxShownBytes = 100
+
+// log notes a frame; greetings hold random numbers and heartbeats tell nothing.
+func (c *tap) log(b []byte) {
+	id, m, err := frame.Read(bytes.NewReader(b))
+	check.NoError(c.s.t, "frame", err)
+	switch m.(type) {
+	case *frame.Hello, *frame.Proof, *frame.Heartbeat:
+		return
+	}
+	var body bytes.Buffer
+	if len(b) > frame.HeaderBytes {
+		_, err = msgp.UnmarshalAsJSON(&body, b[frame.HeaderBytes:])
+		check.NoError(c.s.t, "body", err)
+	}
+	shown := incarnation.ReplaceAllString(body.String(), `"incarnation":0`)
+	shown = binaryField.ReplaceAllStringFunc(shown, showBinary)
+	c.s.note(c.label, "#%d %s %s", id.Sequence(), strings.TrimPrefix(fmt.Sprintf("%T", m), "*frame."), shown)
+}
+
+// showBinary decodes the base64 of a field and shortens it.
+func showBinary(field string) string {
+	parts := binaryField.FindStringSubmatch(field)
+	raw, err := base64.StdEncoding.DecodeString(parts[2])
+	if err != nil {
+		return field
+	}
+	return fmt.Sprintf("%q:%s", parts[1], shorten(string(raw)))
+}
+
+func shorten(s string) string {
+	if len(s) <= maxShownBytes {
+		return fmt.Sprintf("%q", s)
+	}
+	return fmt.Sprintf("%q and %d bytes more", s[:maxShownBytes], len(s)-maxShownBytes)
+}
