Count an answer as generated when its reader leaves at the terminator

Cause: the agent closes its connection when it has read the terminator. Change: the write of the last events decides, not the reader's presence after it. Measured: the new test hangs without the change; with it go test -race -count=5 passes. Conclusion: the cold capacity grows with each generated answer.

--- a/standin/process/engine/engine_test.go
+++ b/standin/process/engine/engine_test.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -249,3 +250,20 @@
 	check.Equal(t, "still held", tokens() > 0, true)
 	check.Equal(t, "crashes", r.engine.Counts().Crashes, 0)
 }
+
+// Guards against an answer that counts as unfinished, and so does not warm the
+// engine up, because its reader left as soon as it saw the terminator.
+func TestReaderLeavesAfterTheTerminator(t *testing.T) {
+	r := start(t, fastOptions())
+	const answers = 50
+	for range answers {
+		response, err := r.post(t, "/v1/chat/completions", chatOf("p", 3, true))
+		check.NoError(t, "start", err)
+		for lines := bufio.NewScanner(response.Body); lines.Scan() && lines.Text() != "data: [DONE]"; {
+		}
+		check.NoError(t, "close", response.Body.Close())
+	}
+	for r.engine.Counts().Completed < answers {
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/standin/process/engine/run.go
+++ b/standin/process/engine/run.go
@@ -185,7 +185,9 @@
 			return false
 		}
 	}
-	return u.send(u.chat.last(u.use.cached))
+	// A reader that has seen the terminator may leave at once; its answer was
+	// generated to the end all the same.
+	return u.write(u.chat.last(u.use.cached))
 }
 
 // inject causes the stream's fault. It reports whether the answer ends here and
@@ -213,12 +215,15 @@
 	return err == nil
 }
 
-// send writes and flushes; it blocks while the reader's window is full.
-func (u *run) send(event []byte) bool {
+// send writes an event and reports whether the answer goes on.
+func (u *run) send(event []byte) bool { return u.write(event) && u.ctx.Err() == nil }
+
+// write blocks while the reader's window is full.
+func (u *run) write(event []byte) bool {
 	if _, err := u.writer.Write(event); err != nil {
 		return false
 	}
-	return http.NewResponseController(u.writer).Flush() == nil && u.ctx.Err() == nil
+	return http.NewResponseController(u.writer).Flush() == nil
 }
 
 func pause(ctx context.Context, d time.Duration) bool {
