--- a/core/connection/peer/conn.go
+++ b/core/connection/peer/conn.go
@@ -72,6 +72,11 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "dial %s", address)
 	}
+	return Open(conn, self, key)
+}
+
+// Open authenticates a connection that this process has opened.
+func Open(conn net.Conn, self Identity, key []byte) (*Conn, error) {
 	return authenticate(conn, self, key, true)
 }
 
@@ -116,6 +121,11 @@
 // Send queues m, waiting while the queue is full. It returns ErrClosed when the
 // connection has ended; a nil error does not mean that the peer received m.
 func (c *Conn) Send(id frame.ID, m frame.Message) error {
+	select {
+	case <-c.done:
+		return ErrClosed
+	default:
+	}
 	b, err := frame.Append(nil, id, m)
 	if err != nil {
 		return err
--- a/entry/connection/agent/link.go
+++ b/entry/connection/agent/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"sync"
 	"time"
 
@@ -36,6 +37,10 @@
 	Clock     *clock.Clock
 	Log       *event.Log
 	Heartbeat func() *frame.Heartbeat
+	// Dial connects to the agent; nil dials TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Random spreads the times of new dials; nil uses the global source.
+	Random *rand.Rand
 	// OnHeartbeat receives the agent's load reports.
 	OnHeartbeat func(link *Link, beat *frame.Heartbeat)
 	// OnChange is told when the link gains or loses its connection.
@@ -52,7 +57,7 @@
 func (l *Link) Run(ctx context.Context) {
 	wait := minRedial
 	for ctx.Err() == nil {
-		c, err := peer.Dial(ctx, l.Address, l.Self, l.Key)
+		c, err := l.dial(ctx)
 		if err == nil {
 			wait = minRedial
 			l.serve(ctx, c)
@@ -61,7 +66,7 @@
 		}
 		l.expire()
 		// Random times keep many entries from dialling a restarted agent at once.
-		pause := clock.Millis(rand.Int64N(int64(wait))) + wait/2
+		pause := l.random(wait) + wait/2
 		wait = min(2*wait, maxRedial)
 		select {
 		case <-ctx.Done():
@@ -71,6 +76,25 @@
 	l.abandon(func(*Exchange) bool { return true })
 }
 
+// random returns a span below limit.
+func (l *Link) random(limit clock.Millis) clock.Millis {
+	if l.Random == nil {
+		return clock.Millis(rand.Int64N(int64(limit)))
+	}
+	return clock.Millis(l.Random.Int64N(int64(limit)))
+}
+
+func (l *Link) dial(ctx context.Context) (*peer.Conn, error) {
+	if l.Dial == nil {
+		return peer.Dial(ctx, l.Address, l.Self, l.Key)
+	}
+	conn, err := l.Dial(ctx, l.Address)
+	if err != nil {
+		return nil, err
+	}
+	return peer.Open(conn, l.Self, l.Key)
+}
+
 func (l *Link) serve(ctx context.Context, c *peer.Conn) {
 	c.Handle = func(id frame.ID, m frame.Message) { l.handle(c, id, m) }
 	c.Heartbeat = l.Heartbeat
--- /dev/null
+++ b/entry/process/server/server.go
@@ -0,0 +1,147 @@
+// Package server wires the entry: callers, connections to agents, routing and
+// the configuration.
+package server
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os/signal"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"goldcrestshore/core/connection/peer"
+	"goldcrestshore/core/connection/platform"
+	"goldcrestshore/core/process/clock"
+	"goldcrestshore/core/process/duty"
+	"goldcrestshore/core/process/event"
+	"goldcrestshore/core/process/metric"
+	"goldcrestshore/core/process/rendezvous"
+	"goldcrestshore/core/process/settings"
+	"goldcrestshore/core/version/relay"
+	"goldcrestshore/entry/connection/agent"
+	"goldcrestshore/entry/process/burn"
+	"goldcrestshore/entry/request/caller"
+	"goldcrestshore/entry/request/dispatch"
+)
+
+// deregisterTimeout bounds the last platform call of a stopping entry.
+const deregisterTimeout = 2 * time.Second
+
+// Server is the entry process. Exported fields are set before Run.
+type Server struct {
+	Settings *settings.Common
+	// Callers is the address for callers, ip:port.
+	Callers string
+	// MaxConnections and MaxRequests bound callers' connections and requests.
+	MaxConnections int64
+	MaxRequests    int64
+	Log            *event.Log
+	Metrics        *metric.Registry
+
+	self     peer.Identity
+	clock    *clock.Clock
+	platform *platform.Client
+	views    *relay.Client
+	pool     *agent.Pool
+	burn     *burn.Recorder
+	callers  *caller.Server
+}
+
+// Run serves until a signal asks it to stop and every answer is finished.
+func (s *Server) Run(ctx context.Context) error {
+	stopping, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	running, cancel := context.WithCancel(ctx)
+	defer cancel()
+	listener, err := net.Listen("tcp", s.Settings.Listen())
+	if err != nil {
+		return errors.Wrap(err, "listen for other processes")
+	}
+	s.build()
+	group, running := errgroup.WithContext(running)
+	group.Go(func() error { return s.views.Run(running) })
+	group.Go(func() error { s.pool.Run(running); return nil })
+	group.Go(func() error { return s.servePeers(running, listener) })
+	group.Go(func() error { s.register(stopping); return nil })
+	group.Go(func() error { s.burn.Run(running); return nil })
+	group.Go(func() error {
+		return metric.Serve(running, s.Settings.Admin(), map[string]http.Handler{"/metrics": s.Metrics.Handler()})
+	})
+	group.Go(func() error {
+		<-stopping.Done()
+		s.Log.Emit(event.ProcessStopping, event.Fields{"held": s.callers.Open()})
+		s.callers.Stop()
+		s.deregister(running)
+		return nil
+	})
+	group.Go(func() error {
+		defer cancel()
+		defer stop()
+		return s.callers.Run()
+	})
+	s.Log.Emit(event.ProcessStarted, event.Fields{"address": s.Callers})
+	err = group.Wait()
+	s.Log.Emit(event.ProcessStopped, nil)
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+func (s *Server) servePeers(ctx context.Context, l net.Listener) error {
+	listener := &peer.Listener{Self: s.self, Key: s.Settings.Key(), Log: s.Log, Serve: s.views.Serve}
+	return listener.Run(ctx, l)
+}
+
+// register announces the entry to the platform and tries again until it works.
+func (s *Server) register(ctx context.Context) {
+	i := platform.NewInstance(s.Settings.Instance(), platform.RoleEntry, s.Settings.DataCentre(), s.Settings.Listen())
+	platform.Announce(ctx, s.platform, i, func(err error) { s.Log.Error(event.PlatformFailed, err, nil) })
+}
+
+// deregister takes the entry off the list, so that its duties move.
+func (s *Server) deregister(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, deregisterTimeout)
+	defer cancel()
+	if err := s.platform.Deregister(ctx, s.Settings.Instance()); err != nil {
+		s.Log.Error(event.PlatformFailed, err, nil)
+	}
+}
+
+func (s *Server) build() {
+	s.self = peer.NewIdentity(platform.RoleEntry, s.Settings.Instance(), s.Settings.DataCentre())
+	s.clock = clock.System()
+	s.platform = platform.New(s.Settings.Platform())
+	s.views = &relay.Client{
+		Platform: s.platform, Log: s.Log, Clock: s.clock, Self: s.self, Address: s.Settings.Listen(),
+		Key: s.Settings.Key(), Contacts: s.Settings.Contacts(),
+	}
+	s.pool = &agent.Pool{Self: s.self, Key: s.Settings.Key(), Log: s.Log, Clock: s.clock, View: s.views.Current}
+	s.burn = &burn.Recorder{
+		Platform: s.platform, Clock: s.clock, Log: s.Log, Instance: s.Settings.Instance(),
+		Interval: burn.DefaultInterval, Elected: s.elected,
+	}
+	s.callers = &caller.Server{
+		Recorder:       s.burn,
+		Clock:          s.clock,
+		Log:            s.Log,
+		View:           s.views.Current,
+		Dispatcher:     &dispatch.Dispatcher{Pool: s.pool, Clock: s.clock, Log: s.Log, Incarnation: s.self.Incarnation()},
+		Listen:         s.Callers,
+		MaxConnections: s.MaxConnections,
+		MaxRequests:    s.MaxRequests,
+	}
+}
+
+// elected tells whether the list makes this entry the one that removes the
+// counts of entries that are gone. Two of them do no harm.
+func (s *Server) elected() bool {
+	v := s.views.Current()
+	entries := duty.Eligible(v.Instances(), v.Out(), func(i platform.Instance) bool { return i.Role() == platform.RoleEntry })
+	return slices.Equal(rendezvous.Top("burn", entries, 1), []string{s.Settings.Instance()})
+}
--- a/standin/process/engine/run.go
+++ b/standin/process/engine/run.go
@@ -3,22 +3,29 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
 	"goldcrestshore/core/process/clock"
 )
 
+// incarnationHeader carries the incarnation that gives an answer.
+const incarnationHeader = "X-Incarnation"
+
 // run is the handling of one held request.
 type run struct {
 	engine *Engine
 	chat   *chat
 	job    *job
 	life   *life
-	use    promptUse
-	fault  streamFault
-	ctx    context.Context
-	writer http.ResponseWriter
+	// incarnation is sent with the answer; a caller resumes a stream only where
+	// it is the same.
+	incarnation uint64
+	use         promptUse
+	fault       streamFault
+	ctx         context.Context
+	writer      http.ResponseWriter
 	// due is when the next token is generated.
 	due time.Time
 }
@@ -37,6 +44,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	u.ctx, u.writer = ctx, w
+	w.Header().Set(incarnationHeader, strconv.FormatUint(u.incarnation, 10))
 	defer context.AfterFunc(u.life.ctx, cancel)()
 	// A blocked write to a slow reader ends when the request does.
 	defer context.AfterFunc(ctx, func() { _ = http.NewResponseController(w).SetWriteDeadline(time.Now()) })()
@@ -54,7 +62,7 @@
 	if e.life.ctx.Err() != nil {
 		return nil
 	}
-	u := &run{engine: e, chat: c, life: e.life}
+	u := &run{engine: e, chat: c, life: e.life, incarnation: e.state.incarnation}
 	u.use = e.usePrompt(c.prompt)
 	j, why := e.state.admit(u.use.tokens+c.resume, c.priority)
 	if why != healthy {
@@ -177,7 +185,9 @@
 			return false
 		}
 	}
-	return u.send(u.chat.last(u.use.cached))
+	// A reader that has seen the terminator may leave at once; its answer was
+	// generated to the end all the same.
+	return u.write(u.chat.last(u.use.cached))
 }
 
 // inject causes the stream's fault. It reports whether the answer ends here and
@@ -205,12 +215,15 @@
 	return err == nil
 }
 
-// send writes and flushes; it blocks while the reader's window is full.
-func (u *run) send(event []byte) bool {
+// send writes an event and reports whether the answer goes on.
+func (u *run) send(event []byte) bool { return u.write(event) && u.ctx.Err() == nil }
+
+// write blocks while the reader's window is full.
+func (u *run) write(event []byte) bool {
 	if _, err := u.writer.Write(event); err != nil {
 		return false
 	}
-	return http.NewResponseController(u.writer).Flush() == nil && u.ctx.Err() == nil
+	return http.NewResponseController(u.writer).Flush() == nil
 }
 
 func pause(ctx context.Context, d time.Duration) bool {
