--- a/agent/connection/entry/server.go
+++ b/agent/connection/entry/server.go
@@ -53,8 +53,9 @@
 	// MaxStreamBytes bounds the answer bytes that all requests together hold.
 	MaxStreamBytes int64
 
-	table *table
-	ctx   context.Context
+	table  *table
+	claims *claims
+	ctx    context.Context
 }
 
 // Run expires abandoned requests until ctx is done.
@@ -74,7 +75,9 @@
 }
 
 // Start prepares the server for Serve and Run. Requests run under ctx.
-func (s *Server) Start(ctx context.Context) { s.table, s.ctx = newTable(), ctx }
+func (s *Server) Start(ctx context.Context) {
+	s.table, s.claims, s.ctx = newTable(), newClaims(), ctx
+}
 
 // Held returns the number of requests that are not finished.
 func (s *Server) Held() int { return s.table.len() }
@@ -105,6 +108,8 @@
 		s.drop(id)
 	case *frame.Resume:
 		s.resume(c, id, m)
+	case *frame.ClaimQuery:
+		s.claimQuery(c, id, m)
 	default:
 		s.stray(id)
 	}
@@ -130,6 +135,12 @@
 		cancel()
 		s.refuse(c, id, outcome.Refuse(outcome.ConnectionLost, outcome.NotRun, 0))
 	case verdictNew:
+		if refusal := s.claims.admit(s.Clock.Now(), m.Terms().ClaimKey()); refusal != nil {
+			s.table.remove(id, s.Clock.Now())
+			cancel()
+			s.refuse(c, id, refusal)
+			return
+		}
 		s.Gate.Submit(id, m, func(refusal *outcome.Refusal) { s.decided(ctx, c, id, r, refusal) })
 	}
 }
@@ -139,10 +150,12 @@
 	if refusal != nil {
 		s.table.remove(id, s.Clock.Now())
 		r.cancel()
+		s.claims.rejected(s.Clock.Now(), r.submit.Terms().ClaimKey())
 		s.refuse(c, id, refusal)
 		return
 	}
 	if !s.table.admit(id) {
+		s.claims.rejected(s.Clock.Now(), r.submit.Terms().ClaimKey())
 		s.Gate.Done(id, nil)
 		return
 	}
@@ -159,7 +172,9 @@
 func (s *Server) run(ctx context.Context, c *peer.Conn, id frame.ID, r *request) {
 	_ = c.Send(id, frame.NewAccepted(s.Incarnation))
 	answer := &observed{Stream: r.answer, first: func() { s.Gate.FirstByte(id) }}
-	err := s.Upstream.Run(ctx, upstream.RequestID(id), r.submit, answer)
+	captured := &capture{Answer: answer, claimed: r.submit.Terms().ClaimKey() != ""}
+	err := s.Upstream.Run(ctx, upstream.RequestID(id), r.submit, captured)
+	s.claims.ended(s.Clock.Now(), r.submit.Terms().ClaimKey(), captured, err)
 	s.Gate.Done(id, err)
 	r.answer.Close(err == nil, string(endCode(ctx, err)))
 }
@@ -201,7 +216,16 @@
 	if r == nil {
 		return
 	}
+	if r.admitted && r.submit.Terms().ClaimKey() != "" {
+		// It runs to its end, so that a caller that sends the key again gets the
+		// answer; the context ends at the deadline.
+		r.answer.Cancel()
+		return
+	}
 	s.Gate.Withdraw(id)
+	if !r.admitted {
+		s.claims.rejected(s.Clock.Now(), r.submit.Terms().ClaimKey())
+	}
 	r.cancel()
 	r.answer.Cancel()
 }
--- a/core/connection/frame/kind.go
+++ b/core/connection/frame/kind.go
@@ -21,9 +21,15 @@
 	kindGone       = 13
 	kindClaimQuery = 14
 	kindClaimState = 15
-	kindSubscribe  = 20
-	kindVersion    = 21
-	kindShares     = 22
+
+	kindClaimAsk      = 16
+	kindClaimReply    = 17
+	kindClaimReport   = 18
+	kindClaimWithdraw = 19
+
+	kindSubscribe = 20
+	kindVersion   = 21
+	kindShares    = 22
 )
 
 // Cancel asks the agent to stop a request whose caller has left.
@@ -86,6 +92,14 @@
 		return unmarshal[ClaimQuery](body)
 	case kindClaimState:
 		return unmarshal[ClaimState](body)
+	case kindClaimAsk:
+		return unmarshal[ClaimAsk](body)
+	case kindClaimReply:
+		return unmarshal[ClaimReply](body)
+	case kindClaimReport:
+		return unmarshal[ClaimReport](body)
+	case kindClaimWithdraw:
+		return unmarshal[ClaimWithdraw](body)
 	case kindSubscribe:
 		return unmarshal[Subscribe](body)
 	case kindVersion:
--- a/entry/connection/agent/link.go
+++ b/entry/connection/agent/link.go
@@ -51,6 +51,8 @@
 	incarnation uint64
 	lostAt      clock.Millis
 	exchanges   map[frame.ID]*Exchange
+	queries     map[frame.ID]chan<- *frame.ClaimState
+	queried     uint64
 }
 
 // Run keeps the connection until ctx is done.
@@ -226,6 +228,10 @@
 }
 
 func (l *Link) handle(c *peer.Conn, id frame.ID, m frame.Message) {
+	if state, ok := m.(*frame.ClaimState); ok {
+		l.answered(id, state)
+		return
+	}
 	e := l.exchange(id)
 	if e == nil {
 		l.stray(id)
--- a/entry/process/server/server.go
+++ b/entry/process/server/server.go
@@ -25,6 +25,7 @@
 	"goldcrestshore/core/version/relay"
 	"goldcrestshore/entry/connection/agent"
 	"goldcrestshore/entry/process/burn"
+	"goldcrestshore/entry/process/claims"
 	"goldcrestshore/entry/request/caller"
 	"goldcrestshore/entry/request/dispatch"
 )
@@ -49,6 +50,7 @@
 	views    *relay.Client
 	pool     *agent.Pool
 	burn     *burn.Recorder
+	claims   *claims.Service
 	callers  *caller.Server
 }
 
@@ -69,6 +71,7 @@
 	group.Go(func() error { return s.servePeers(running, listener) })
 	group.Go(func() error { s.register(stopping); return nil })
 	group.Go(func() error { s.burn.Run(running); return nil })
+	group.Go(func() error { return s.claims.Run(running) })
 	group.Go(func() error {
 		return metric.Serve(running, s.Settings.Admin(), map[string]http.Handler{"/metrics": s.Metrics.Handler()})
 	})
@@ -94,10 +97,19 @@
 }
 
 func (s *Server) servePeers(ctx context.Context, l net.Listener) error {
-	listener := &peer.Listener{Self: s.self, Key: s.Settings.Key(), Log: s.Log, Serve: s.views.Serve}
+	listener := &peer.Listener{Self: s.self, Key: s.Settings.Key(), Log: s.Log, Serve: s.serve}
 	return listener.Run(ctx, l)
 }
 
+// serve runs a connection by the role of its peer.
+func (s *Server) serve(ctx context.Context, c *peer.Conn) {
+	if c.Peer().Role() == platform.RoleEntry {
+		s.claims.Serve(ctx, c)
+		return
+	}
+	s.views.Serve(ctx, c)
+}
+
 // register announces the entry to the platform and tries again until it works.
 func (s *Server) register(ctx context.Context) {
 	i := platform.NewInstance(s.Settings.Instance(), platform.RoleEntry, s.Settings.DataCentre(), s.Settings.Listen())
@@ -126,12 +138,16 @@
 		Platform: s.platform, Clock: s.clock, Log: s.Log, Instance: s.Settings.Instance(),
 		Interval: burn.DefaultInterval, Elected: s.elected,
 	}
+	s.claims = &claims.Service{
+		Platform: s.platform, Clock: s.clock, Log: s.Log, Self: s.self, Key: s.Settings.Key(),
+		View: s.views.Current, Query: s.pool.Query,
+	}
 	s.callers = &caller.Server{
 		Recorder:       s.burn,
 		Clock:          s.clock,
 		Log:            s.Log,
 		View:           s.views.Current,
-		Dispatcher:     &dispatch.Dispatcher{Pool: s.pool, Clock: s.clock, Log: s.Log, Incarnation: s.self.Incarnation()},
+		Dispatcher:     &dispatch.Dispatcher{Pool: s.pool, Clock: s.clock, Log: s.Log, Incarnation: s.self.Incarnation(), Claims: s.claims},
 		Listen:         s.Callers,
 		MaxConnections: s.MaxConnections,
 		MaxRequests:    s.MaxRequests,
--- a/entry/request/claim/event.go
+++ b/entry/request/claim/event.go
@@ -12,6 +12,11 @@
 // assigned it to this entry. An Ask does the same.
 type Open struct{}
 
+// Close tells the owner that another entry should hold its shard. It writes the
+// outcomes that wait and then forgets the shard; the event is repeated until
+// Ready reports false.
+type Close struct{}
+
 // Ask requests a claim.
 type Ask struct {
 	ref      Ref
@@ -51,7 +56,8 @@
 }
 
 // NewReport returns a report. State is NotRun only if the agent refused the
-// claim and will not run it later, Done with the answer, or Unknown.
+// claim and will not run it later, Done with the answer (status 0 if it is too
+// large to be stored), or Unknown.
 func NewReport(k Key, g Grant, s State, a Answer) Report { return Report{k, g, s, a} }
 
 // Key returns the claimed key.
@@ -197,6 +203,7 @@
 type Tick struct{}
 
 func (Open) event()       {}
+func (Close) event()      {}
 func (Ask) event()        {}
 func (Report) event()     {}
 func (Withdraw) event()   {}
--- a/entry/request/claim/index.go
+++ b/entry/request/claim/index.go
@@ -66,7 +66,7 @@
 		return false
 	}
 	r.state = s
-	r.kept = s == Done && kept && a.size() <= maxAnswerBytes
+	r.kept = s == Done && kept && a.storable()
 	if r.kept {
 		r.answer = a
 		x.answerBytes += a.size()
@@ -74,6 +74,9 @@
 	return true
 }
 
+// storable tells whether an answer is present and small enough for the log.
+func (a Answer) storable() bool { return a.status != 0 && a.size() <= maxAnswerBytes }
+
 // orphan notes that the entry that held a grant lost contact with the agent, so
 // that the agent is asked at once when the key is sent again.
 func (x *index) orphan(k Key, g Grant) {
--- a/entry/request/claim/owner.go
+++ b/entry/request/claim/owner.go
@@ -158,6 +158,8 @@
 	switch e := e.(type) {
 	case Open:
 		o.load(now)
+	case Close:
+		o.close()
 	case Ask:
 		o.ask(now, e)
 	case Report:
@@ -178,6 +180,20 @@
 	}
 }
 
+// close gives the shard up when nothing is under way.
+func (o *Owner) close() {
+	if o.phase != phaseReady || o.flight.kind != flightNone || len(o.order) > 0 {
+		return
+	}
+	if len(o.reports) > 0 && !o.failing {
+		o.oldest -= outcomeLinger
+		return
+	}
+	o.phase = phaseIdle
+	o.index = newIndex()
+	o.reports = nil
+}
+
 // pump does what is due, and asks to be woken for what is due later.
 func (o *Owner) pump(now clock.Millis) {
 	if o.phase == phaseIdle {
--- a/entry/request/dispatch/dispatch.go
+++ b/entry/request/dispatch/dispatch.go
@@ -15,6 +15,7 @@
 	"goldcrestshore/core/request/outcome"
 	"goldcrestshore/core/version/relay"
 	"goldcrestshore/entry/connection/agent"
+	"goldcrestshore/entry/process/claims"
 	"goldcrestshore/entry/request/caller"
 	"goldcrestshore/entry/request/retry"
 )
@@ -26,6 +27,8 @@
 	Log   *event.Log
 	// Incarnation is that of this entry; it makes request ids unique.
 	Incarnation uint64
+	// Claims makes requests with a key run at most once; nil refuses them.
+	Claims *claims.Service
 
 	sequence atomic.Uint64
 	mu       sync.Mutex
@@ -38,6 +41,9 @@
 		return unavailable(d.Pool.View(), r.Service().Name())
 	}
 	d.decide(retry.First{})
+	if r.Key() != "" && !r.Idempotent() {
+		return d.dispatchClaimed(ctx, r, a)
+	}
 	tried := map[string]bool{}
 	state := retry.NewRequest(r.Idempotent())
 	for {
@@ -94,7 +100,7 @@
 // has left or the deadline has passed.
 func (d *Dispatcher) attempt(ctx context.Context, l *agent.Link, r *caller.Request, a *caller.Answer) error {
 	id := frame.NewID(d.Incarnation, d.sequence.Add(1))
-	e, err := l.Submit(id, d.submit(r))
+	e, err := l.Submit(id, d.submit(r, ""))
 	if err != nil {
 		return &attemptError{retry.LostBeforeSubmit, outcome.NoUpstream, 0}
 	}
@@ -102,9 +108,9 @@
 	return copyAnswer(ctx, e, a)
 }
 
-func (d *Dispatcher) submit(r *caller.Request) *frame.Submit {
+func (d *Dispatcher) submit(r *caller.Request, claimKey string) *frame.Submit {
 	left := r.Deadline() - d.Clock.Now()
-	terms := frame.NewTerms(int64(left), r.Customer().Priority(), r.Idempotent(), r.Stream(), "")
+	terms := frame.NewTerms(int64(left), r.Customer().Priority(), r.Idempotent(), r.Stream(), claimKey)
 	return frame.NewSubmit(r.Service().Name(), r.Customer().Name(), r.Call(), terms, r.Size(), r.ConfigVersion())
 }
 
@@ -123,7 +129,7 @@
 }
 
 // copyAnswer passes the events of an exchange to the caller until its end.
-func copyAnswer(ctx context.Context, e *agent.Exchange, a *caller.Answer) error {
+func copyAnswer(ctx context.Context, e *agent.Exchange, a answer) error {
 	for {
 		next, err := e.Next(ctx)
 		if err != nil {
@@ -156,7 +162,7 @@
 	return &attemptError{failure, r.Code(), r.RetryAfterMs()}
 }
 
-func lost(l agent.Lost, a *caller.Answer) error {
+func lost(l agent.Lost, a answer) error {
 	failure := retry.LostAfterSubmit
 	switch {
 	case l.NotRun():
@@ -168,7 +174,7 @@
 }
 
 // finish ends the caller's answer when every byte has arrived intact.
-func finish(end agent.End, a *caller.Answer) error {
+func finish(end agent.End, a answer) error {
 	if end.Complete() {
 		return errors.Wrap(a.Finish(), "write to caller")
 	}
