--- a/entry/request/caller/level_test.go
+++ b/entry/request/caller/level_test.go
@@ -14,6 +14,7 @@
 	"goldcrestshore/core/process/check"
 	"goldcrestshore/core/process/clock"
 	"goldcrestshore/core/request/outcome"
+	"goldcrestshore/core/version/mark"
 	"goldcrestshore/core/version/relay"
 	"goldcrestshore/core/version/text"
 )
@@ -31,7 +32,7 @@
 	promise := `"kind": "model", "objective": {"firstTokenMs": 1000, "betweenTokensMs": 50, "percent": 95}`
 	parsed, err := text.Parse([]byte(strings.Replace(sample, `"kind": "model"`, promise, 1)))
 	check.NoError(t, "parse", err)
-	snapshot := relay.NewSnapshot(1, parsed, nil)
+	snapshot := relay.NewSnapshot(1, parsed, mark.Set{}, nil)
 	stream := []frame.Field{frame.NewField("Content-Type", eventStreamType)}
 	rows := []struct {
 		name string
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -35,8 +35,10 @@
 }
 
 wait_for curl -sf "http://$PLATFORM/calls"
-"${CTL[@]}" check scripts/testdata/demo.jsonc || fail "the sample text was refused"
-"${CTL[@]}" apply scripts/testdata/demo.jsonc || fail "the sample text was not applied"
+# apply records the version in force beside the file, so a copy is used.
+cp scripts/testdata/demo.jsonc "$RUN_DIR/"
+"${CTL[@]}" check "$RUN_DIR/demo.jsonc" || fail "the sample text was refused"
+"${CTL[@]}" apply "$RUN_DIR/demo.jsonc" || fail "the sample text was not applied"
 
 # ready: an entry answers a call of each service.
 ready() {
