Measure routing against baselines

Cause: the choice of upstream had no comparison, and two random choices miss the few idle upstreams when most are busy. Reported queues drain with their age instead of decaying; Choose draws again while the best upstream has a queue.

--- a/agent/request/admission/admission.go
+++ b/agent/request/admission/admission.go
@@ -364,25 +364,27 @@
 // Load returns the report for the entries. Waiting work counts as held, so that
 // entries do not send more of it. A limit of 0 means that the
 // upstream takes no work now.
-func (a *Admission) Load() frame.Load {
+func (a *Admission) Load(now clock.Millis) frame.Load {
 	return frame.NewLoad(
 		a.service,
 		frame.NewOccupancy(len(a.held)+a.orphans.held+a.waiting.len(), a.openLimit(), a.memory.reservedBytes(), a.memory.usableBytes()),
 		frame.NewCondition(a.temperature.cold(), a.leaving || a.out || a.stopping, a.reach.incarnation, a.crashes),
-		frame.NewPace(int64(a.queueing()), int64(a.pace.firstToken)),
+		frame.NewPace(int64(a.queueing(now)), int64(a.pace.firstToken)),
 	)
 }
 
 // queueing estimates how long a new request would wait before the upstream
 // starts on its prompt.
-func (a *Admission) queueing() float64 {
+func (a *Admission) queueing(now clock.Millis) float64 {
 	tokens := a.waiting.promptTokens()
+	var working clock.Millis
 	for _, h := range a.held {
 		if h.observed && !h.answered {
 			tokens += h.prompt
+			working = max(working, a.pace.served(now, h))
 		}
 	}
-	return float64(tokens) * a.pace.perToken
+	return max(float64(tokens)*a.pace.perToken-float64(working), 0)
 }
 
 // Held returns the number of admitted requests that have not completed.
--- a/agent/request/admission/admission_test.go
+++ b/agent/request/admission/admission_test.go
@@ -61,7 +61,7 @@
 	}
 }
 
-func (b *bench) limit() int { return b.a.Load().Occupancy().Limit() }
+func (b *bench) limit() int { return b.a.Load(b.now).Occupancy().Limit() }
 
 func TestMemory(t *testing.T) {
 	limits := NewLimits(8, 8, 10, 20_000) // 19,000 usable bytes hold 1,900 tokens
--- a/entry/request/route/choose.go
+++ b/entry/request/route/choose.go
@@ -13,6 +13,11 @@
 	farPenalty = 10.0
 	// batchPenalty is what a full batch adds to the first token in ms.
 	batchPenalty = 60.0
+	// draws of two upstreams are made while the best has a queue of more than
+	// maxQueue ms. Two choices alone miss the few idle upstreams when most are
+	// busy; random draws still keep entries from choosing the same one.
+	draws    = 4
+	maxQueue = 30.0
 )
 
 // Request is what the choice depends on.
@@ -47,8 +52,9 @@
 
 // Choose returns an upstream for r that is not among tried. It compares two
 // upstreams drawn at random and those that hold the longest prefix, and takes
-// the one with the lowest predicted first-token time. When all of them are
-// full it looks at the whole subset. It returns ErrNoRoom or ErrNoUpstream.
+// the one with the lowest predicted first-token time. While that one has a queue
+// it draws again, up to draws times. When all of them are full it looks at the
+// whole subset. It returns ErrNoRoom or ErrNoUpstream.
 func (t *Table) Choose(now clock.Millis, r Request, tried []string) (Choice, error) {
 	s := t.services[r.service]
 	if s == nil {
@@ -63,66 +69,36 @@
 	if len(usable) == 0 {
 		return Choice{}, ErrNoUpstream
 	}
-	hits := t.prefixes.find(r.prefixes)
-	best, ok := t.best(now, s, r, t.candidates(usable, hits), hits)
-	if !ok {
-		best, ok = t.best(now, s, r, usable, hits)
-	}
-	if !ok {
-		return Choice{}, ErrNoRoom
-	}
-	return best, nil
-}
-
-// candidates returns two random upstreams and those with a prefix hit.
-func (t *Table) candidates(usable []*upstream, hits []hit) []*upstream {
-	if len(usable) <= 2 {
-		return usable
-	}
-	i := t.random.IntN(len(usable))
-	j := t.random.IntN(len(usable) - 1)
-	if j >= i {
-		j++
-	}
-	drawn := []*upstream{usable[i], usable[j]}
-	for _, u := range usable {
-		if u != drawn[0] && u != drawn[1] && hitTokens(u, hits) > 0 {
-			drawn = append(drawn, u)
+	search := search{table: t, now: now, service: s, request: r, hits: t.prefixes.find(r.prefixes)}
+	search.holders(usable)
+	for range draws {
+		search.pair(usable)
+		if search.found && search.queue <= maxQueue {
+			break
 		}
 	}
-	return drawn
-}
-
-// best returns the candidate with room that is predicted to answer first.
-func (t *Table) best(now clock.Millis, s *service, r Request, candidates []*upstream, hits []hit) (Choice, bool) {
-	var best Choice
-	var lowest float64
-	found := false
-	for _, u := range candidates {
-		if u.free(r.bytes) <= 0 {
-			continue
-		}
-		cached := min(hitTokens(u, hits), r.promptTokens)
-		ms := t.predict(now, s, u, r.promptTokens-cached)
-		if !found || ms < lowest {
-			best = Choice{u.name, cached, clock.Millis(ms)}
-			lowest = ms
-			found = true
-		}
+	if !search.found {
+		search.all(usable)
+	}
+	if !search.found {
+		return Choice{}, ErrNoRoom
 	}
-	return best, found
+	return search.best, nil
 }
 
-// predict returns the expected time to the first token in ms.
-func (t *Table) predict(now clock.Millis, s *service, u *upstream, uncached int) float64 {
+// predict returns the expected wait for other prompts and the expected time to
+// the first token, both in ms.
+func (t *Table) predict(now clock.Millis, s *service, u *upstream, uncached int) (queue, ms float64) {
 	perToken := s.pace.perToken()
-	queue := float64(u.load.Pace().QueueMs()) * u.freshness(now)
-	ms := queue + perToken*float64(u.since.tokens+uncached)
+	// The queue of the report and the work sent since drain as time passes.
+	queue = float64(u.load.Pace().QueueMs()) + perToken*float64(u.since.tokens)
+	queue = max(queue-float64(now-u.reportedAt), 0)
+	ms = queue + perToken*float64(uncached)
 	ms += batchPenalty * float64(u.held()) / float64(max(u.load.Occupancy().Limit(), 1))
 	if u.dataCentre != t.dataCentre {
 		ms += farPenalty
 	}
-	return ms
+	return queue, ms
 }
 
 // Named returns the choice of an upstream that was settled earlier, as by the
--- a/entry/request/route/upstream.go
+++ b/entry/request/route/upstream.go
@@ -1,20 +1,13 @@
 package route
 
 import (
-	"math"
-
 	"goldcrestshore/core/connection/frame"
 	"goldcrestshore/core/process/clock"
 )
 
-const (
-	// rampStart is the number of own requests that a returned upstream may hold
-	// at first. Every entry starts at one, and the agent holds the cold limit.
-	rampStart = 1
-	// reportLife is the time in which the weight of a report falls by a factor
-	// of e: work of other entries changes about as fast as requests end.
-	reportLife = 2 * clock.Second
-)
+// rampStart is the number of own requests that a returned upstream may hold at
+// first. Every entry starts at one, and the agent holds the cold limit.
+const rampStart = 1
 
 // upstream is what the entry knows of one upstream.
 type upstream struct {
@@ -128,11 +121,6 @@
 	return free
 }
 
-// freshness is the weight of the last report.
-func (u *upstream) freshness(now clock.Millis) float64 {
-	return math.Exp(-float64(now-u.reportedAt) / float64(reportLife))
-}
-
 // orderedEvent reports whether a cache event is newer than all before, and
 // counts the gap if events between are missing.
 func (u *upstream) orderedEvent(sequence uint64) bool {
--- a/measure/cmd/goldcrest-measure/main.go
+++ b/measure/cmd/goldcrest-measure/main.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"goldcrestshore/measure/once"
+	"goldcrestshore/measure/routing"
 )
 
 // errUsage reports a command line that names no known subject.
@@ -25,6 +26,7 @@
 // subjects lists the measurements in the order of docs/design.md section 8.
 var subjects = []subject{
 	{"once", once.Run},
+	{"routing", routing.Run},
 }
 
 func main() {
--- a/measure/fleet/agent.go
+++ b/measure/fleet/agent.go
@@ -66,10 +66,10 @@
 func (a *Agent) Engine() *engine.Engine { return a.engine }
 
 // Limit returns the number of requests that the agent admits at a time.
-func (a *Agent) Limit() int { return a.gate.Load().Occupancy().Limit() }
+func (a *Agent) Limit() int { return a.gate.Load(a.fleet.Sim.Now()).Occupancy().Limit() }
 
 // Cold reports whether the agent takes its upstream for cold.
-func (a *Agent) Cold() bool { return a.gate.Load().Condition().Cold() }
+func (a *Agent) Cold() bool { return a.gate.Load(a.fleet.Sim.Now()).Condition().Cold() }
 
 // Restart replaces the agent process. Its answers break off, while the engine
 // goes on with the work that it holds.
@@ -95,7 +95,7 @@
 }
 
 func (a *Agent) beat() {
-	load := a.gate.Load()
+	load := a.gate.Load(a.fleet.Sim.Now())
 	for _, e := range a.fleet.entries {
 		a.fleet.Sim.After(a.fleet.delay(a.dataCentre, e.dataCentre), func() { e.heartbeat(a, load) })
 	}
--- a/measure/fleet/fleet.go
+++ b/measure/fleet/fleet.go
@@ -201,3 +201,13 @@
 }
 
 func upstreamName(i int) string { return fmt.Sprintf("upstream-%02d", i) }
+
+// Upstreams returns the names and data centres of the upstreams that a fleet
+// with these options has.
+func Upstreams(o Options) (names, dataCentres []string) {
+	for i := range o.PerCentre * len(o.DataCentres) {
+		names = append(names, upstreamName(i))
+		dataCentres = append(dataCentres, o.DataCentres[i%len(o.DataCentres)])
+	}
+	return names, dataCentres
+}
--- a/measure/fleet/gate.go
+++ b/measure/fleet/gate.go
@@ -23,7 +23,7 @@
 	Crash(now clock.Millis) []Verdict
 	Out(now clock.Millis, out bool) []Verdict
 	Tick(now clock.Millis) []Verdict
-	Load() frame.Load
+	Load(now clock.Millis) frame.Load
 	// Urgent reports whether entries must learn of a change at once, and
 	// forgets it.
 	Urgent() bool
@@ -84,7 +84,7 @@
 
 func (g *admissionGate) Tick(now clock.Millis) []Verdict { return g.apply(now, admission.Tick{}) }
 
-func (g *admissionGate) Load() frame.Load { return g.admission.Load() }
+func (g *admissionGate) Load(now clock.Millis) frame.Load { return g.admission.Load(now) }
 
 func (g *admissionGate) Urgent() bool {
 	urgent := g.urgent
