Judge real processes under kills, pauses, cut connections and planned stops

Cause: at-most-once and whole answers were proved in virtual time only. Change: a network stand-in that cuts connections or lets them go silent, the setting advertise, scripts/once.sh (make measure-once-processes): 3 data centres, 6 agents, 3 entries, two phases judged by checked answers and ledgers. Claims are not wired yet, so keyed requests are sent again only after a true not run.

--- a/Makefile
+++ b/Makefile
@@ -32,6 +32,10 @@
 demo: build
 	@SEED=$(SEED) scripts/demo.sh
 
+# Real processes under kills, pauses, cut and silent connections, and planned stops.
+measure-once-processes: build
+	@SEED=$(SEED) scripts/once.sh
+
 # Virtual-time measurements over the decision packages; each ends with a line "result …".
 measure-%: build
 	@bin/goldcrest-measure $* -seed $(SEED)
--- a/agent/process/server/server.go
+++ b/agent/process/server/server.go
@@ -91,7 +91,7 @@
 	s.clock = clock.System()
 	s.platform = platform.New(s.Settings.Platform())
 	s.views = &relay.Client{
-		Platform: s.platform, Log: s.Log, Clock: s.clock, Self: s.self, Address: s.Settings.Listen(),
+		Platform: s.platform, Log: s.Log, Clock: s.clock, Self: s.self, Address: s.Settings.Advertise(),
 		Key: s.Settings.Key(), Contacts: s.Settings.Contacts(), Load: func() frame.Load { return s.heartbeat().Load() },
 	}
 	s.gate = &gate{limit: s.limit, refusal: s.outOfService, held: map[frame.ID]bool{}}
@@ -162,7 +162,7 @@
 
 // register announces the agent to the platform and tries again until it works.
 func (s *Server) register(ctx context.Context) {
-	i := platform.NewInstance(s.Settings.Instance(), platform.RoleAgent, s.Settings.DataCentre(), s.Settings.Listen()).
+	i := platform.NewInstance(s.Settings.Instance(), platform.RoleAgent, s.Settings.DataCentre(), s.Settings.Advertise()).
 		WithUpstream(s.Upstream, s.Service)
 	platform.Announce(ctx, s.platform, i, func(err error) { s.Log.Error(event.PlatformFailed, err, nil) })
 }
--- a/core/process/settings/common.go
+++ b/core/process/settings/common.go
@@ -18,6 +18,7 @@
 	platform    string
 	key         string
 	listen      string
+	advertise   string
 	admin       string
 	logLevel    string
 	contacts    string
@@ -32,6 +33,7 @@
 	fs.StringVar(&c.platform, "platform", "", "address of the platform's object API, ip:port")
 	fs.StringVar(&c.key, "key", "", "key shared by all goldcrestshore processes; keep it in the settings file")
 	fs.StringVar(&c.listen, "listen", "", "address for other goldcrestshore processes, ip:port")
+	fs.StringVar(&c.advertise, "advertise", "", "address that other processes dial, ip:port; the listen address when empty")
 	fs.StringVar(&c.admin, "admin", "", "address of the metrics and status endpoints, ip:port; empty for none")
 	fs.StringVar(&c.logLevel, "logLevel", "info", "lowest severity that is logged")
 	fs.StringVar(&c.contacts, "contacts", "", "addresses of some other processes, ip:port with commas, for a start while the platform is down")
@@ -72,6 +74,14 @@
 // Listen returns the address for other processes.
 func (c *Common) Listen() string { return c.listen }
 
+// Advertise returns the address that other processes dial.
+func (c *Common) Advertise() string {
+	if c.advertise == "" {
+		return c.listen
+	}
+	return c.advertise
+}
+
 // Admin returns the address of the metrics and status endpoints.
 func (c *Common) Admin() string { return c.admin }
 
--- a/entry/process/server/server.go
+++ b/entry/process/server/server.go
@@ -100,7 +100,7 @@
 
 // register announces the entry to the platform and tries again until it works.
 func (s *Server) register(ctx context.Context) {
-	i := platform.NewInstance(s.Settings.Instance(), platform.RoleEntry, s.Settings.DataCentre(), s.Settings.Listen())
+	i := platform.NewInstance(s.Settings.Instance(), platform.RoleEntry, s.Settings.DataCentre(), s.Settings.Advertise())
 	platform.Announce(ctx, s.platform, i, func(err error) { s.Log.Error(event.PlatformFailed, err, nil) })
 }
 
@@ -118,7 +118,7 @@
 	s.clock = clock.System()
 	s.platform = platform.New(s.Settings.Platform())
 	s.views = &relay.Client{
-		Platform: s.platform, Log: s.Log, Clock: s.clock, Self: s.self, Address: s.Settings.Listen(),
+		Platform: s.platform, Log: s.Log, Clock: s.clock, Self: s.self, Address: s.Settings.Advertise(),
 		Key: s.Settings.Key(), Contacts: s.Settings.Contacts(),
 	}
 	s.pool = &agent.Pool{Self: s.self, Key: s.Settings.Key(), Log: s.Log, Clock: s.clock, View: s.views.Current}
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -15,7 +15,7 @@
 start() {
 	local name=$1
 	shift
-	"$@" >"$RUN_DIR/$name.log" 2>&1 &
+	"$@" >>"$RUN_DIR/$name.log" 2>&1 &
 	PID[$name]=$!
 }
 
@@ -58,14 +58,33 @@
 	start_agent "$dc" "$i" "$service" "$upstream"
 }
 
+# start_agent DATACENTRE INDEX SERVICE UPSTREAM. With NETWORK=1 a stand-in network
+# lies between the entries and the agent; NETWORK_CONTROL holds its control address.
+declare -A NETWORK_CONTROL DAEMON_COMMAND
 start_agent() {
 	local dc=$1 i=$2 service=$3 upstream=$4
+	local name=agent-$service-$dc-$i
 	next_port
-	local listen=$ADDRESS
+	local listen=$ADDRESS advertise=$ADDRESS
+	if [ "${NETWORK:-0}" = 1 ]; then
+		next_port
+		advertise=$ADDRESS
+		next_port
+		NETWORK_CONTROL[$name]=$ADDRESS
+		start "network-$name" bin/goldcrest-standin network -listen "$advertise" -target "$listen" -control "$ADDRESS"
+	fi
 	next_port
-	start "agent-$service-$dc-$i" bin/goldcrest-agent -settings "$RUN_DIR/shared.jsonc" \
-		-instance "agent-$service-$dc-$i" -dataCentre "$dc" -listen "$listen" -admin "$ADDRESS" \
-		-service "$service" -upstream "$upstream" -memoryLimitBytes 33554432
+	DAEMON_COMMAND[$name]="bin/goldcrest-agent -settings $RUN_DIR/shared.jsonc -instance $name -dataCentre $dc \
+		-listen $listen -advertise $advertise -admin $ADDRESS -service $service -upstream $upstream -memoryLimitBytes 33554432"
+	start_again "$name"
+}
+
+# start_again NAME: starts an agent or an entry with the command it had before.
+start_again() {
+	local command=${DAEMON_COMMAND[$1]}
+	# The command has no word with spaces.
+	# shellcheck disable=SC2086
+	start "$1" $command
 }
 
 # start_entry DATACENTRE INDEX: an entry; its address for callers joins ENTRIES.
@@ -76,9 +95,9 @@
 	next_port
 	local listen=$ADDRESS
 	next_port
-	start "entry-$dc-$i" bin/goldcrest-entry -settings "$RUN_DIR/shared.jsonc" \
-		-instance "entry-$dc-$i" -dataCentre "$dc" -listen "$listen" -admin "$ADDRESS" \
-		-callers "$callers" -memoryLimitBytes 33554432
+	DAEMON_COMMAND[entry-$dc-$i]="bin/goldcrest-entry -settings $RUN_DIR/shared.jsonc -instance entry-$dc-$i \
+		-dataCentre $dc -listen $listen -admin $ADDRESS -callers $callers -memoryLimitBytes 33554432"
+	start_again "entry-$dc-$i"
 	ENTRIES="${ENTRIES:+$ENTRIES,}$callers"
 }
 
--- a/standin/process/command/command.go
+++ b/standin/process/command/command.go
@@ -16,7 +16,7 @@
 )
 
 // errUsage reports a command line that names no subcommand.
-var errUsage = errors.New("usage: goldcrest-standin platform|engine|service|weights|load [flags]")
+var errUsage = errors.New("usage: goldcrest-standin platform|engine|service|weights|network|load [flags]")
 
 // subcommand is one stand-in.
 type subcommand struct {
@@ -29,6 +29,7 @@
 	{"engine", runEngine},
 	{"service", runService},
 	{"weights", runWeights},
+	{"network", runNetwork},
 	{"load", runLoad},
 }
 
