Check all generated code

Cause: the check covered one generated file of three. Change: make generated compares the frames' and the claim log's code. Conclusion: generated code that does not match its source fails make test.

--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,9 @@
 
 # Generated code must match its source.
 generated:
-	@cp core/connection/frame/messages_gen.go /tmp/messages_gen.$$$$ && (cd core && go generate ./...) && cmp core/connection/frame/messages_gen.go /tmp/messages_gen.$$$$ && rm -f /tmp/messages_gen.$$$$
+	@sum() { cat core/connection/frame/*_gen.go entry/request/claim/*_gen.go | cksum; }; before=$$(sum); \
+	for m in core entry; do (cd $$m && go generate ./...) || exit 1; done; \
+	[ "$$before" = "$$(sum)" ] || { echo "generated code does not match its source"; exit 1; }
 
 unit:
 	@for m in $(MODULES); do (cd $$m && go test ./...) || exit 1; done
