Put relays between the sources and the leaves of a data centre

Change: three sources per data centre read the platform; above 96 processes relays with 64 subscriptions each listen to the sources only. A relay that hears no process which reads the platform reads it itself. The instance list is read at 8 KB/s at most. Heartbeats are encoded as tuples. Status reports get 45 and claims 175 of the 300 writes/s.

Conclusion: platform calls follow the number of data centres, not of processes.

--- a/core/connection/frame/messages.go
+++ b/core/connection/frame/messages.go
@@ -2,6 +2,10 @@
 
 //go:generate go tool msgp -unexported -tests=false -io=false -file messages.go -o messages_gen.go
 
+// Heartbeats are most of the control traffic; without field names they take a
+// third of the bytes.
+//msgp:tuple Heartbeat Load Occupancy Condition Pace
+
 // Field is one header line of a call or an answer.
 type Field struct {
 	name  string
--- a/core/connection/frame/messages_gen.go
+++ b/core/connection/frame/messages_gen.go
@@ -505,71 +505,46 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Condition) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
-	// string "cold"
-	o = append(o, 0x84, 0xa4, 0x63, 0x6f, 0x6c, 0x64)
+	// array header, size 4
+	o = append(o, 0x94)
 	o = msgp.AppendBool(o, z.cold)
-	// string "leaving"
-	o = append(o, 0xa7, 0x6c, 0x65, 0x61, 0x76, 0x69, 0x6e, 0x67)
 	o = msgp.AppendBool(o, z.leaving)
-	// string "incarnation"
-	o = append(o, 0xab, 0x69, 0x6e, 0x63, 0x61, 0x72, 0x6e, 0x61, 0x74, 0x69, 0x6f, 0x6e)
 	o = msgp.AppendUint64(o, z.incarnation)
-	// string "crashes"
-	o = append(o, 0xa7, 0x63, 0x72, 0x61, 0x73, 0x68, 0x65, 0x73)
 	o = msgp.AppendUint64(o, z.crashes)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
 func (z *Condition) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "cold":
-			z.cold, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "cold")
-				return
-			}
-		case "leaving":
-			z.leaving, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "leaving")
-				return
-			}
-		case "incarnation":
-			z.incarnation, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "incarnation")
-				return
-			}
-		case "crashes":
-			z.crashes, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "crashes")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	z.cold, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "cold")
+		return
+	}
+	z.leaving, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "leaving")
+		return
+	}
+	z.incarnation, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "incarnation")
+		return
+	}
+	z.crashes, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "crashes")
+		return
 	}
 	o = bts
 	return
@@ -577,7 +552,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Condition) Msgsize() (s int) {
-	s = 1 + 5 + msgp.BoolSize + 8 + msgp.BoolSize + 12 + msgp.Uint64Size + 8 + msgp.Uint64Size
+	s = 1 + msgp.BoolSize + msgp.BoolSize + msgp.Uint64Size + msgp.Uint64Size
 	return
 }
 
@@ -898,12 +873,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Heartbeat) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
-	// string "configVersion"
-	o = append(o, 0x82, 0xad, 0x63, 0x6f, 0x6e, 0x66, 0x69, 0x67, 0x56, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+	// array header, size 2
+	o = append(o, 0x92)
 	o = msgp.AppendUint64(o, z.configVersion)
-	// string "load"
-	o = append(o, 0xa4, 0x6c, 0x6f, 0x61, 0x64)
 	o, err = z.load.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "load")
@@ -914,41 +886,25 @@
 
 // UnmarshalMsg implements msgp.Unmarshaler
 func (z *Heartbeat) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "configVersion":
-			z.configVersion, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "configVersion")
-				return
-			}
-		case "load":
-			bts, err = z.load.UnmarshalMsg(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "load")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.configVersion, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "configVersion")
+		return
+	}
+	bts, err = z.load.UnmarshalMsg(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "load")
+		return
 	}
 	o = bts
 	return
@@ -956,7 +912,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Heartbeat) Msgsize() (s int) {
-	s = 1 + 14 + msgp.Uint64Size + 5 + z.load.Msgsize()
+	s = 1 + msgp.Uint64Size + z.load.Msgsize()
 	return
 }
 
@@ -1051,114 +1007,72 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Load) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
-	// string "service"
-	o = append(o, 0x84, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+	// array header, size 4
+	o = append(o, 0x94)
 	o = msgp.AppendString(o, z.service)
-	// string "occupancy"
-	o = append(o, 0xa9, 0x6f, 0x63, 0x63, 0x75, 0x70, 0x61, 0x6e, 0x63, 0x79)
 	o, err = z.occupancy.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "occupancy")
 		return
 	}
-	// string "condition"
-	o = append(o, 0xa9, 0x63, 0x6f, 0x6e, 0x64, 0x69, 0x74, 0x69, 0x6f, 0x6e)
 	o, err = z.condition.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "condition")
 		return
 	}
-	// string "pace"
-	o = append(o, 0xa4, 0x70, 0x61, 0x63, 0x65)
-	// map header, size 2
-	// string "queueMs"
-	o = append(o, 0x82, 0xa7, 0x71, 0x75, 0x65, 0x75, 0x65, 0x4d, 0x73)
+	// array header, size 2
+	o = append(o, 0x92)
 	o = msgp.AppendInt64(o, z.pace.queueMs)
-	// string "firstTokenMs"
-	o = append(o, 0xac, 0x66, 0x69, 0x72, 0x73, 0x74, 0x54, 0x6f, 0x6b, 0x65, 0x6e, 0x4d, 0x73)
 	o = msgp.AppendInt64(o, z.pace.firstTokenMs)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
 func (z *Load) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "service":
-			z.service, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "service")
-				return
-			}
-		case "occupancy":
-			bts, err = z.occupancy.UnmarshalMsg(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "occupancy")
-				return
-			}
-		case "condition":
-			bts, err = z.condition.UnmarshalMsg(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "condition")
-				return
-			}
-		case "pace":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "pace")
-				return
-			}
-			for zb0002 > 0 {
-				zb0002--
-				field, bts, err = msgp.ReadMapKeyZC(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "pace")
-					return
-				}
-				switch msgp.UnsafeString(field) {
-				case "queueMs":
-					z.pace.queueMs, bts, err = msgp.ReadInt64Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "pace", "queueMs")
-						return
-					}
-				case "firstTokenMs":
-					z.pace.firstTokenMs, bts, err = msgp.ReadInt64Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "pace", "firstTokenMs")
-						return
-					}
-				default:
-					bts, err = msgp.Skip(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "pace")
-						return
-					}
-				}
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	z.service, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "service")
+		return
+	}
+	bts, err = z.occupancy.UnmarshalMsg(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "occupancy")
+		return
+	}
+	bts, err = z.condition.UnmarshalMsg(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "condition")
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "pace")
+		return
+	}
+	if zb0002 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0002}
+		return
+	}
+	z.pace.queueMs, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "pace", "queueMs")
+		return
+	}
+	z.pace.firstTokenMs, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "pace", "firstTokenMs")
+		return
 	}
 	o = bts
 	return
@@ -1166,78 +1080,53 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Load) Msgsize() (s int) {
-	s = 1 + 8 + msgp.StringPrefixSize + len(z.service) + 10 + z.occupancy.Msgsize() + 10 + z.condition.Msgsize() + 5 + 1 + 8 + msgp.Int64Size + 13 + msgp.Int64Size
+	s = 1 + msgp.StringPrefixSize + len(z.service) + z.occupancy.Msgsize() + z.condition.Msgsize() + 1 + msgp.Int64Size + msgp.Int64Size
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Occupancy) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
-	// string "held"
-	o = append(o, 0x84, 0xa4, 0x68, 0x65, 0x6c, 0x64)
+	// array header, size 4
+	o = append(o, 0x94)
 	o = msgp.AppendInt(o, z.held)
-	// string "limit"
-	o = append(o, 0xa5, 0x6c, 0x69, 0x6d, 0x69, 0x74)
 	o = msgp.AppendInt(o, z.limit)
-	// string "reservedBytes"
-	o = append(o, 0xad, 0x72, 0x65, 0x73, 0x65, 0x72, 0x76, 0x65, 0x64, 0x42, 0x79, 0x74, 0x65, 0x73)
 	o = msgp.AppendInt64(o, z.reservedBytes)
-	// string "budgetBytes"
-	o = append(o, 0xab, 0x62, 0x75, 0x64, 0x67, 0x65, 0x74, 0x42, 0x79, 0x74, 0x65, 0x73)
 	o = msgp.AppendInt64(o, z.budgetBytes)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
 func (z *Occupancy) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "held":
-			z.held, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "held")
-				return
-			}
-		case "limit":
-			z.limit, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "limit")
-				return
-			}
-		case "reservedBytes":
-			z.reservedBytes, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "reservedBytes")
-				return
-			}
-		case "budgetBytes":
-			z.budgetBytes, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "budgetBytes")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	z.held, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "held")
+		return
+	}
+	z.limit, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "limit")
+		return
+	}
+	z.reservedBytes, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "reservedBytes")
+		return
+	}
+	z.budgetBytes, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "budgetBytes")
+		return
 	}
 	o = bts
 	return
@@ -1245,60 +1134,41 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Occupancy) Msgsize() (s int) {
-	s = 1 + 5 + msgp.IntSize + 6 + msgp.IntSize + 14 + msgp.Int64Size + 12 + msgp.Int64Size
+	s = 1 + msgp.IntSize + msgp.IntSize + msgp.Int64Size + msgp.Int64Size
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z Pace) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
-	// string "queueMs"
-	o = append(o, 0x82, 0xa7, 0x71, 0x75, 0x65, 0x75, 0x65, 0x4d, 0x73)
+	// array header, size 2
+	o = append(o, 0x92)
 	o = msgp.AppendInt64(o, z.queueMs)
-	// string "firstTokenMs"
-	o = append(o, 0xac, 0x66, 0x69, 0x72, 0x73, 0x74, 0x54, 0x6f, 0x6b, 0x65, 0x6e, 0x4d, 0x73)
 	o = msgp.AppendInt64(o, z.firstTokenMs)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
 func (z *Pace) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "queueMs":
-			z.queueMs, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "queueMs")
-				return
-			}
-		case "firstTokenMs":
-			z.firstTokenMs, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "firstTokenMs")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.queueMs, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "queueMs")
+		return
+	}
+	z.firstTokenMs, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "firstTokenMs")
+		return
 	}
 	o = bts
 	return
@@ -1306,7 +1176,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z Pace) Msgsize() (s int) {
-	s = 1 + 8 + msgp.Int64Size + 13 + msgp.Int64Size
+	s = 1 + msgp.Int64Size + msgp.Int64Size
 	return
 }
 
--- a/core/process/limiter/limiter.go
+++ b/core/process/limiter/limiter.go
@@ -55,9 +55,9 @@
 	{Configuration, 800, 0},
 	{Instances, 400, 0},
 	{Start, 300, 20},
-	{Claims, 200, 190},
+	{Claims, 200, 175},
 	{Holders, 150, 20},
-	{Status, 0, 30},
+	{Status, 0, 45},
 	{Burn, 50, 30},
 	{Operators, 100, 10},
 }
--- a/core/process/status/status.go
+++ b/core/process/status/status.go
@@ -10,8 +10,8 @@
 	"goldcrestshore/core/process/clock"
 )
 
-// Interval is the time between two reports of a relay. 450 relays at full size
-// write 90 times a second, the 15 of a smaller fleet 3 times.
+// Interval is the time between two reports of a relay. The 15 sources and 200
+// relays of the full size write 43 times a second.
 const Interval = 5 * clock.Second
 
 // ErrMalformed reports a report that Parse cannot read.
--- a/core/version/relay/client.go
+++ b/core/version/relay/client.go
@@ -60,7 +60,9 @@
 	current atomic.Pointer[Snapshot]
 	// rejected is the version that failed its check last; it is not asked for again.
 	rejected atomic.Uint64
-	planner  planner
+	// reads tells whether this process reads the platform.
+	reads   atomic.Bool
+	planner planner
 	audience
 	limits limits
 
@@ -70,9 +72,10 @@
 	// Owned by the main loop.
 	ctx        context.Context
 	group      *errgroup.Group
-	sources    context.CancelFunc // not nil while this process reads the platform
+	reading    tasks
+	reporting  tasks
 	listening  map[string]*subscription
-	aloneAt    clock.Millis // when the last subscription ended
+	heardAt    clock.Millis // when a subscription last stood
 	nextReview clock.Millis
 }
 
@@ -192,11 +195,11 @@
 	}
 	c.limits = limits{
 		start:         limiter.New(limiter.Start, 1),
-		configuration: limiter.New(limiter.Configuration, relaysPerDataCentre),
-		instances:     limiter.New(limiter.Instances, relaysPerDataCentre),
-		status:        limiter.New(limiter.Status, relaysPerDataCentre),
+		configuration: limiter.New(limiter.Configuration, sourcesPerDataCentre),
+		instances:     limiter.New(limiter.Instances, sourcesPerDataCentre),
+		status:        limiter.New(limiter.Status, sourcesPerDataCentre),
 	}
-	c.aloneAt = c.Clock.Now()
+	c.heardAt = c.Clock.Now()
 	c.audience.start(c.put)
 	group.Go(func() error { return c.decide(ctx) })
 	group.Go(func() error { return c.source().first(ctx) })
@@ -289,33 +292,49 @@
 	c.reviewSubscriptions(now, list)
 }
 
-// reviewSources reads the platform while this process is a relay, serves a
-// subscriber or hears no relay.
+// reviewSources reads the platform while this process is a source, is
+// subscribed to although the list makes it a leaf, or hears nobody who does.
 func (c *Client) reviewSources(now clock.Millis, list []platform.Instance) {
-	alone := c.connected() == 0 && now-c.aloneAt >= relaysHeardAlone
-	serving := c.planner.isRelay(list) || c.audience.size() > 0
-	holders := fleetRelays(list)
-	if alone && !serving {
-		// Every process of a cut-off data centre may be alone at one moment.
-		holders = max(holders, len(list))
+	own := c.planner.part(list)
+	served := c.audience.size() > 0
+	if c.hears(own) {
+		c.heardAt = now
 	}
-	c.limits.configuration.Share(now, holders)
-	c.limits.instances.Share(now, holders)
-	c.limits.status.Share(now, holders)
-	switch {
-	case (serving || alone) && c.sources == nil:
-		c.startSources()
-	case !serving && !alone && c.sources != nil:
-		c.sources()
-		c.sources = nil
+	alone := now-c.heardAt >= aloneAfter
+	reads := own == sourcePart || (own == leafPart && served)
+	h := holdersOf(list)
+	if alone && !reads {
+		// Every process of a cut-off data centre may be alone at one moment.
+		h.sources = max(h.sources, len(list))
 	}
+	c.limits.configuration.Share(now, h.sources)
+	c.limits.instances.Share(now, h.sources)
+	c.limits.status.Share(now, h.reporters)
+	s := c.source()
+	reads = reads || alone
+	c.reads.Store(reads)
+	c.reading.set(c, reads, s.watchConfiguration, s.watchMarks, s.pollInstances)
+	c.reporting.set(c, own != leafPart || served, c.reportStatus)
 }
 
-func (c *Client) startSources() {
+// tasks are goroutines that run while a condition holds.
+type tasks struct {
+	cancel context.CancelFunc // not nil while they run
+}
+
+// set starts or stops the goroutines.
+func (t *tasks) set(c *Client, wanted bool, runs ...func(context.Context)) {
+	if wanted == (t.cancel != nil) {
+		return
+	}
+	if !wanted {
+		t.cancel()
+		t.cancel = nil
+		return
+	}
 	ctx, cancel := context.WithCancel(c.ctx)
-	c.sources = cancel
-	s := c.source()
-	for _, run := range []func(context.Context){s.watchConfiguration, s.watchMarks, s.pollInstances, c.reportStatus} {
+	t.cancel = cancel
+	for _, run := range runs {
 		c.group.Go(func() error {
 			run(ctx)
 			return nil
@@ -328,15 +347,16 @@
 	return &source{platform: c.Platform, clock: c.Clock, limits: c.limits, put: c.put}
 }
 
-// connected returns the number of subscriptions whose connection stands.
-func (c *Client) connected() int {
-	n := 0
+// hears tells whether a subscription stands. One of a relay counts only if the
+// other end reads the platform: with lists that differ, two relays may each
+// take the other for a source.
+func (c *Client) hears(own part) bool {
 	for _, s := range c.listening {
-		if s.connected.Load() {
-			n++
+		if s.connected.Load() && (own != relayPart || s.fed.Load()) {
+			return true
 		}
 	}
-	return n
+	return false
 }
 
 // reviewSubscriptions starts missing subscriptions, and ends unwanted ones once
@@ -381,8 +401,5 @@
 	delete(c.listening, e.from.target.name)
 	c.planner.fail(now, e.from.target.name)
 	peer.LogEnd(c.Log, e.err, e.from.target.name)
-	if c.connected() == 0 {
-		c.aloneAt = now
-	}
 	c.review()
 }
--- a/core/version/relay/client_test.go
+++ b/core/version/relay/client_test.go
@@ -131,7 +131,7 @@
 	for _, n := range nodes {
 		n.await(func(s *Snapshot) bool { return len(s.Instances()) == 5 })
 	}
-	chosen, _ := relays(list, "x")
+	chosen := tiersOf(list, "x").sources
 	for i, n := range nodes {
 		if n.instance.Name() == chosen[0] || n.instance.Name() == chosen[1] {
 			n.stop()
--- a/core/version/relay/plan.go
+++ b/core/version/relay/plan.go
@@ -9,18 +9,17 @@
 )
 
 const (
-	// relaysPerDataCentre keeps two relays when one dies.
-	relaysPerDataCentre = 3
-	// subscribersPerRelay bounds a relay's heartbeats to a few KB/s; larger data
-	// centres get more relays.
+	// sourcesPerDataCentre keeps two readers of the platform when one dies.
+	sourcesPerDataCentre = 3
+	// subscribersPerRelay bounds the heartbeats of a relay to about 12 KB/s.
 	subscribersPerRelay = 64
 	// subscriptions is the number of relays that a process listens to.
 	subscriptions = 2
 	// failureMemory is how long a relay that failed is passed over.
 	failureMemory = 5 * clock.Second
-	// relaysHeardAlone is how long a process goes without any relay before it
-	// asks the platform itself.
-	relaysHeardAlone = 1 * clock.Second
+	// aloneAfter is how long a process goes without any relay before it asks the
+	// platform itself.
+	aloneAfter = 1 * clock.Second
 )
 
 // target is a process to subscribe to.
@@ -38,10 +37,17 @@
 	failed     map[string]clock.Millis // when the failure is forgotten
 }
 
-// relays returns the relays of a data centre in the order of their weight,
-// followed by the candidates that replace them. Marks do not matter here: a
-// data centre that is out must still learn that it is back in.
-func relays(list []platform.Instance, dataCentre string) (chosen, spare []string) {
+// tiers are the live processes of a data centre by their part. Marks do not
+// matter here: a data centre that is out must still learn that it is back in.
+type tiers struct {
+	sources []string // read the platform
+	relays  []string // listen to sources; none in a small data centre
+	leaves  []string // listen to relays, or to sources when there are none
+}
+
+// tiersOf orders the processes of a data centre by rendezvous weight, so that a
+// process that dies is replaced by the next.
+func tiersOf(list []platform.Instance, dataCentre string) tiers {
 	var names []string
 	for _, i := range list {
 		if i.DataCentre() == dataCentre && i.State() == platform.Live && i.Address() != "" {
@@ -49,44 +55,86 @@
 		}
 	}
 	ordered := rendezvous.Top("relay."+dataCentre, names, len(names))
-	n := min(relayCount(len(names)), len(ordered))
-	return ordered[:n], ordered[n:]
+	s := min(sourcesPerDataCentre, len(ordered))
+	r := min(s+relayCount(len(ordered)), len(ordered))
+	return tiers{ordered[:s], ordered[s:r], ordered[r:]}
 }
 
-// relayCount returns the number of relays for a number of processes.
+// relayCount returns the number of relays between the sources and a number of
+// processes.
 func relayCount(processes int) int {
-	needed := (processes*subscriptions + subscribersPerRelay - 1) / subscribersPerRelay
-	return max(relaysPerDataCentre, needed)
+	all := processes * subscriptions
+	if all <= sourcesPerDataCentre*subscribersPerRelay {
+		return 0
+	}
+	return (all + subscribersPerRelay - 1) / subscribersPerRelay
 }
 
-// fleetRelays returns the number of relays over all data centres, at least 1.
-func fleetRelays(list []platform.Instance) int {
+// holders counts the processes that share the parts of the platform's rates.
+type holders struct {
+	sources   int // read the platform
+	reporters int // write status reports
+}
+
+// holdersOf counts over all data centres, at least one of each.
+func holdersOf(list []platform.Instance) holders {
 	perDataCentre := map[string]int{}
 	for _, i := range list {
 		perDataCentre[i.DataCentre()]++
 	}
-	total := 0
+	var h holders
 	for _, n := range perDataCentre {
-		total += min(relayCount(n), n)
+		sources := min(sourcesPerDataCentre, n)
+		h.sources += sources
+		h.reporters += sources + min(relayCount(n), n-sources)
 	}
-	return max(total, 1)
+	return holders{max(h.sources, 1), max(h.reporters, 1)}
 }
 
-// isRelay tells whether the list makes this process a relay.
-func (p *planner) isRelay(list []platform.Instance) bool {
-	chosen, _ := relays(list, p.dataCentre)
-	return slices.Contains(chosen, p.self)
+// part is what the list makes of this process.
+type part int
+
+const (
+	leafPart part = iota
+	relayPart
+	sourcePart
+)
+
+func (p *planner) part(list []platform.Instance) part {
+	t := tiersOf(list, p.dataCentre)
+	switch {
+	case slices.Contains(t.sources, p.self):
+		return sourcePart
+	case slices.Contains(t.relays, p.self):
+		return relayPart
+	}
+	return leafPart
 }
 
-// targets returns the processes to subscribe to: relays of the own data centre,
-// then its spare candidates, then relays elsewhere, then the first contacts.
+// targets returns the processes to subscribe to: those of the tier above in the
+// own data centre, then those that would replace them, then sources elsewhere,
+// then the first contacts.
 func (p *planner) targets(now clock.Millis, list []platform.Instance) []target {
-	chosen, spare := relays(list, p.dataCentre)
-	order := append(rendezvous.Top("subscriber."+p.self, chosen, len(chosen)), spare...)
-	if len(order) <= subscriptions {
+	t := tiersOf(list, p.dataCentre)
+	sources := rendezvous.Top("subscriber."+p.self, t.sources, len(t.sources))
+	order := sources
+	// A relay listens to sources only. Two relays that listened to each other
+	// would not notice that neither hears the platform.
+	if !slices.Contains(t.relays, p.self) {
+		relays := rendezvous.Top("subscriber."+p.self, t.relays, len(t.relays))
+		if slices.Contains(t.sources, p.self) {
+			relays = nil
+		}
+		order = slices.Concat(relays, sources, t.leaves)
+	}
+	if len(t.sources) <= subscriptions {
 		order = append(order, p.elsewhere(list)...)
 	}
-	found := p.usable(now, order, addresses(list))
+	return p.withContacts(now, p.usable(now, order, addresses(list)))
+}
+
+// withContacts adds first contacts while there are too few targets.
+func (p *planner) withContacts(now clock.Millis, found []target) []target {
 	for _, address := range p.contacts {
 		if len(found) >= subscriptions {
 			break
@@ -100,15 +148,14 @@
 	return found
 }
 
-// elsewhere returns the relays of the other data centres.
+// elsewhere returns the sources of the other data centres.
 func (p *planner) elsewhere(list []platform.Instance) []string {
 	var names []string
 	seen := map[string]bool{p.dataCentre: true}
 	for _, i := range list {
 		if !seen[i.DataCentre()] {
 			seen[i.DataCentre()] = true
-			chosen, _ := relays(list, i.DataCentre())
-			names = append(names, chosen...)
+			names = append(names, tiersOf(list, i.DataCentre()).sources...)
 		}
 	}
 	return rendezvous.Top("subscriber."+p.self, names, len(names))
--- a/core/version/relay/plan_test.go
+++ b/core/version/relay/plan_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"goldcrestshore/core/connection/platform"
@@ -25,28 +26,54 @@
 	return &planner{self: name, dataCentre: dataCentre}
 }
 
-// Guards against a data centre with fewer than three relays, and against relays
+// Guards against a data centre with fewer than three sources, and against relays
 // whose subscribers outgrow their rates.
-func TestRelayCount(t *testing.T) {
-	for _, row := range []struct{ processes, want int }{{0, 3}, {96, 3}, {97, 4}, {1270, 40}} {
-		check.Equal(t, fmt.Sprintf("relays of %d processes", row.processes), relayCount(row.processes), row.want)
+func TestTiers(t *testing.T) {
+	for _, row := range []struct{ processes, sources, relays int }{{2, 2, 0}, {96, 3, 0}, {97, 3, 4}, {1270, 3, 40}} {
+		list := fleet(row.processes, "x")
+		got := map[part]int{}
+		for _, i := range list {
+			got[planFor(i.Name(), "x").part(list)]++
+		}
+		check.Equal(t, fmt.Sprintf("sources of %d", row.processes), got[sourcePart], row.sources)
+		check.Equal(t, fmt.Sprintf("relays of %d", row.processes), got[relayPart], row.relays)
 	}
-	list := fleet(20, "x", "y")
-	count := 0
+	check.Equal(t, "holders", holdersOf(fleet(1270, "x", "y")), holders{6, 86})
+	check.Equal(t, "holders of no list", holdersOf(nil), holders{1, 1})
+}
+
+// Guards against a relay that hears the platform through no source, and against
+// leaves that crowd on the sources.
+func TestTiersListenUpwards(t *testing.T) {
+	list := fleet(200, "x")
+	parts := tiersOf(list, "x")
+	listeners := map[string]int{}
 	for _, i := range list {
-		if planFor(i.Name(), i.DataCentre()).isRelay(list) {
-			count++
+		p := planFor(i.Name(), "x")
+		want := parts.relays
+		if p.part(list) != leafPart {
+			want = parts.sources
 		}
+		for _, target := range p.targets(0, list) {
+			check.Equal(t, i.Name()+" listens upwards", slices.Contains(want, target.name), true)
+			listeners[target.name]++
+		}
+	}
+	for name, n := range listeners {
+		check.AtMost(t, "listeners of "+name, n, 2*subscribersPerRelay)
+	}
+	cut := planFor(parts.relays[0], "x")
+	for _, name := range parts.sources {
+		cut.fail(0, name)
 	}
-	check.Equal(t, "relays", count, 6)
-	check.Equal(t, "fleet's relays", fleetRelays(list), 6)
+	check.Equal(t, "targets of a relay without sources", len(cut.targets(1, list)), 0)
 }
 
 // Guards against a process that relies on one relay, on itself, or on an
 // instance that leaves.
 func TestTargets(t *testing.T) {
 	list := fleet(20, "x", "y")
-	chosen, _ := relays(list, "x")
+	chosen := tiersOf(list, "x").sources
 	list = append(list, platform.NewInstance("x-leaving", platform.RoleAgent, "x", "a:1").WithState(platform.Leaving))
 	for _, i := range fleet(20, "x") {
 		got := planFor(i.Name(), "x").targets(0, list)
--- a/core/version/relay/serve.go
+++ b/core/version/relay/serve.go
@@ -162,13 +162,24 @@
 			return
 		case has = <-s.asked:
 			subscribed = true
+			c.tellReads(s)
 		case <-changed:
 		case <-ticker.C:
+			c.tellReads(s)
 			_ = s.conn.Send(frame.ID{}, subscribe(c.Current().versions()))
 		}
 	}
 }
 
+// tellReads tells a subscriber whether this process reads the platform.
+func (c *Client) tellReads(s *subscriber) {
+	reads := uint64(0)
+	if c.reads.Load() {
+		reads = 1
+	}
+	_ = s.conn.Send(frame.ID{}, frame.NewVersion(kindReads, reads, nil))
+}
+
 // reportStatus writes what this relay knows of its subscribers to the platform
 // until ctx is done, then removes the report.
 func (c *Client) reportStatus(ctx context.Context) {
--- a/core/version/relay/source.go
+++ b/core/version/relay/source.go
@@ -17,9 +17,15 @@
 	// watchTimeout bounds a long poll, so that one on a connection that went
 	// silent is given up and repeated within seconds.
 	watchTimeout = 2 * clock.Second
-	// pollInterval is the time between reads of the lagging list. The same read
+	// minPoll is the least time between reads of the lagging list. The same read
 	// of the marks repairs whatever a watch has missed.
-	pollInterval = 1 * clock.Second
+	minPoll = 1 * clock.Second
+	// maxPoll bounds the age of the list in a large fleet.
+	maxPoll = 30 * clock.Second
+	// instanceBytes is the usual size of an instance in the list, and pollBytes
+	// the rate in bytes per second that a source spends on reading it.
+	instanceBytes = 200
+	pollBytes     = 8000
 	// retryWait is the mean wait after a failed call.
 	retryWait = 500 * clock.Millis(1)
 	// limitWait is the wait for the limiter to allow a call.
@@ -55,7 +61,8 @@
 	if err == nil {
 		s.put(offered{"", o.Version(), o.Value()})
 	}
-	return s.readInstances(ctx, s.limits.start)
+	_, err = s.readInstances(ctx, s.limits.start)
+	return err
 }
 
 // watchConfiguration long-polls the operators' text.
@@ -107,35 +114,39 @@
 	return l, nil
 }
 
-// pollInstances reads the lagging list and the marks at regular times.
+// pollInstances reads the lagging list and the marks at times that depend on
+// the length of the list. The sources of a data centre do so at different times
+// and tell each other what has changed.
 func (s *source) pollInstances(ctx context.Context) {
-	ticker := time.NewTicker(pollInterval.Duration())
-	defer ticker.Stop()
-	for {
-		if err := s.readInstances(ctx, s.limits.instances); err != nil {
+	for ctx.Err() == nil {
+		n, err := s.readInstances(ctx, s.limits.instances)
+		if err != nil {
 			s.pause(ctx, err)
+			continue
 		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+		sleep(ctx, pollInterval(n)/2+clock.Millis(rand.Int64N(int64(pollInterval(n)))))
 	}
 }
 
-func (s *source) readInstances(ctx context.Context, limit *limiter.Limiter) error {
+// pollInterval returns the mean time between two reads of a list.
+func pollInterval(instances int) clock.Millis {
+	return min(max(clock.Millis(instances)*instanceBytes*clock.Second/pollBytes, minPoll), maxPoll)
+}
+
+// readInstances returns the length of the list.
+func (s *source) readInstances(ctx context.Context, limit *limiter.Limiter) (int, error) {
 	s.wait(ctx, limit)
 	l, err := s.readMarks(ctx)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	s.wait(ctx, limit)
 	list, err := s.platform.Instances(ctx)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	s.put(listed{l.Version(), list, false})
-	return nil
+	return len(list), nil
 }
 
 // wait returns when the limiter allows a read or ctx is done.
--- a/core/version/relay/subscription.go
+++ b/core/version/relay/subscription.go
@@ -14,6 +14,7 @@
 	target    target
 	cancel    context.CancelFunc
 	connected atomic.Bool
+	fed       atomic.Bool // the other end reads the platform
 	whole     chan string // kinds whose whole value is asked for
 	digest    chan versions
 }
@@ -94,6 +95,10 @@
 func (s *subscription) handle(_ frame.ID, m frame.Message) {
 	switch m := m.(type) {
 	case *frame.Version:
+		if m.Kind() == kindReads {
+			s.fed.Store(m.Version() != 0)
+			return
+		}
 		s.client.put(pushed{s, m})
 	case *frame.Subscribe:
 		s.compare(versions{m.ConfigVersion(), m.OutVersion(), m.ListVersion()})
--- a/core/version/relay/value.go
+++ b/core/version/relay/value.go
@@ -19,6 +19,9 @@
 	kindOutDelta    = "outDelta"
 	kindList        = "instances"
 	kindListDelta   = "instancesDelta"
+	// kindReads tells with version 1 that the sender reads the platform, with 0
+	// that it does not.
+	kindReads = "reads"
 )
 
 // errValue reports a pushed value that cannot be read.
