Count platform calls of each duty in the metrics

Cause: a duty's use of its part could not be seen.

Change: the limiters count reads, writes and delayed calls under the tag duty; the burn counts pass a limiter too.

Conclusion: the division of the rates can be watched.

--- a/agent/process/server/server.go
+++ b/agent/process/server/server.go
@@ -92,7 +92,7 @@
 	s.platform = platform.New(s.Settings.Platform())
 	s.views = &relay.Client{
 		Platform: s.platform, Log: s.Log, Clock: s.clock, Self: s.self, Address: s.Settings.Advertise(),
-		Key: s.Settings.Key(), Contacts: s.Settings.Contacts(), Load: func() frame.Load { return s.heartbeat().Load() },
+		Key: s.Settings.Key(), Contacts: s.Settings.Contacts(), Scope: s.Metrics.Scope(), Load: func() frame.Load { return s.heartbeat().Load() },
 	}
 	s.gate = &gate{limit: s.limit, refusal: s.outOfService, held: map[frame.ID]bool{}}
 	s.entries = &entry.Server{
--- a/core/process/limiter/limiter.go
+++ b/core/process/limiter/limiter.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"golang.org/x/time/rate"
 
 	"goldcrestshore/core/process/clock"
@@ -78,17 +79,32 @@
 	writes bucket
 }
 
+// Observe counts the calls from now on in counters that carry the duty.
+func (l *Limiter) Observe(scope tally.Scope) {
+	tagged := scope.Tagged(map[string]string{"duty": string(l.duty)})
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.reads.counter = tagged.Counter("platform_reads")
+	l.writes.counter = tagged.Counter("platform_writes")
+	refused := tagged.Counter("platform_calls_delayed")
+	l.reads.refusals, l.writes.refusals = refused, refused
+}
+
 // bucket limits and counts one class of calls.
 type bucket struct {
 	limit   *rate.Limiter
 	perDuty float64
 	used    uint64
 	refused uint64
+
+	counter  tally.Counter
+	refusals tally.Counter
 }
 
 // New returns the limiter of a duty that a number of processes share evenly.
 func New(duty Duty, holders int) *Limiter {
 	l := &Limiter{duty: duty}
+	defer l.Observe(tally.NoopScope)
 	for _, p := range parts {
 		if p.duty == duty {
 			l.reads, l.writes = newBucket(p.reads, holders), newBucket(p.writes, holders)
@@ -137,9 +153,11 @@
 	defer l.mu.Unlock()
 	if b.limit == nil || !b.limit.AllowN(instant(now), 1) {
 		b.refused++
+		b.refusals.Inc(1)
 		return false
 	}
 	b.used++
+	b.counter.Inc(1)
 	return true
 }
 
--- a/core/version/relay/client.go
+++ b/core/version/relay/client.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/errgroup"
 
 	"goldcrestshore/core/connection/frame"
@@ -52,6 +53,8 @@
 	// Contacts are the addresses of some processes, for a start while the
 	// platform is down.
 	Contacts []string
+	// Scope takes the counters of platform calls; nil for none.
+	Scope tally.Scope
 	// Load reports the state of an agent's upstream; nil for an entry.
 	Load func() frame.Load
 
@@ -199,6 +202,11 @@
 		instances:     limiter.New(limiter.Instances, sourcesPerDataCentre),
 		status:        limiter.New(limiter.Status, sourcesPerDataCentre),
 	}
+	if c.Scope != nil {
+		for _, l := range []*limiter.Limiter{c.limits.start, c.limits.configuration, c.limits.instances, c.limits.status} {
+			l.Observe(c.Scope)
+		}
+	}
 	c.heardAt = c.Clock.Now()
 	c.audience.start(c.put)
 	group.Go(func() error { return c.decide(ctx) })
--- a/entry/process/burn/recorder.go
+++ b/entry/process/burn/recorder.go
@@ -13,12 +13,15 @@
 	"goldcrestshore/core/process/burn"
 	"goldcrestshore/core/process/clock"
 	"goldcrestshore/core/process/event"
+	"goldcrestshore/core/process/limiter"
 )
 
 const (
 	// DefaultInterval is the time between two writes. 350 entries write 23 times a
 	// second, within the part that the limiter's table gives to this duty.
 	DefaultInterval = 15 * clock.Second
+	// MaxEntries is the number of entries that share the duty's rate.
+	MaxEntries = 350
 	// tidyInterval is the time between two searches for reports of entries that
 	// are gone.
 	tidyInterval = 30 * clock.Minute
@@ -36,6 +39,8 @@
 	Instance string
 	// Interval is the time between two writes.
 	Interval clock.Millis
+	// Limit keeps the writes within this entry's share of the platform's rates.
+	Limit *limiter.Limiter
 	// Elected tells whether this entry removes the reports of entries that are
 	// gone; nil means never.
 	Elected func() bool
@@ -87,6 +92,9 @@
 	if err := r.load(ctx); err != nil {
 		return err
 	}
+	if !r.Limit.Write(r.Clock.Now()) {
+		return nil // the next interval will do
+	}
 	value, due := r.take()
 	if !due {
 		return nil
--- a/entry/process/burn/recorder_test.go
+++ b/entry/process/burn/recorder_test.go
@@ -11,6 +11,7 @@
 	"goldcrestshore/core/process/check"
 	"goldcrestshore/core/process/clock"
 	"goldcrestshore/core/process/event"
+	"goldcrestshore/core/process/limiter"
 )
 
 const start = 1000 * clock.Hour
@@ -19,7 +20,7 @@
 	t.Helper()
 	log, err := event.NewLog(io.Discard, "error", "entry", instance)
 	check.NoError(t, "log", err)
-	return &Recorder{Platform: p, Clock: c, Log: log, Instance: instance, Interval: DefaultInterval}
+	return &Recorder{Platform: p, Clock: c, Log: log, Instance: instance, Interval: DefaultInterval, Limit: limiter.New(limiter.Burn, 1)}
 }
 
 func assertBad(t *testing.T, f *fake.Platform, instance string, now clock.Millis, want uint64) {
--- a/entry/process/server/server.go
+++ b/entry/process/server/server.go
@@ -19,6 +19,7 @@
 	"goldcrestshore/core/process/clock"
 	"goldcrestshore/core/process/duty"
 	"goldcrestshore/core/process/event"
+	"goldcrestshore/core/process/limiter"
 	"goldcrestshore/core/process/metric"
 	"goldcrestshore/core/process/rendezvous"
 	"goldcrestshore/core/process/settings"
@@ -131,12 +132,12 @@
 	s.platform = platform.New(s.Settings.Platform())
 	s.views = &relay.Client{
 		Platform: s.platform, Log: s.Log, Clock: s.clock, Self: s.self, Address: s.Settings.Advertise(),
-		Key: s.Settings.Key(), Contacts: s.Settings.Contacts(),
+		Key: s.Settings.Key(), Contacts: s.Settings.Contacts(), Scope: s.Metrics.Scope(),
 	}
 	s.pool = &agent.Pool{Self: s.self, Key: s.Settings.Key(), Log: s.Log, Clock: s.clock, View: s.views.Current}
 	s.burn = &burn.Recorder{
 		Platform: s.platform, Clock: s.clock, Log: s.Log, Instance: s.Settings.Instance(),
-		Interval: burn.DefaultInterval, Elected: s.elected,
+		Interval: burn.DefaultInterval, Elected: s.elected, Limit: s.burnLimit(),
 	}
 	s.claims = &claims.Service{
 		Platform: s.platform, Clock: s.clock, Log: s.Log, Self: s.self, Key: s.Settings.Key(),
@@ -161,3 +162,10 @@
 	entries := duty.Eligible(v.Instances(), v.Out(), func(i platform.Instance) bool { return i.Role() == platform.RoleEntry })
 	return slices.Equal(rendezvous.Top("burn", entries, 1), []string{s.Settings.Instance()})
 }
+
+// burnLimit keeps the writes of burn counts within the duty's part.
+func (s *Server) burnLimit() *limiter.Limiter {
+	l := limiter.New(limiter.Burn, burn.MaxEntries)
+	l.Observe(s.Metrics.Scope())
+	return l
+}
