Add the holder of duties

Cause: core/process/duty decides only; claim shards and rank groups need the calls around it.

Change: core/connection/holder reads and conditionally writes duty records within the limiter's part, reads back after a lost answer, and releases its duties when the process stops. make measure-config puts each agent behind a stand-in network, so that connections go silent while new ones work.

Conclusion: an owner only supplies OnHold and OnDrop.

--- /dev/null
+++ b/core/connection/holder/holder.go
@@ -0,0 +1,146 @@
+// Package holder takes and keeps duties by conditional updates of their records
+// in the platform's object API. It does the I/O around core/process/duty.
+package holder
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"goldcrestshore/core/connection/platform"
+	"goldcrestshore/core/process/clock"
+	"goldcrestshore/core/process/duty"
+	"goldcrestshore/core/process/event"
+	"goldcrestshore/core/process/limiter"
+)
+
+const (
+	// tickInterval is the resolution of the decisions that wait for time.
+	tickInterval = 500 * clock.Millis(1)
+	// releaseTimeout bounds the writes of a process that stops.
+	releaseTimeout = 2 * time.Second
+)
+
+// Holder runs the duties of one process. Exported fields are set before Run.
+type Holder struct {
+	Platform *platform.Client
+	Clock    *clock.Clock
+	Log      *event.Log
+	Limit    *limiter.Limiter
+	Keeper   *duty.Keeper
+	// Eligible returns the instances that may hold these duties.
+	Eligible func() []string
+	// OnHold is told of a duty that is held from now on under a fencing token, and
+	// OnDrop of one that is lost. Both are called from Run and must not block.
+	OnHold func(name string, fence uint64)
+	OnDrop func(name string)
+}
+
+// Run takes duties and keeps them until ctx is done, then releases them.
+func (h *Holder) Run(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval.Duration())
+	defer ticker.Stop()
+	for {
+		h.carryOut(ctx, h.Keeper.Step(duty.Listed{At: h.Clock.Now(), Eligible: h.Eligible()}))
+		select {
+		case <-ctx.Done():
+			last, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
+			defer cancel()
+			h.carryOut(last, h.Keeper.Step(duty.Stopping{At: h.Clock.Now()}))
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// carryOut performs actions and those that follow from their results.
+func (h *Holder) carryOut(ctx context.Context, actions []duty.Action) {
+	for len(actions) > 0 {
+		a := actions[0]
+		actions = append(actions[1:], h.perform(ctx, a)...)
+	}
+}
+
+func (h *Holder) perform(ctx context.Context, a duty.Action) []duty.Action {
+	switch a := a.(type) {
+	case duty.Look:
+		return h.look(ctx, a)
+	case duty.Write:
+		return h.write(ctx, a)
+	case duty.Hold:
+		h.OnHold(a.Duty, a.Fence)
+	case duty.Drop:
+		h.OnDrop(a.Duty)
+	}
+	return nil
+}
+
+// look reads a record. After a failed call the keeper is left waiting, and the
+// call is repeated at the next tick.
+func (h *Holder) look(ctx context.Context, a duty.Look) []duty.Action {
+	for {
+		r, err := h.read(ctx, a.Duty)
+		if err == nil {
+			return h.Keeper.Step(r)
+		}
+		h.Log.Error(event.PlatformFailed, err, event.Fields{"duty": a.Duty})
+		if !h.pause(ctx) {
+			return nil
+		}
+	}
+}
+
+func (h *Holder) read(ctx context.Context, name string) (duty.Read, error) {
+	if !h.Limit.Read(h.Clock.Now()) {
+		return duty.Read{}, errors.Wrap(platform.ErrUnavailable, "the duty's part of the reads is used up")
+	}
+	o, err := h.Platform.Get(ctx, platform.KindDuty, name)
+	if errors.Is(err, platform.ErrNotFound) {
+		return duty.Read{At: h.Clock.Now(), Duty: name}, nil
+	}
+	if err != nil {
+		return duty.Read{}, err
+	}
+	record, err := duty.ParseRecord(o.Value())
+	if err != nil {
+		// A malformed record names no holder and is replaced.
+		record = duty.Record{}
+	}
+	return duty.Read{At: h.Clock.Now(), Duty: name, Version: o.Version(), Record: record}, nil
+}
+
+// write makes a conditional update. Whatever goes wrong, the record is read back.
+func (h *Holder) write(ctx context.Context, a duty.Write) []duty.Action {
+	if !h.Limit.Write(h.Clock.Now()) {
+		return h.Keeper.Step(duty.Unsettled{At: h.Clock.Now(), Duty: a.Duty})
+	}
+	version, err := h.put(ctx, a)
+	if err == nil {
+		return h.Keeper.Step(duty.Written{At: h.Clock.Now(), Duty: a.Duty, Version: version, Record: a.Record})
+	}
+	if !errors.Is(err, platform.ErrConflict) {
+		h.Log.Error(event.PlatformFailed, err, event.Fields{"duty": a.Duty})
+	}
+	h.pause(ctx)
+	return h.Keeper.Step(duty.Unsettled{At: h.Clock.Now(), Duty: a.Duty})
+}
+
+func (h *Holder) put(ctx context.Context, a duty.Write) (uint64, error) {
+	if a.Version == 0 {
+		return h.Platform.Create(ctx, platform.KindDuty, a.Duty, a.Record.Encode())
+	}
+	return h.Platform.Update(ctx, platform.KindDuty, a.Duty, a.Version, a.Record.Encode())
+}
+
+// pause reports whether the wait passed before ctx was done.
+func (h *Holder) pause(ctx context.Context) bool {
+	timer := time.NewTimer(tickInterval.Duration())
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- a/scripts/config.sh
+++ b/scripts/config.sh
@@ -7,6 +7,7 @@
 BASE_PORT=${BASE_PORT:-23000}
 RUN_DIR=${RUN_DIR:-run/config}
 LOG_LEVEL=info
+NETWORK=1 # each agent behind a stand-in network that lets connections go silent
 . scripts/fleet.sh
 SEED=${SEED:-1}
 CHANGES=${CHANGES:-30}
@@ -52,6 +53,14 @@
 	kill -9 "${PID[$1]}"
 	wait "${PID[$1]}" 2>/dev/null
 	unset "PID[$1]"
+	end_network "$1"
+}
+
+# end_network NAME: ends the network in front of a process that is gone.
+end_network() {
+	kill -9 "${PID[network-$1]}"
+	wait "${PID[network-$1]}" 2>/dev/null
+	unset "PID[network-$1]"
 }
 
 # change NUMBER: applies the next text and notes its version and time. The time
@@ -68,8 +77,8 @@
 # Faults; each is met by ten percent of the changes.
 FAULTS=(none relayKilled relaySilent platformDown platformSlow answerLost replaced pausedReturns twoRelaysKilled downAndRelayKilled)
 
-# relaySilent and pausedReturns: a stopped process keeps its connections open
-# and silent, and offers old versions when it goes on.
+# pausedReturns: a stopped process keeps its connections open and silent, and
+# offers old versions when it goes on.
 meet() {
 	local number=$1 kind=$2
 	case $kind in
@@ -89,12 +98,17 @@
 		new_agent
 		new_agent
 		;;
-	relaySilent | pausedReturns)
+	relaySilent)
+		some_relay
+		curl -sf -X PUT "http://${NETWORK_CONTROL[$NAME]}/fault" -d '{"silent":true}' || fail "silence $NAME"
+		change "$number" "$kind"
+		;;
+	pausedReturns)
 		some_relay
 		local name=$NAME
 		life stop "$name"
 		kill -STOP "${PID[$name]}"
-		[ "$kind" = pausedReturns ] && sleep 3
+		sleep 1
 		change "$number" "$kind"
 		sleep 3
 		kill -CONT "${PID[$name]}"
@@ -125,6 +139,7 @@
 		kill -TERM "${PID[$victim]}"
 		wait "${PID[$victim]}"
 		unset "PID[$victim]"
+		end_network "$victim"
 		new_agent
 		;;
 	downAndRelayKilled)
@@ -173,10 +188,13 @@
 ended=$(now_ms)
 calls_after=$(curl -s "http://$PLATFORM/calls")
 "${CTL[@]}" status
-running=${#PID[@]}
+running=0
+for name in "${!PID[@]}"; do
+	case $name in agent-* | entry-*) running=$((running + 1)) ;; esac
+done
 
 grep -h '"event":1200' "$RUN_DIR"/agent-*.log "$RUN_DIR"/entry-*.log |
 	sed 's/.*"atMs":\([0-9]*\).*"instance":"\([^"]*\)".*"version":\([0-9]*\).*/\2 \3 \1/' >"$RUN_DIR/adopted.txt"
 echo "$calls_before $calls_after" | tr -c '0-9\n' ' ' >"$RUN_DIR/calls.txt"
-awk -v processes=$((running - 2)) -v seconds="$(((ended - began) / 1000))" -v changes="$CHANGES" \
+awk -v processes="$running" -v seconds="$(((ended - began) / 1000))" -v changes="$CHANGES" \
 	-f scripts/config.awk "$RUN_DIR/life.txt" "$RUN_DIR/accepted.txt" "$RUN_DIR/calls.txt" "$RUN_DIR/adopted.txt"
