Give each reading of the instance list a label of its own

Cause: with 100 processes 18 of them reported as relays although 9 were expected. Two sources had read different lists at one version of the store; the lists had one label, so that a process holding the older one never got the newer one and kept listening to former sources.

Change: a source raises the label when its reading differs from what it holds, and a list from a relay must have a higher label.

Conclusion: TestTwoListsAtOneVersion fails without the change.

--- a/core/version/relay/snapshot.go
+++ b/core/version/relay/snapshot.go
@@ -73,23 +73,33 @@
 	return &next, true
 }
 
+// labelShift leaves room in a list's label for readings at one store version.
+const labelShift = 20
+
 // withList returns a snapshot with another list. The list has no version of its
-// own: a relay labels it with the version of the store at the time of reading,
-// and between two lists of one label the later to arrive is taken. The same
-// list is treated as in withMarks.
+// own: a source labels it with the version of the store at the time of reading,
+// and raises the label when a reading at the same version differs from what it
+// holds. Two lists of one label would never reach a subscriber that holds the
+// other one. The same list is treated as in withMarks.
 func (s *Snapshot) withList(in listed) (*Snapshot, bool) {
 	sorted := slices.Clone(in.list)
 	slices.SortFunc(sorted, func(a, b platform.Instance) int { return strings.Compare(a.Name(), b.Name()) })
 	value, err := json.Marshal(sorted)
-	if err != nil || in.version < s.list.version {
+	if err != nil {
 		return s, false
 	}
-	same := bytes.Equal(value, s.list.value)
-	if same && (!in.relayed || in.version == s.list.version) {
+	label := in.version
+	if !in.relayed {
+		if bytes.Equal(value, s.list.value) || in.version < s.list.version>>labelShift {
+			return s, false
+		}
+		label = max(in.version<<labelShift, s.list.version+1)
+	}
+	if label <= s.list.version {
 		return s, false
 	}
 	next := *s
-	next.list, next.instances = s.list.next(in.version, value), sorted
+	next.list, next.instances = s.list.next(label, value), sorted
 	return &next, true
 }
 
--- a/core/version/relay/value_test.go
+++ b/core/version/relay/value_test.go
@@ -74,7 +74,7 @@
 func TestMissedDelta(t *testing.T) {
 	relay := grow(&Snapshot{}, 1, 9)
 	behind := grow(&Snapshot{}, 1, 5)
-	for _, v := range relay.frames(versions{8, 8, 8}) {
+	for _, v := range relay.frames(versions{8, 8, 8 << labelShift}) {
 		_, err := behind.resolve("r", v)
 		check.Is(t, v.Kind(), err, errDelta)
 	}
@@ -85,17 +85,19 @@
 	s := grow(&Snapshot{}, 1, 9)
 	_, changed := s.withMarks(marked{version: 8, marks: mark.NewSet(), relayed: true})
 	check.Equal(t, "marks changed", changed, false)
-	_, changed = s.withList(listed{version: 8, relayed: true})
+	_, changed = s.withList(listed{version: 8 << labelShift, relayed: true})
 	check.Equal(t, "list changed", changed, false)
+	_, changed = s.withList(listed{version: 8})
+	check.Equal(t, "list changed by an own late reading", changed, false)
 }
 
 // Guards against a push of whole lists every few seconds between two relays
 // that label the same list differently.
 func TestSameValueTakesTheHigherLabel(t *testing.T) {
 	s := grow(&Snapshot{}, 1, 9)
-	again, changed := s.withList(listed{12, s.Instances(), true})
+	again, changed := s.withList(listed{12 << labelShift, s.Instances(), true})
 	check.Equal(t, "relayed list changed", changed, true)
-	check.Equal(t, "label", again.versions().list, uint64(12))
+	check.Equal(t, "label", again.versions().list, uint64(12<<labelShift))
 	_, changed = s.withList(listed{12, s.Instances(), false})
 	check.Equal(t, "own reading changed", changed, false)
 	again, _ = s.withMarks(marked{12, s.Out(), true})
@@ -104,11 +106,25 @@
 	check.Equal(t, "own reading of marks changed", changed, false)
 }
 
+// Guards against a subscriber that keeps an old list: two sources read different
+// lists at one version of the store, and the second list must still replace the
+// first wherever that has arrived.
+func TestTwoListsAtOneVersion(t *testing.T) {
+	older := []platform.Instance{platform.NewInstance("a", "", "x", "")}
+	newer := append(older, platform.NewInstance("b", "", "x", ""))
+	first, _ := (&Snapshot{}).withList(listed{version: 5, list: older})
+	subscriber := follow(t, &Snapshot{}, first.frames(versions{}))
+	second, changed := first.withList(listed{version: 5, list: newer})
+	check.Equal(t, "second reading changed", changed, true)
+	subscriber = follow(t, subscriber, second.frames(subscriber.versions()))
+	check.Equal(t, "instances at the subscriber", len(subscriber.Instances()), 2)
+}
+
 // Guards against a malformed push that ends the process.
 func TestMalformedPush(t *testing.T) {
 	s := grow(&Snapshot{}, 1, 2)
 	for _, kind := range []string{kindOut, kindList, kindOutDelta, kindListDelta, kindConfigDelta, "other"} {
-		if _, err := s.resolve("r", frame.NewVersion(kind, 99, []byte("{"))); err == nil {
+		if _, err := s.resolve("r", frame.NewVersion(kind, 1<<60, []byte("{"))); err == nil {
 			t.Errorf("%s: got no error, want one", kind)
 		}
 	}
