--- a/core/version/relay/source.go
+++ b/core/version/relay/source.go
@@ -25,7 +25,7 @@
 	// instanceBytes is the usual size of an instance in the list, and pollBytes
 	// the rate in bytes per second that a source spends on reading it.
 	instanceBytes = 200
-	pollBytes     = 8000
+	pollBytes     = 4000
 	// retryWait is the mean wait after a failed call.
 	retryWait = 500 * clock.Millis(1)
 	// limitWait is the wait for the limiter to allow a call.
