--- /dev/null
+++ b/agent/version/planner/pack.go
@@ -0,0 +1,82 @@
+package planner
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Pack returns a layer packed from nothing: spare slots replicate the experts
+// with the most tokens per replica, and the longest-processing-time rule puts
+// each replica on the rank with the least load that has a slot left.
+func Pack(shape Shape, tokens []float64) *Layer {
+	l := &Layer{shape, make([]int, shape.Slots()), make([]float64, shape.Slots())}
+	for slot := range l.expert {
+		l.expert[slot] = Empty
+	}
+	load := make([]float64, shape.Ranks)
+	used := make([]int, shape.Ranks)
+	for _, r := range replicate(shape, tokens) {
+		rank := emptiest(l, load, used, r.expert)
+		if rank < 0 {
+			continue
+		}
+		slot := rank*shape.SlotsPerRank + used[rank]
+		used[rank]++
+		load[rank] += r.tokens
+		l.expert[slot] = r.expert
+	}
+	var b balancer
+	b.balance(l, tokens)
+	return l
+}
+
+// replica is one copy of an expert with the tokens it would receive.
+type replica struct {
+	expert int
+	tokens float64
+}
+
+// replicate returns one replica per slot, those with most tokens first.
+func replicate(shape Shape, tokens []float64) []replica {
+	copies := make([]int, shape.Experts)
+	for e := range copies {
+		copies[e] = 1
+	}
+	for range shape.Slots() - shape.Experts {
+		best := -1
+		for e := range copies {
+			if copies[e] >= shape.Ranks {
+				continue
+			}
+			if best < 0 || tokens[e]/float64(copies[e]) > tokens[best]/float64(copies[best]) {
+				best = e
+			}
+		}
+		copies[best]++
+	}
+	var replicas []replica
+	for e, n := range copies {
+		for range n {
+			replicas = append(replicas, replica{e, tokens[e] / float64(n)})
+		}
+	}
+	slices.SortStableFunc(replicas, func(a, b replica) int { return cmp.Compare(b.tokens, a.tokens) })
+	return replicas
+}
+
+// emptiest returns the rank with the least load that has a free slot and does
+// not hold the expert, or one that holds it if no other is left.
+func emptiest(l *Layer, load []float64, used []int, expert int) int {
+	best, bestHolds := -1, true
+	for rank := range load {
+		if used[rank] == l.shape.SlotsPerRank {
+			continue
+		}
+		holds := l.holds(rank, expert)
+		better := best < 0 || (bestHolds && !holds) || (bestHolds == holds && load[rank] < load[best])
+		if better {
+			best, bestHolds = rank, holds
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/agent/version/rank/ballot.go
@@ -0,0 +1,57 @@
+package rank
+
+import "slices"
+
+// vote is what is known of one member's vote.
+type vote byte
+
+const (
+	voteMissing vote = iota
+	voteYes
+	voteNo
+)
+
+// ballot collects the votes on one change. The zero ballot stands for none.
+type ballot struct {
+	change Change
+	votes  []vote
+}
+
+func newBallot(c Change, size int) ballot {
+	return ballot{change: c, votes: make([]vote, size)}
+}
+
+func (b ballot) isOpen() bool { return !b.change.IsZero() }
+
+func (b ballot) clone() ballot { return ballot{b.change, slices.Clone(b.votes)} }
+
+func (b ballot) set(m Member, v vote) {
+	if int(m) >= 0 && int(m) < len(b.votes) && b.votes[m] == voteMissing {
+		b.votes[m] = v
+	}
+}
+
+// outcome returns voteYes when every member voted yes, voteNo when one voted
+// no, voteMissing when neither is known.
+func (b ballot) outcome(members []Member) vote {
+	result := voteYes
+	for _, m := range members {
+		switch b.votes[m] {
+		case voteNo:
+			return voteNo
+		case voteMissing:
+			result = voteMissing
+		}
+	}
+	return result
+}
+
+func (b ballot) missing(members []Member) []Member {
+	var missing []Member
+	for _, m := range members {
+		if b.votes[m] == voteMissing {
+			missing = append(missing, m)
+		}
+	}
+	return missing
+}
--- /dev/null
+++ b/agent/version/rank/message.go
@@ -0,0 +1,216 @@
+// Package rank decides how the ranks of an expert-parallel group change from
+// one expert map to the next so that all of them use the same map in every
+// step.
+//
+// Rank is the decision of the agent beside one rank, Owner that of the agent
+// that plans for the group. Both take typed events and return typed actions;
+// they do no I/O. docs/decisions/expert-map-protocol.md gives the reasons.
+package rank
+
+// Member is the number of a rank in its group, from 0.
+type Member int
+
+// MapID identifies one expert map: the fencing token of the owner that
+// proposed it and that owner's running number.
+type MapID struct {
+	fence   uint64
+	version uint64
+}
+
+// NewMapID returns the identity of the map that the owner with this fencing
+// token proposed under this number.
+func NewMapID(fence, version uint64) MapID { return MapID{fence, version} }
+
+// Fence returns the fencing token of the owner that proposed the map.
+func (m MapID) Fence() uint64 { return m.fence }
+
+// Version returns the owner's running number of the map.
+func (m MapID) Version() uint64 { return m.version }
+
+// After reports whether m was proposed later than other.
+func (m MapID) After(other MapID) bool {
+	if m.fence != other.fence {
+		return m.fence > other.fence
+	}
+	return m.version > other.version
+}
+
+// Change is a proposal to use a map from a step on, within one formation
+// (epoch) of the group. The zero Change stands for none.
+type Change struct {
+	epoch uint64
+	to    MapID
+	step  int64
+}
+
+// NewChange returns the proposal to use map to from step on.
+func NewChange(epoch uint64, to MapID, step int64) Change { return Change{epoch, to, step} }
+
+// Epoch returns the formation of the group that the change belongs to.
+func (c Change) Epoch() uint64 { return c.epoch }
+
+// To returns the proposed map.
+func (c Change) To() MapID { return c.to }
+
+// Step returns the first step that uses the proposed map.
+func (c Change) Step() int64 { return c.step }
+
+// IsZero reports whether c stands for no change.
+func (c Change) IsZero() bool { return c == Change{} }
+
+// Expert names the weights to load into one slot of a rank.
+type Expert struct {
+	layer  int
+	slot   int
+	expert int
+}
+
+// NewExpert returns the order to load an expert of a layer into a slot.
+func NewExpert(layer, slot, expert int) Expert { return Expert{layer, slot, expert} }
+
+// Layer returns the layer, from 0.
+func (e Expert) Layer() int { return e.layer }
+
+// Slot returns the slot of the rank within the layer, from 0.
+func (e Expert) Slot() int { return e.slot }
+
+// Expert returns the number of the expert within the layer, from 0.
+func (e Expert) Expert() int { return e.expert }
+
+// Message is one message of the protocol. Each has a frame kind between 30 and
+// 37 in docs/design.md section 4.2.
+type Message interface{ message() }
+
+// Prepare (kind 30) asks a rank to load the experts that a map adds to base.
+type Prepare struct {
+	epoch   uint64
+	to      MapID
+	base    MapID
+	experts []Expert
+	content []byte
+}
+
+// NewPrepare returns a Prepare; content is the encoded map for the engine.
+func NewPrepare(epoch uint64, to, base MapID, experts []Expert, content []byte) Prepare {
+	return Prepare{epoch, to, base, experts, content}
+}
+
+// To returns the proposed map.
+func (m Prepare) To() MapID { return m.to }
+
+// Base returns the map that the proposal was planned from.
+func (m Prepare) Base() MapID { return m.base }
+
+// Experts returns the weights that this rank adds.
+func (m Prepare) Experts() []Expert { return m.experts }
+
+// Content returns the encoded map.
+func (m Prepare) Content() []byte { return m.content }
+
+// Prepared (kind 31) tells the owner that a rank has loaded a map.
+type Prepared struct {
+	epoch       uint64
+	to          MapID
+	incarnation uint64
+	step        int64
+}
+
+// To returns the prepared map.
+func (m Prepared) To() MapID { return m.to }
+
+// Incarnation returns the incarnation of the agent that prepared it.
+func (m Prepared) Incarnation() uint64 { return m.incarnation }
+
+// Step returns the step that the rank had entered.
+func (m Prepared) Step() int64 { return m.step }
+
+// Arm (kind 32) asks a rank for its vote on a change. It names the incarnation
+// that prepared the map: a restarted agent may have forgotten that it refused,
+// so only the incarnation that prepared may vote yes.
+type Arm struct {
+	change      Change
+	incarnation uint64
+}
+
+// Change returns the change to vote on.
+func (m Arm) Change() Change { return m.change }
+
+// Incarnation returns the incarnation that the vote is asked from.
+func (m Arm) Incarnation() uint64 { return m.incarnation }
+
+// Armed (kind 33) is the vote yes of its sender.
+type Armed struct {
+	change Change
+}
+
+// Change returns the change voted on.
+func (m Armed) Change() Change { return m.change }
+
+// Refuse (kind 34) is the permanent vote no of its sender on a change. With a
+// zero step it refuses to prepare a map, and with a zero change it only tells
+// the sender's highest fencing token, in answer to an Ask without a change.
+type Refuse struct {
+	change Change
+	fence  uint64
+}
+
+// Change returns the change voted on.
+func (m Refuse) Change() Change { return m.change }
+
+// Fence returns the highest fencing token that the sender has seen.
+func (m Refuse) Fence() uint64 { return m.fence }
+
+// Ask (kind 35) asks a peer for its vote on a change. A peer that has not voted
+// votes no. An Ask with a zero change asks for the peer's fencing token.
+type Ask struct {
+	epoch  uint64
+	change Change
+}
+
+// NewAsk returns a question about a change, or for the fencing token if the
+// change is zero.
+func NewAsk(epoch uint64, c Change) Ask { return Ask{epoch, c} }
+
+// Change returns the change asked about.
+func (m Ask) Change() Change { return m.change }
+
+// Decide (kind 36) tells the known outcome of a change.
+type Decide struct {
+	change Change
+	commit bool
+}
+
+// Change returns the decided change.
+func (m Decide) Change() Change { return m.change }
+
+// Commit reports whether the change takes effect.
+func (m Decide) Commit() bool { return m.commit }
+
+// Load (kind 37) reports to the owner how many tokens each expert of a layer
+// received at one rank since the last report.
+type Load struct {
+	layer  int
+	step   int64
+	tokens []uint32
+}
+
+// NewLoad returns a report for the steps up to step.
+func NewLoad(layer int, step int64, tokens []uint32) Load { return Load{layer, step, tokens} }
+
+// Layer returns the layer of the counts.
+func (m Load) Layer() int { return m.layer }
+
+// Step returns the last step counted.
+func (m Load) Step() int64 { return m.step }
+
+// Tokens returns the number of tokens per expert.
+func (m Load) Tokens() []uint32 { return m.tokens }
+
+func (Prepare) message()  {}
+func (Prepared) message() {}
+func (Arm) message()      {}
+func (Armed) message()    {}
+func (Refuse) message()   {}
+func (Ask) message()      {}
+func (Decide) message()   {}
+func (Load) message()     {}
--- a/measure/cmd/goldcrest-measure/main.go
+++ b/measure/cmd/goldcrest-measure/main.go
@@ -8,6 +8,9 @@
 	"os"
 
 	"github.com/cockroachdb/errors"
+
+	"goldcrestshore/measure/mapchange"
+	"goldcrestshore/measure/skew"
 )
 
 // errUsage reports a command line that names no known subject.
@@ -21,7 +24,10 @@
 }
 
 // subjects lists the measurements in the order of docs/design.md section 8.
-var subjects = []subject{}
+var subjects = []subject{
+	{"skew", skew.Run},
+	{"map", mapchange.Run},
+}
 
 func main() {
 	if err := run(os.Args[1:], os.Stdout); err != nil {
--- /dev/null
+++ b/measure/mapchange/engine.go
@@ -0,0 +1,75 @@
+package mapchange
+
+import (
+	"goldcrestshore/agent/version/rank"
+)
+
+// engine is the part of a model engine that a map change touches. It outlives
+// its agent: the held and the scheduled change and a pause stay when the agent
+// dies.
+type engine struct {
+	step      int64
+	current   rank.MapID
+	held      rank.Change
+	scheduled rank.Change
+	paused    bool
+	// deaf breaks the protocol on purpose: the engine ignores holds.
+	deaf bool
+	// checks makes the engine refuse orders with a stale fencing token.
+	checks bool
+	fence  uint64
+}
+
+// accepts records the fencing token of an order and reports whether the engine
+// carries the order out.
+func (e *engine) accepts(fence uint64) bool {
+	if e.checks && fence < e.fence {
+		return false
+	}
+	e.fence = max(e.fence, fence)
+	return true
+}
+
+func (e *engine) hold(c rank.Change) bool {
+	if c.Step() <= e.step {
+		return false
+	}
+	e.held = c
+	return true
+}
+
+func (e *engine) release(c rank.Change) {
+	if e.held == c {
+		e.held = rank.Change{}
+	}
+}
+
+func (e *engine) activate(c rank.Change) {
+	e.release(c)
+	if c.Step() > e.step {
+		e.scheduled = c
+	}
+}
+
+// stopped reports whether the engine may not enter its next step.
+func (e *engine) stopped() bool { return e.paused || e.atHold() }
+
+// atHold reports whether the engine waits for the outcome of its held change.
+func (e *engine) atHold() bool {
+	return !e.deaf && !e.held.IsZero() && e.held.Step() == e.step+1
+}
+
+func (e *engine) enter() {
+	e.step++
+	if !e.scheduled.IsZero() && e.scheduled.Step() <= e.step {
+		e.current = e.scheduled.To()
+		e.scheduled = rank.Change{}
+	}
+	if !e.held.IsZero() && e.held.Step() <= e.step {
+		e.held = rank.Change{}
+	}
+}
+
+func (e *engine) state() rank.EngineState {
+	return rank.EngineState{Step: e.step, Current: e.current, Held: e.held, Scheduled: e.scheduled, Fence: e.fence}
+}
--- /dev/null
+++ b/measure/mapchange/explore.go
@@ -0,0 +1,621 @@
+package mapchange
+
+import (
+	"fmt"
+	"math/bits"
+
+	"github.com/cockroachdb/errors"
+
+	"goldcrestshore/agent/version/rank"
+)
+
+// Sizes of an exploration.
+const (
+	exploredRanks = 3
+	// lastStep ends the exploration of one run; a change proposed in step 0
+	// takes effect in step 1 or 2.
+	lastStep = 2
+	// sentWords bounds the distinct messages of an exploration to 64 a word.
+	sentWords = 4
+)
+
+// ErrTooManyMessages means that sentWords is too small for the exploration.
+var errTooManyMessages = errors.New("too many distinct messages")
+
+// Exploration is one exhaustive search over the protocol of a small group. The
+// network keeps every message that was ever sent and may deliver it at any
+// time, never, or again, which covers every order, loss and duplication.
+type Exploration struct {
+	// Name describes the exploration in reports.
+	Name string
+	// Owners is the number of owners, each with its own fencing token.
+	Owners int
+	// Crash allows one agent to die at any point, also between two actions of
+	// one decision, and to restart.
+	Crash bool
+	// Lead is the owners' distance to the change's step.
+	Lead int64
+	// Armed starts with the first owner's change prepared at all ranks and its
+	// votes asked for, which leaves out the orders of the preparation.
+	Armed bool
+	// Crashable limits Crash to the members below it, for groups in which the
+	// others differ only by their numbers. Zero means all.
+	Crashable int
+	// DeafEngine breaks the protocol: rank 0 enters a step that it holds for.
+	DeafEngine bool
+	// SameIncarnation breaks the protocol: a restarted agent keeps its
+	// incarnation.
+	SameIncarnation bool
+
+	agents   table[*agentState]
+	engines  table[*engineState]
+	packets  table[packet]
+	steps    map[stepKey]stepResult
+	overflow bool
+	starting bool
+}
+
+// Explored is the result of an exploration.
+type Explored struct {
+	States    int
+	Mixed     int
+	Stuck     int
+	Committed int
+	// Example describes the first state that broke a rule.
+	Example string
+}
+
+// table gives equal values the same small number.
+type table[T any] struct {
+	index  map[string]int32
+	values []T
+}
+
+func (t *table[T]) intern(key []byte, v T) int32 {
+	if id, ok := t.index[string(key)]; ok {
+		return id
+	}
+	if t.index == nil {
+		t.index = map[string]int32{}
+	}
+	id := int32(len(t.values))
+	t.index[string(key)] = id
+	t.values = append(t.values, v)
+	return id
+}
+
+// agentState is an agent: its rank's decision and the owner it may run.
+type agentState struct {
+	self  rank.Member
+	rank  *rank.Rank
+	owner *rank.Owner
+}
+
+func (a *agentState) clone() *agentState {
+	c := &agentState{self: a.self, rank: a.rank.Clone()}
+	if a.owner != nil {
+		c.owner = a.owner.Clone()
+	}
+	return c
+}
+
+// engineState is an engine with the map it used in each step.
+type engineState struct {
+	engine
+	used [lastStep + 1]rank.MapID
+}
+
+type packet struct {
+	from, to rank.Member
+	message  rank.Message
+}
+
+// agentDown stands for an agent that died.
+const agentDown int32 = -1
+
+type sent [sentWords]uint64
+
+func (s sent) union(o sent) sent {
+	for i := range s {
+		s[i] |= o[i]
+	}
+	return s
+}
+
+// node is one state of the exploration, in numbers of the tables.
+type node struct {
+	agents  [exploredRanks]int32
+	engines [exploredRanks]int32
+	sent    sent
+	crashed bool
+}
+
+// Inputs of an agent besides packets, which are numbered from 0.
+const (
+	inputEntered int32 = -1 - iota
+	inputBoundary
+	inputPropose
+	inputRestart
+)
+
+type stepKey struct {
+	agent, engine, input int32
+	member               int8
+}
+
+// partial is the effect of the first actions of one decision.
+type partial struct {
+	engine int32
+	sent   sent
+}
+
+// stepResult is the effect of one input on an agent and its engine; partials
+// are the states in which the agent could die half way.
+type stepResult struct {
+	agent    int32
+	engine   int32
+	sent     sent
+	partials []partial
+}
+
+// Run searches all reachable states.
+func (x *Exploration) Run() (Explored, error) {
+	x.steps = map[stepKey]stepResult{}
+	start := x.start()
+	seen := map[node]struct{}{start: {}}
+	stack := []node{start}
+	var result Explored
+	var next []node
+	for len(stack) > 0 {
+		n := stack[len(stack)-1]
+		stack = stack[:len(stack)-1]
+		x.judge(n, &result)
+		next = x.successors(n, next[:0])
+		advances := false
+		for _, s := range next {
+			if s == n {
+				continue
+			}
+			advances = true
+			if _, ok := seen[s]; !ok {
+				seen[s] = struct{}{}
+				stack = append(stack, s)
+			}
+		}
+		if !advances && !x.finished(n) {
+			result.Stuck++
+			result.note("stuck", x.describe(n))
+		}
+		if x.overflow {
+			return result, errTooManyMessages
+		}
+	}
+	result.States = len(seen)
+	return result, nil
+}
+
+func (r *Explored) note(what, example string) {
+	if r.Example == "" {
+		r.Example = what + ": " + example
+	}
+}
+
+func (x *Exploration) internAgent(a *agentState) int32 {
+	b := a.rank.AppendKey([]byte{byte(a.self)})
+	if a.owner != nil {
+		b = a.owner.AppendKey(append(b, 'o'))
+	}
+	return x.agents.intern(b, a)
+}
+
+func (x *Exploration) internEngine(e *engineState) int32 {
+	return x.engines.intern(fmt.Appendf(nil, "%v", *e), e)
+}
+
+func (x *Exploration) internPacket(p packet) int32 {
+	return x.packets.intern(rank.AppendMessage([]byte{byte(p.from), byte(p.to)}, p.message), p)
+}
+
+func exploredMembers() []rank.Member {
+	var members []rank.Member
+	for m := range exploredRanks {
+		members = append(members, rank.Member(m))
+	}
+	return members
+}
+
+func (x *Exploration) newRank(m rank.Member, incarnation uint64) *rank.Rank {
+	return &rank.Rank{Self: m, Members: exploredMembers(), Epoch: 1, Incarnation: incarnation}
+}
+
+// start returns the state in which all agents have recovered and no owner has
+// proposed.
+func (x *Exploration) start() node {
+	base := rank.NewMapID(1, 0)
+	var ranks [exploredRanks]*rank.Rank
+	for m := range ranks {
+		ranks[m] = x.newRank(rank.Member(m), 1)
+		ranks[m].Start(0)
+		ranks[m].Handle(rank.EngineState{Current: base})
+	}
+	for m, r := range ranks {
+		for peer, other := range ranks {
+			if m == peer {
+				continue
+			}
+			for _, a := range other.Handle(rank.Received{From: rank.Member(m), Message: rank.NewAsk(1, rank.Change{})}) {
+				r.Handle(rank.Received{From: rank.Member(peer), Message: a.(rank.Send).Message})
+			}
+		}
+	}
+	var n node
+	for m, r := range ranks {
+		a := &agentState{self: rank.Member(m), rank: r}
+		if m < x.Owners {
+			a.owner = &rank.Owner{
+				Self: a.self, Members: exploredMembers(), Epoch: 1,
+				Fence: uint64(m + 1), Lead: x.Lead, PrepareWithin: 1 << 40,
+			}
+		}
+		e := &engineState{}
+		e.current = base
+		e.deaf = x.DeafEngine && m == 0
+		e.used[0] = base
+		n.agents[m] = x.internAgent(a)
+		n.engines[m] = x.internEngine(e)
+	}
+	if x.Armed {
+		x.starting = true
+		n = x.prepared(n)
+		x.starting = false
+	}
+	return n
+}
+
+// prepared delivers the messages of the first owner's preparation.
+func (x *Exploration) prepared(n node) node {
+	n = x.apply(n, 0, inputPropose, nil)[0]
+	for range 2 {
+		for id := range int32(len(x.packets.values)) {
+			if n.sent[id/64]&(1<<(id%64)) == 0 {
+				continue
+			}
+			switch p := x.packets.values[id]; p.message.(type) {
+			case rank.Prepare, rank.Prepared:
+				n = x.apply(x.consume(n, id), int(p.to), id, nil)[0]
+			}
+		}
+	}
+	return n
+}
+
+// successors appends the states that one event leads to from n.
+func (x *Exploration) successors(n node, to []node) []node {
+	for m := range exploredRanks {
+		if n.agents[m] == agentDown {
+			to = x.restart(n, m, to)
+		}
+		to = x.engineSteps(n, m, to)
+	}
+	for word, set := range n.sent {
+		for ; set != 0; set &= set - 1 {
+			id := int32(word*64 + bits.TrailingZeros64(set))
+			m := int(x.packets.values[id].to)
+			if n.agents[m] != agentDown {
+				to = x.apply(x.consume(n, id), m, id, to)
+			}
+		}
+	}
+	for m := range x.Owners {
+		if n.agents[m] != agentDown {
+			to = x.apply(n, m, inputPropose, to)
+		}
+	}
+	return to
+}
+
+// consume takes a Prepare or Prepared out of the network, so that these two
+// are delivered at most once; otherwise every step would add one Prepared per
+// rank and the search would not end in time. All other messages stay.
+func (x *Exploration) consume(n node, id int32) node {
+	switch x.packets.values[id].message.(type) {
+	case rank.Prepare, rank.Prepared:
+		n.sent[id/64] &^= 1 << (id % 64)
+	}
+	return n
+}
+
+func (x *Exploration) engineSteps(n node, m int, to []node) []node {
+	e := x.engines.values[n.engines[m]]
+	if e.step >= lastStep || !x.peersReady(n, e.step) {
+		return to
+	}
+	if e.atHold() && n.agents[m] != agentDown {
+		to = x.apply(n, m, inputBoundary, to)
+	}
+	if e.stopped() {
+		return to
+	}
+	entered := *e
+	entered.enter()
+	entered.used[entered.step] = entered.current
+	n.engines[m] = x.internEngine(&entered)
+	if n.agents[m] == agentDown {
+		return append(to, n)
+	}
+	return x.apply(n, m, inputEntered, to)
+}
+
+// peersReady reports whether every rank has entered step, so that the step can
+// end.
+func (x *Exploration) peersReady(n node, step int64) bool {
+	for _, id := range n.engines {
+		if x.engines.values[id].step < step {
+			return false
+		}
+	}
+	return true
+}
+
+// apply appends the states after an input to one agent, with the agent alive
+// and, if a crash is left, with the agent dead after each of its actions.
+func (x *Exploration) apply(n node, m int, input int32, to []node) []node {
+	r := x.step(stepKey{n.agents[m], n.engines[m], input, int8(m)})
+	if x.mayCrash(n, m) {
+		for _, p := range r.partials {
+			dead := n
+			dead.crashed = true
+			dead.agents[m] = agentDown
+			dead.engines[m] = p.engine
+			dead.sent = n.sent.union(p.sent)
+			to = append(to, dead)
+		}
+	}
+	n.agents[m] = r.agent
+	n.engines[m] = r.engine
+	n.sent = n.sent.union(r.sent)
+	return append(to, x.drop(n))
+}
+
+func (x *Exploration) mayCrash(n node, m int) bool {
+	return x.Crash && !n.crashed && !x.starting && (x.Crashable == 0 || m < x.Crashable)
+}
+
+// drop takes out the messages that their receiver ignores from now on, so that
+// states that differ only in them are one.
+func (x *Exploration) drop(n node) node {
+	for word, set := range n.sent {
+		for ; set != 0; set &= set - 1 {
+			id := int32(word*64 + bits.TrailingZeros64(set))
+			m := x.packets.values[id].to
+			if n.agents[m] != agentDown && x.ignored(n, m, id) {
+				n.sent[word] &^= 1 << (id % 64)
+			}
+		}
+	}
+	return n
+}
+
+// ignored reports whether delivering a packet to m can have no effect any more,
+// or only cause answers without effect.
+func (x *Exploration) ignored(n node, m rank.Member, id int32) bool {
+	a := x.agents.values[n.agents[m]]
+	p := x.packets.values[id]
+	ownerDone := a.owner == nil || (a.owner.Proposed() && a.owner.Idle())
+	switch message := p.message.(type) {
+	case rank.Armed:
+		return ownerDone && a.rank.Settled(message.Change())
+	case rank.Decide:
+		return ownerDone && a.rank.Settled(message.Change())
+	case rank.Refuse:
+		return ownerDone && x.refusalIgnored(n, m, message)
+	case rank.Ask:
+		c := message.Change()
+		if c.IsZero() {
+			return x.recovered(n, p.from)
+		}
+		return a.rank.Settled(c) && x.settled(n, p.from, c)
+	case rank.Arm:
+		return !x.mayCrash(n, int(m)) && a.rank.Settled(message.Change()) && x.ownerDone(n, p.from)
+	}
+	return false
+}
+
+func (x *Exploration) refusalIgnored(n node, m rank.Member, message rank.Refuse) bool {
+	r := x.agents.values[n.agents[m]].rank
+	if message.Fence() > r.Fence() {
+		return false
+	}
+	if message.Change().Step() != 0 {
+		return r.Settled(message.Change())
+	}
+	return x.recovered(n, m)
+}
+
+// recovered reports whether the agent of m needs no answer about a restart.
+func (x *Exploration) recovered(n node, m rank.Member) bool {
+	return n.agents[m] != agentDown && x.agents.values[n.agents[m]].rank.Running() && !x.mayCrash(n, int(m))
+}
+
+func (x *Exploration) settled(n node, m rank.Member, c rank.Change) bool {
+	return n.agents[m] != agentDown && x.agents.values[n.agents[m]].rank.Settled(c)
+}
+
+func (x *Exploration) ownerDone(n node, m rank.Member) bool {
+	if n.agents[m] == agentDown {
+		return false
+	}
+	o := x.agents.values[n.agents[m]].owner
+	return o == nil || (o.Proposed() && o.Idle())
+}
+
+func (x *Exploration) restart(n node, m int, to []node) []node {
+	return x.apply(n, m, inputRestart, to)
+}
+
+func (x *Exploration) step(key stepKey) stepResult {
+	if r, ok := x.steps[key]; ok {
+		return r
+	}
+	run := &stepRun{x: x, member: rank.Member(key.member)}
+	e := *x.engines.values[key.engine]
+	run.engine = &e
+	if key.input == inputRestart {
+		incarnation := uint64(2)
+		if x.SameIncarnation {
+			incarnation = 1
+		}
+		run.agent = &agentState{self: run.member, rank: x.newRank(run.member, incarnation)}
+		run.actions(run.agent.rank.Start(0))
+	} else {
+		run.agent = x.agents.values[key.agent].clone()
+		run.input(key.input)
+	}
+	r := stepResult{x.internAgent(run.agent), x.internEngine(run.engine), run.sent, run.partials}
+	x.steps[key] = r
+	return r
+}
+
+// stepRun carries out the actions of one decision, one after the other.
+type stepRun struct {
+	x        *Exploration
+	member   rank.Member
+	agent    *agentState
+	engine   *engineState
+	sent     sent
+	partials []partial
+}
+
+func (s *stepRun) input(input int32) {
+	s.mark()
+	switch input {
+	case inputEntered:
+		s.event(rank.Entered{Step: s.engine.step})
+	case inputBoundary:
+		s.event(rank.AtBoundary{Change: s.engine.held})
+	case inputPropose:
+		if s.agent.owner != nil && !s.agent.owner.Proposed() {
+			s.actions(s.agent.owner.Handle(rank.Propose{Base: rank.NewMapID(1, 0)}))
+		}
+	default:
+		p := s.x.packets.values[input]
+		s.receive(p.from, p.message)
+	}
+}
+
+// mark records that the agent could die here.
+func (s *stepRun) mark() {
+	s.partials = append(s.partials, partial{s.x.internEngine(s.engineCopy()), s.sent})
+}
+
+func (s *stepRun) engineCopy() *engineState {
+	e := *s.engine
+	return &e
+}
+
+func (s *stepRun) event(e rank.Event) { s.actions(s.agent.rank.Handle(e)) }
+
+func (s *stepRun) receive(from rank.Member, m rank.Message) {
+	e := rank.Received{From: from, Message: m}
+	if s.agent.owner != nil {
+		s.actions(s.agent.owner.Handle(e))
+	}
+	s.event(e)
+}
+
+func (s *stepRun) actions(actions []rank.Action) {
+	for _, a := range actions {
+		s.action(a)
+	}
+}
+
+func (s *stepRun) action(a rank.Action) {
+	switch a := a.(type) {
+	case rank.Send:
+		s.send(a.To, a.Message)
+	case rank.Broadcast:
+		if s.agent.owner != nil {
+			s.actions(s.agent.owner.Handle(rank.Received{From: s.member, Message: a.Message}))
+		}
+		for _, m := range exploredMembers() {
+			if m != s.member {
+				s.send(m, a.Message)
+			}
+		}
+	case rank.QueryEngine:
+		s.event(s.engine.state())
+	case rank.Pause:
+		s.engine.paused = true
+		s.mark()
+	case rank.Resume:
+		s.engine.paused = false
+		s.mark()
+	case rank.Hold:
+		ok := s.engine.hold(a.Change)
+		s.mark()
+		s.event(rank.HoldPlaced{Change: a.Change, OK: ok})
+	case rank.Release:
+		s.engine.release(a.Change)
+		s.mark()
+	case rank.Activate:
+		s.engine.activate(a.Change)
+		s.mark()
+	case rank.LoadExperts:
+		s.event(rank.Loaded{To: a.To})
+	}
+}
+
+func (s *stepRun) send(to rank.Member, m rank.Message) {
+	id := s.x.internPacket(packet{s.member, to, m})
+	if id >= sentWords*64 {
+		s.x.overflow = true
+		return
+	}
+	s.sent[id/64] |= 1 << (id % 64)
+	s.mark()
+}
+
+// judge looks for a step in which two ranks used different maps.
+func (x *Exploration) judge(n node, result *Explored) {
+	if e := x.engines.values[n.engines[0]]; x.finished(n) && e.current != e.used[0] {
+		result.Committed++
+	}
+	for i, id := range n.engines {
+		for _, other := range n.engines[i+1:] {
+			if mixed(x.engines.values[id], x.engines.values[other]) {
+				result.Mixed++
+				result.note("mixed map", x.describe(n))
+				return
+			}
+		}
+	}
+}
+
+// mixed reports whether two engines used different maps in a step that both
+// entered.
+func mixed(a, b *engineState) bool {
+	for step := int64(0); step <= min(a.step, b.step); step++ {
+		if a.used[step] != b.used[step] {
+			return true
+		}
+	}
+	return false
+}
+
+func (x *Exploration) finished(n node) bool {
+	for m, id := range n.engines {
+		if x.engines.values[id].step < lastStep || n.agents[m] == agentDown {
+			return false
+		}
+	}
+	return true
+}
+
+func (x *Exploration) describe(n node) string {
+	text := ""
+	for m, id := range n.engines {
+		e := x.engines.values[id]
+		text += fmt.Sprintf("rank %d step %d maps %v held %v scheduled %v; ", m, e.step, e.used[:e.step+1], e.held, e.scheduled)
+	}
+	return text
+}
--- /dev/null
+++ b/measure/mapchange/explore_test.go
@@ -0,0 +1,38 @@
+package mapchange
+
+import (
+	"testing"
+
+	"goldcrestshore/core/process/check"
+)
+
+// explore runs x and logs the number of its states.
+func explore(t *testing.T, x *Exploration) Explored {
+	t.Helper()
+	got, err := x.Run()
+	check.NoError(t, "explore", err)
+	t.Logf("states %d, committed ends %d, mixed %d, stuck %d, messages %d, example %s",
+		got.States, got.Committed, got.Mixed, got.Stuck, len(x.packets.values), got.Example)
+	return got
+}
+
+// TestExploreAllOrders guards against a mixed map and against a group that
+// never moves again, over every order of the messages of three ranks, also
+// with one crash and restart at any point.
+func TestExploreAllOrders(t *testing.T) {
+	for _, x := range explorations() {
+		t.Run(x.Name, func(t *testing.T) {
+			got := explore(t, &x)
+			check.Equal(t, "mixed maps", got.Mixed, 0)
+			check.Equal(t, "stuck states", got.Stuck, 0)
+			check.Equal(t, "a run commits", got.Committed > 0, true)
+		})
+	}
+}
+
+// TestExploreReportsMixedMap guards against a checker that cannot fail: an
+// armed rank enters its step before it knows the outcome.
+func TestExploreReportsMixedMap(t *testing.T) {
+	got := explore(t, &Exploration{Owners: 1, Lead: 1, Armed: true, DeafEngine: true})
+	check.Equal(t, "a mixed map is reported", got.Mixed > 0, true)
+}
--- /dev/null
+++ b/measure/mapchange/group.go
@@ -0,0 +1,55 @@
+package mapchange
+
+import (
+	"math/rand/v2"
+
+	"goldcrestshore/agent/version/rank"
+	"goldcrestshore/core/process/clock"
+)
+
+// Group is a simulated group without faults whose map changes follow the
+// protocol; other measurements drive their changes through it.
+type Group struct {
+	w *world
+}
+
+// NewGroup returns a group of ranks. The weight store gives the whole group
+// one expert weight per load time.
+func NewGroup(seed uint64, ranks int, load clock.Millis) *Group {
+	w := newWorld(rand.New(rand.NewPCG(seed, 0x6709)), ranks)
+	w.manual = true
+	w.store = load
+	w.agents[w.holder].owner.PrepareWithin = clock.Minute
+	return &Group{w: w}
+}
+
+// RunUntil moves the group to an instant; its clock starts at zero.
+func (g *Group) RunUntil(now clock.Millis) { g.w.runUntil(now) }
+
+// Propose starts a change of the map in use, with the experts to load per
+// rank.
+func (g *Group) Propose(experts [][]rank.Expert) {
+	a := g.w.agents[g.w.holder]
+	current, _ := a.rank.Current()
+	g.w.last = rank.Finished{}
+	g.w.act(g.w.holder, a.owner.Handle(rank.Tick{Now: g.w.now}))
+	g.w.act(g.w.holder, a.owner.Handle(rank.Propose{Base: current, Experts: experts}))
+}
+
+// Finished reports whether the proposed change has ended, and whether the
+// group uses the new map.
+func (g *Group) Finished() (ended, committed bool) {
+	f := g.w.last
+	if f.To == (rank.MapID{}) {
+		return false, false
+	}
+	if f.Outcome != rank.Committed {
+		return true, false
+	}
+	current, _ := g.w.agents[g.w.holder].rank.Current()
+	return current == f.To, true
+}
+
+// Steps returns the number of steps that the group has ended, and the number
+// of steps in which ranks used different maps.
+func (g *Group) Steps() (steps, mixed int) { return g.w.result.steps, g.w.result.mixed }
--- /dev/null
+++ b/measure/mapchange/run.go
@@ -0,0 +1,117 @@
+// Package mapchange checks the activation protocol of expert maps: by an
+// exhaustive search with three ranks and by seeded fault schedules with 32.
+package mapchange
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Sizes of the measurement.
+const (
+	schedules     = 330
+	faultFreePart = 10 // one schedule in ten has no fault
+)
+
+// ErrBroken reports that a schedule or the search broke a rule.
+var ErrBroken = errors.New("the map change protocol broke a rule")
+
+// total sums the results of schedules.
+type total struct {
+	scheduleResult
+	schedules   int
+	faultFree   int
+	stalledFree int
+	stuckRuns   int
+}
+
+func (t *total) add(r scheduleResult, faultFree bool) {
+	t.schedules++
+	t.steps += r.steps
+	t.mixed += r.mixed
+	t.proposals += r.proposals
+	t.committed += r.committed
+	t.abandoned += r.abandoned
+	t.undecided += r.undecided
+	t.reforms += r.reforms
+	t.superseded += r.superseded
+	if r.stuck {
+		t.stuckRuns++
+	}
+	if faultFree {
+		t.faultFree++
+		t.stalledFree += r.stalled
+		t.longest = max(t.longest, r.longest)
+	}
+}
+
+// Run searches and runs the schedules of a seed.
+func Run(seed uint64, out io.Writer) error {
+	states, err := exploreAll(out)
+	if err != nil {
+		return err
+	}
+	t := runSchedules(seed, schedules, out)
+	fmt.Fprintf(out, "seed %d: %d proposals, %d committed, %d abandoned, %d owners superseded, %d re-formed groups, %d stuck\n",
+		seed, t.proposals, t.committed, t.abandoned, t.superseded, t.reforms, t.stuckRuns)
+	fmt.Fprintf(out, "%d fault-free schedules: longest stall of a step %d ms\n", t.faultFree, t.longest)
+	fmt.Fprintf(out, "result map schedules=%d steps=%d mixedMapSteps=%d stalledStepsFaultFree=%d states=%d\n",
+		t.schedules, t.steps, t.mixed, t.stalledFree, states)
+	if t.mixed > 0 || t.stalledFree > 0 || t.stuckRuns > 0 {
+		return errors.Wrapf(ErrBroken, "seed %d", seed)
+	}
+	return nil
+}
+
+// explorations lists the searches of the measurement.
+func explorations() []Exploration {
+	return []Exploration{
+		{Name: "one owner", Owners: 1, Lead: 1},
+		{Name: "one owner, crash and restart", Owners: 1, Lead: 1, Armed: true, Crash: true},
+	}
+}
+
+func exploreAll(out io.Writer) (int, error) {
+	states := 0
+	for _, x := range explorations() {
+		r, err := x.Run()
+		if err != nil {
+			return 0, err
+		}
+		fmt.Fprintf(out, "3 ranks, %s: %d states, %d mixed, %d stuck\n", x.Name, r.States, r.Mixed, r.Stuck)
+		if r.Mixed+r.Stuck > 0 {
+			return 0, errors.Wrap(ErrBroken, r.Example)
+		}
+		states += r.States
+	}
+	return states, nil
+}
+
+func runSchedules(seed uint64, n int, out io.Writer) total {
+	var t total
+	for i := range n {
+		s := scheduleOf(i)
+		r := s.run(newWorld(rand.New(rand.NewPCG(seed, uint64(i))), s.size))
+		t.add(r, s.faults == 0)
+		if r.mixed > 0 || r.stuck {
+			fmt.Fprintf(out, "seed %d schedule %d: %+v\n", seed, i, r)
+		}
+	}
+	return t
+}
+
+// scheduleOf returns the plan of schedule i: two to six faults, engines of
+// which none to all check fencing tokens, and a platform that is down in
+// every fourth schedule.
+func scheduleOf(i int) schedule {
+	s := schedule{size: groupRanks, checking: i % 5}
+	if i%faultFreePart == 0 {
+		return s
+	}
+	s.faults = 2 + i%5
+	s.platformDown = i%4 == 1
+	return s
+}
--- /dev/null
+++ b/measure/mapchange/world.go
@@ -0,0 +1,599 @@
+package mapchange
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"slices"
+
+	"goldcrestshore/agent/version/rank"
+	"goldcrestshore/core/process/clock"
+)
+
+// Times of the simulated group.
+const (
+	groupRanks                = 32
+	stepMillis   clock.Millis = 55
+	latencyLeast clock.Millis = 1
+	latencyMost  clock.Millis = 2
+	// roundTrip is the longest round trip between two ranks without faults.
+	roundTrip               = 2 * latencyMost
+	engineDelay             = clock.Millis(1)
+	tickEvery               = clock.Millis(10)
+	proposeEvery            = clock.Millis(400)
+	loadMost                = clock.Millis(600)
+	prepareMost             = 2 * clock.Second
+	detectAfter             = clock.Second
+	reformCheck             = clock.Millis(100)
+	joinMost                = clock.Millis(20)
+	firstFence       uint64 = 1
+	firstEpoch       uint64 = 1
+	firstIncarnation uint64 = 1
+)
+
+// formation is the record of the group in the platform.
+type formation struct {
+	epoch   uint64
+	members []rank.Member
+	current rank.MapID
+	step    int64
+}
+
+// agentProcess is one agent: its decisions, and the messages that wait while
+// the process is paused.
+type agentProcess struct {
+	up          bool
+	paused      bool
+	incarnation uint64
+	rank        *rank.Rank
+	owner       *rank.Owner
+	proposedAt  clock.Millis
+	inbox       []func()
+}
+
+// rankEngine is one engine in the group's lock-step.
+type rankEngine struct {
+	engine
+	epoch      uint64
+	dead       bool
+	stallUntil clock.Millis
+	notified   rank.Change
+}
+
+// groupStep identifies a step of one formation of the group.
+type groupStep struct {
+	epoch uint64
+	step  int64
+}
+
+// progress is how far the ranks are with a step.
+type progress struct {
+	used    rank.MapID
+	mixed   bool
+	entered int
+	members int
+	ended   bool
+	endedAt clock.Millis
+	stalled clock.Millis
+}
+
+// timed is an action of the simulation at an instant; seq keeps the order of
+// actions at the same instant.
+type timed struct {
+	at  clock.Millis
+	seq uint64
+	run func()
+}
+
+type timeline []timed
+
+func (t timeline) Len() int { return len(t) }
+func (t timeline) Less(i, j int) bool {
+	return t[i].at < t[j].at || t[i].at == t[j].at && t[i].seq < t[j].seq
+}
+func (t timeline) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
+func (t *timeline) Push(x any)   { *t = append(*t, x.(timed)) }
+func (t *timeline) Pop() any {
+	old := *t
+	last := old[len(old)-1]
+	*t = old[:len(old)-1]
+	return last
+}
+
+// network sets the faults of messages between agents.
+type network struct {
+	loss      float64
+	duplicate float64
+	lateMost  clock.Millis
+}
+
+// world is a group of ranks with its agents, network and platform.
+type world struct {
+	random     *rand.Rand
+	now        clock.Millis
+	seq        uint64
+	line       timeline
+	agents     []*agentProcess
+	engines    []*rankEngine
+	net        network
+	platformUp bool
+	record     formation
+	fence      uint64
+	holder     rank.Member
+	holderLost clock.Millis
+	suspects   []rank.Member
+	steps      map[groupStep]*progress
+	lastStep   groupStep
+	result     scheduleResult
+	last       rank.Finished
+	// manual leaves proposals to the user of the group.
+	manual bool
+	// store is the time per expert weight of the group's weight store, which
+	// serves one load after the other; zero draws a random time per load.
+	store     clock.Millis
+	storeFree clock.Millis
+}
+
+// scheduleResult counts what one schedule showed.
+type scheduleResult struct {
+	steps      int
+	mixed      int
+	stalled    int
+	longest    clock.Millis
+	proposals  int
+	committed  int
+	abandoned  int
+	undecided  int
+	reforms    int
+	superseded int
+	stuck      bool
+}
+
+func newWorld(random *rand.Rand, size int) *world {
+	w := &world{
+		random: random, platformUp: true, fence: firstFence, steps: map[groupStep]*progress{},
+	}
+	base := rank.NewMapID(firstFence, 0)
+	w.record = formation{epoch: firstEpoch, current: base}
+	for m := range size {
+		w.record.members = append(w.record.members, rank.Member(m))
+	}
+	for m := range size {
+		e := &rankEngine{epoch: firstEpoch}
+		e.current = base
+		w.engines = append(w.engines, e)
+		w.agents = append(w.agents, &agentProcess{incarnation: firstIncarnation})
+		w.startAgent(rank.Member(m))
+	}
+	for m := range size {
+		w.enter(rank.Member(m))
+	}
+	w.makeOwner(0)
+	w.every(tickEvery, w.tick)
+	w.every(reformCheck, w.supervise)
+	return w
+}
+
+func (w *world) after(d clock.Millis, run func()) {
+	w.seq++
+	heap.Push(&w.line, timed{w.now + d, w.seq, run})
+}
+
+func (w *world) every(d clock.Millis, run func()) {
+	w.after(d, func() {
+		run()
+		w.every(d, run)
+	})
+}
+
+// runUntil carries out all actions up to an instant.
+func (w *world) runUntil(end clock.Millis) {
+	for len(w.line) > 0 && w.line[0].at <= end {
+		next := heap.Pop(&w.line).(timed)
+		w.now = next.at
+		next.run()
+	}
+	w.now = end
+}
+
+// Agents.
+
+func (w *world) startAgent(m rank.Member) {
+	a := w.agents[m]
+	e := w.engines[m]
+	if a.up || e.dead {
+		return
+	}
+	a.up = true
+	a.paused = false
+	a.inbox = nil
+	a.owner = nil
+	a.rank = &rank.Rank{Self: m, Members: w.record.members, Epoch: e.epoch, Incarnation: a.incarnation}
+	w.act(m, a.rank.Start(w.now))
+}
+
+func (w *world) killAgent(m rank.Member) {
+	a := w.agents[m]
+	a.up = false
+	a.owner = nil
+	a.inbox = nil
+	a.incarnation++
+}
+
+func (w *world) wakeAgent(m rank.Member) {
+	a := w.agents[m]
+	a.paused = false
+	inbox := a.inbox
+	a.inbox = nil
+	for _, run := range inbox {
+		run()
+	}
+}
+
+// give runs an input of an agent now, later if it is paused, never if the
+// agent that it was meant for has died.
+func (w *world) give(m rank.Member, incarnation uint64, run func()) {
+	a := w.agents[m]
+	if !a.up || (incarnation != 0 && a.incarnation != incarnation) {
+		return
+	}
+	if a.paused {
+		a.inbox = append(a.inbox, run)
+		return
+	}
+	run()
+}
+
+func (w *world) event(m rank.Member, e rank.Event) { w.act(m, w.agents[m].rank.Handle(e)) }
+
+func (w *world) receive(from, m rank.Member, message rank.Message) {
+	a := w.agents[m]
+	e := rank.Received{From: from, Message: message}
+	if a.owner != nil {
+		w.act(m, a.owner.Handle(e))
+	}
+	w.event(m, e)
+}
+
+func (w *world) act(m rank.Member, actions []rank.Action) {
+	for _, a := range actions {
+		w.actOne(m, a)
+	}
+}
+
+func (w *world) actOne(m rank.Member, a rank.Action) {
+	switch a := a.(type) {
+	case rank.Send:
+		w.send(m, a.To, a.Message)
+	case rank.Broadcast:
+		w.broadcast(m, a.Message)
+	case rank.Undecided:
+		w.result.undecided++
+		w.suspects = append(w.suspects, a.Missing...)
+	case rank.Finished:
+		w.finished(m, a)
+	case rank.Superseded:
+		w.result.superseded++
+		w.agents[m].owner = nil
+	default:
+		w.after(engineDelay, func() { w.order(m, w.agents[m].incarnation, a) })
+	}
+}
+
+func (w *world) finished(m rank.Member, f rank.Finished) {
+	w.agents[m].proposedAt = w.now
+	w.last = f
+	switch f.Outcome {
+	case rank.Committed:
+		w.result.committed++
+	case rank.Abandoned:
+		w.result.abandoned++
+	}
+}
+
+func (w *world) broadcast(m rank.Member, message rank.Message) {
+	if o := w.agents[m].owner; o != nil {
+		w.act(m, o.Handle(rank.Received{From: m, Message: message}))
+	}
+	for _, to := range w.agents[m].rank.Members {
+		if to != m {
+			w.send(m, to, message)
+		}
+	}
+}
+
+func (w *world) send(from, to rank.Member, message rank.Message) {
+	deliver := func() { w.give(to, 0, func() { w.receive(from, to, message) }) }
+	if from == to {
+		w.after(0, deliver)
+		return
+	}
+	copies := 1
+	if w.random.Float64() < w.net.loss {
+		copies = 0
+	}
+	if w.random.Float64() < w.net.duplicate {
+		copies++
+	}
+	for range copies {
+		delay := latencyLeast + clock.Millis(w.random.Int64N(int64(latencyMost-latencyLeast+1)))
+		if w.net.lateMost > 0 && w.random.IntN(4) == 0 {
+			delay += clock.Millis(w.random.Int64N(int64(w.net.lateMost)))
+		}
+		w.after(delay, deliver)
+	}
+}
+
+// Engines.
+
+// order carries out an agent's order; its answer reaches only the agent that
+// gave the order. Orders of an agent that died meanwhile still take effect.
+func (w *world) order(m rank.Member, incarnation uint64, a rank.Action) {
+	e := w.engines[m]
+	if e.dead {
+		return
+	}
+	answer := func(event rank.Event) {
+		w.after(engineDelay, func() { w.give(m, incarnation, func() { w.event(m, event) }) })
+	}
+	switch a := a.(type) {
+	case rank.QueryEngine:
+		answer(e.state())
+	case rank.Pause:
+		if e.accepts(a.Fence) {
+			e.paused = true
+		}
+	case rank.Resume:
+		if e.accepts(a.Fence) {
+			e.paused = false
+		}
+	case rank.Hold:
+		ok := a.Change.Epoch() == e.epoch && e.accepts(a.Fence) && e.hold(a.Change)
+		answer(rank.HoldPlaced{Change: a.Change, OK: ok})
+	case rank.Release:
+		if e.accepts(a.Fence) {
+			e.release(a.Change)
+		}
+	case rank.Activate:
+		if a.Change.Epoch() == e.epoch && e.accepts(a.Fence) {
+			e.activate(a.Change)
+		}
+	case rank.LoadExperts:
+		to := a.To
+		w.after(w.loadTime(len(a.Experts)), func() { answer(rank.Loaded{To: to}) })
+	}
+	w.tryEnter(m)
+}
+
+func (w *world) loadTime(experts int) clock.Millis {
+	if w.store == 0 {
+		return clock.Millis(w.random.Int64N(int64(loadMost)))
+	}
+	if experts == 0 {
+		return 0
+	}
+	w.storeFree = max(w.now, w.storeFree) + clock.Millis(experts)*w.store
+	return w.storeFree - w.now
+}
+
+// tryEnter lets an engine into its next step if the last one has ended and
+// nothing holds the engine.
+func (w *world) tryEnter(m rank.Member) {
+	e := w.engines[m]
+	p := w.steps[groupStep{e.epoch, e.step}]
+	if e.dead || p == nil || !p.ended {
+		return
+	}
+	if e.stallUntil > w.now {
+		w.after(e.stallUntil-w.now, func() { w.tryEnter(m) })
+		return
+	}
+	if e.atHold() {
+		w.notifyBoundary(m)
+	}
+	if e.stopped() {
+		return
+	}
+	next := w.step(groupStep{e.epoch, e.step + 1})
+	next.stalled = max(next.stalled, w.now-p.endedAt)
+	e.enter()
+	w.enter(m)
+}
+
+func (w *world) notifyBoundary(m rank.Member) {
+	e := w.engines[m]
+	if e.notified == e.held && w.agents[m].up {
+		return
+	}
+	w.tellBoundary(m)
+}
+
+func (w *world) tellBoundary(m rank.Member) {
+	e := w.engines[m]
+	e.notified = e.held
+	held := e.held
+	w.after(engineDelay, func() {
+		w.give(m, 0, func() { w.event(m, rank.AtBoundary{Change: held}) })
+	})
+}
+
+func (w *world) step(key groupStep) *progress {
+	p := w.steps[key]
+	if p == nil {
+		p = &progress{members: len(w.record.members)}
+		w.steps[key] = p
+	}
+	return p
+}
+
+// enter records that an engine has entered its present step, and judges the
+// map that it uses there.
+func (w *world) enter(m rank.Member) {
+	e := w.engines[m]
+	key := groupStep{e.epoch, e.step}
+	p := w.step(key)
+	if p.entered == 0 {
+		p.used = e.current
+	}
+	if p.used != e.current && !p.mixed {
+		p.mixed = true
+		w.result.mixed++
+	}
+	p.entered++
+	step := e.step
+	w.after(engineDelay, func() { w.give(m, 0, func() { w.event(m, rank.Entered{Step: step}) }) })
+	if p.entered == p.members {
+		w.after(stepMillis, func() { w.end(key) })
+	}
+}
+
+func (w *world) end(key groupStep) {
+	p := w.steps[key]
+	if key.epoch != w.record.epoch {
+		return
+	}
+	p.ended = true
+	p.endedAt = w.now
+	w.lastStep = key
+	w.result.steps++
+	w.result.longest = max(w.result.longest, p.stalled)
+	if p.stalled > roundTrip {
+		w.result.stalled++
+	}
+	delete(w.steps, groupStep{key.epoch, key.step - 2})
+	for _, m := range w.record.members {
+		w.tryEnter(m)
+	}
+}
+
+// Platform and supervision.
+
+func (w *world) makeOwner(m rank.Member) {
+	a := w.agents[m]
+	w.holder = m
+	a.proposedAt = w.now
+	a.owner = &rank.Owner{
+		Self: m, Members: w.record.members, Epoch: a.rank.Epoch, Fence: w.fence,
+		Lead: rank.DefaultLead, PrepareWithin: prepareMost,
+	}
+}
+
+// takeOver gives the duty to another agent by a conditional update that raises
+// the fencing token. The former holder is not told.
+func (w *world) takeOver() {
+	if !w.platformUp {
+		return
+	}
+	start := w.random.IntN(len(w.record.members))
+	for i := range w.record.members {
+		m := w.record.members[(start+i)%len(w.record.members)]
+		a := w.agents[m]
+		if m != w.holder && a.up && !a.paused && a.owner == nil && a.rank.Running() {
+			w.fence++
+			w.makeOwner(m)
+			return
+		}
+	}
+}
+
+func (w *world) tick() {
+	for i, a := range w.agents {
+		m := rank.Member(i)
+		if !a.up || a.paused {
+			continue
+		}
+		w.event(m, rank.Tick{Now: w.now})
+		if a.owner == nil {
+			continue
+		}
+		w.act(m, a.owner.Handle(rank.Tick{Now: w.now}))
+		if !w.manual && a.owner != nil && a.owner.Idle() && a.rank.Running() && w.now-a.proposedAt >= proposeEvery {
+			a.proposedAt = w.now
+			w.result.proposals++
+			current, _ := a.rank.Current()
+			w.act(m, a.owner.Handle(rank.Propose{Base: current}))
+		}
+	}
+}
+
+// supervise stands for the platform's instance list and the duty of forming
+// the group: it replaces a lost owner and removes members that are dead or
+// have not answered.
+func (w *world) supervise() {
+	for i, e := range w.engines {
+		if e.atHold() && w.agents[i].up {
+			w.tellBoundary(rank.Member(i))
+		}
+	}
+	if !w.platformUp {
+		return
+	}
+	holder := w.agents[w.holder]
+	if !holder.up || holder.paused || holder.owner == nil {
+		w.holderLost += reformCheck
+	} else {
+		w.holderLost = 0
+	}
+	if w.holderLost >= detectAfter {
+		w.holderLost = 0
+		w.takeOver()
+	}
+	w.removeLost()
+	for _, m := range w.record.members {
+		if w.engines[m].epoch != w.record.epoch {
+			w.join(m)
+		}
+	}
+}
+
+func (w *world) removeLost() {
+	remaining := slices.DeleteFunc(slices.Clone(w.record.members), func(m rank.Member) bool {
+		return w.engines[m].dead || slices.Contains(w.suspects, m)
+	})
+	w.suspects = nil
+	if len(remaining) == len(w.record.members) || len(remaining) == 0 {
+		return
+	}
+	for _, m := range w.record.members {
+		if !slices.Contains(remaining, m) {
+			w.engines[m].dead = true
+			w.killAgent(m)
+		}
+	}
+	w.result.reforms++
+	w.fence++
+	step := int64(0)
+	for _, e := range w.engines {
+		step = max(step, e.step+1)
+	}
+	w.record = formation{w.record.epoch + 1, remaining, rank.NewMapID(w.fence, 0), step}
+	if !slices.Contains(remaining, w.holder) {
+		w.holder = remaining[0]
+	}
+}
+
+// join lets a member's agent and engine take part in the recorded formation.
+func (w *world) join(m rank.Member) {
+	record := w.record
+	w.after(clock.Millis(w.random.Int64N(int64(joinMost))), func() {
+		w.give(m, 0, func() {
+			e := w.engines[m]
+			if e.dead || e.epoch >= record.epoch {
+				return
+			}
+			e.epoch = record.epoch
+			e.step = record.step
+			e.current = record.current
+			e.held = rank.Change{}
+			e.scheduled = rank.Change{}
+			e.paused = false
+			reformed := rank.Reformed{
+				Epoch: record.epoch, Members: record.members, Current: record.current, Step: record.step,
+			}
+			w.event(m, reformed)
+			if o := w.agents[m].owner; o != nil {
+				w.act(m, o.Handle(reformed))
+			}
+			w.enter(m)
+		})
+	})
+}
--- /dev/null
+++ b/measure/skew/skew.go
@@ -0,0 +1,169 @@
+package skew
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+
+	"goldcrestshore/agent/version/planner"
+	"goldcrestshore/core/process/clock"
+)
+
+// series has the skew of each sampled step per layer.
+type series [4][]float64
+
+// ErrMixed reports that ranks used different maps in one step.
+var ErrMixed = errors.New("ranks used different expert maps in one step")
+
+// Run simulates an hour and writes a table per layer and policy.
+func Run(seed uint64, out io.Writer) error {
+	w := newWorkload(seed)
+	first := firstLayers(w)
+	plan := newPlanned(seed, first)
+	full := newRepack("repack", first, everyInterval)
+	exact := &oracle{label: "exact", layers: first}
+	lateExact := &oracle{label: "exact5s", delay: countsLate + stepMillis, layers: first}
+	policies := []policy{
+		plan, &never{first}, full, newRepack("threshold", first, overThreshold), exact, lateExact,
+	}
+	results := make([]series, len(policies))
+	simulate(w, seconds, policies, []*oracle{exact, lateExact}, results)
+	fmt.Fprintf(out, "seed %d, %d sampled steps a layer, skew = slowest rank over mean\n", seed, seconds)
+	for i, p := range policies {
+		writeTable(out, p, &results[i])
+	}
+	steps, mixed := plan.group.Steps()
+	fmt.Fprintf(out, "planner: %d map changes in %d steps, slowest plan %.2f ms a layer\n",
+		plan.changes, steps, plan.slowest.Seconds()*1000/float64(shape.Layers))
+	mean, p95 := summary(flat(&results[0]))
+	neverMean, _ := summary(flat(&results[1]))
+	repackMean, _ := summary(flat(&results[2]))
+	fmt.Fprintf(out, "result skew mean=%.4f p95=%.4f movedShare=%.4f vsNever=%.4f vsRepack=%.4f mixedMapSteps=%d\n",
+		mean, p95, float64(plan.moved())/float64(full.moved()), mean/neverMean, mean/repackMean, mixed)
+	if mixed > 0 {
+		return errors.Wrapf(ErrMixed, "%d steps", mixed)
+	}
+	return nil
+}
+
+// firstLayers packs the layers that every policy starts from, as if the group
+// had been counted long before.
+func firstLayers(w *workload) []*planner.Layer {
+	var layers []*planner.Layer
+	for i := range shape.Layers {
+		layers = append(layers, planner.Pack(shape, w.expected(i)))
+	}
+	return layers
+}
+
+// late is a report on its way to the planners.
+type late struct {
+	due    clock.Millis
+	layer  int
+	tokens []uint32
+}
+
+// simulate samples one step a second, at a random instant within it.
+func simulate(w *workload, seconds int, policies []policy, exact []*oracle, results []series) {
+	learn(w, exact, 0)
+	var reports []late
+	for second := range seconds {
+		now := clock.Millis(second) * clock.Second
+		if w.advance(second) {
+			learn(w, exact, now)
+		}
+		for i := range shape.Layers {
+			for end := windowMillis; end <= clock.Second; end += windowMillis {
+				reports = append(reports, late{now + end + countsLate, i, w.report(i)})
+			}
+		}
+		sampled := planEvery * clock.Millis(w.random.IntN(int(clock.Second/planEvery)))
+		for part := clock.Millis(0); part < clock.Second; part += planEvery {
+			reports = deliver(reports, policies, now+part)
+			for _, p := range policies {
+				p.advance(now + part)
+			}
+			if part == sampled {
+				sample(w, policies, results)
+			}
+		}
+	}
+}
+
+func learn(w *workload, exact []*oracle, now clock.Millis) {
+	if len(exact) == 0 {
+		return
+	}
+	layers := packExact(w)
+	for _, o := range exact {
+		o.learn(layers, now)
+	}
+}
+
+// sample draws the tokens of one step and records the skew of each policy.
+func sample(w *workload, policies []policy, results []series) {
+	counts := make([]int, shape.Experts)
+	perRank := make([]int, shape.Ranks)
+	for i := range shape.Layers {
+		w.sample(i, counts)
+		for k, p := range policies {
+			p.layer(i).Tokens(counts, perRank)
+			results[k][i] = append(results[k][i], skewOf(perRank))
+		}
+	}
+}
+
+// deliver hands over the reports that are due and returns the rest.
+func deliver(reports []late, policies []policy, now clock.Millis) []late {
+	var rest []late
+	for _, r := range reports {
+		if r.due > now {
+			rest = append(rest, r)
+			continue
+		}
+		for _, p := range policies {
+			p.counts(r.layer, r.tokens)
+		}
+	}
+	return rest
+}
+
+// skewOf returns the largest load over the mean.
+func skewOf(perRank []int) float64 {
+	total := 0
+	for _, n := range perRank {
+		total += n
+	}
+	return float64(slices.Max(perRank)) * float64(len(perRank)) / float64(total)
+}
+
+func writeTable(out io.Writer, p policy, s *series) {
+	for i, values := range s {
+		mean, p95 := summary(values)
+		fmt.Fprintf(out, "%-10s layer %d (exponent %.1f): mean %.4f p95 %.4f max %.3f\n",
+			p.name(), i, exponents[i], mean, p95, slices.Max(values))
+	}
+	mean, p95 := summary(flat(s))
+	fmt.Fprintf(out, "%-10s all layers: mean %.4f p95 %.4f moved %d\n", p.name(), mean, p95, p.moved())
+}
+
+func flat(s *series) []float64 {
+	var all []float64
+	for _, values := range s {
+		all = append(all, values...)
+	}
+	return all
+}
+
+// summary returns the mean and the 95th percentile.
+func summary(values []float64) (mean, p95 float64) {
+	sorted := slices.Clone(values)
+	slices.SortFunc(sorted, cmp.Compare[float64])
+	for _, v := range sorted {
+		mean += v
+	}
+	return mean / float64(len(sorted)), sorted[len(sorted)*95/100]
+}
