--- a/agent/version/planner/move.go
+++ b/agent/version/planner/move.go
@@ -159,9 +159,11 @@
 }
 
 // Refine returns l after at most n moves that each lower the predicted time of
-// a step, whatever they cost.
-func Refine(l *Layer, tokens []float64, n int) *Layer {
+// a step, whatever they cost, and by how much it is lower than that of l with
+// the best shares.
+func Refine(l *Layer, tokens []float64, n int) (refined *Layer, gain float64) {
 	s := newSearch(l, tokens)
+	before := s.score
 	for range n {
 		c, ok := s.best(false)
 		if !ok {
@@ -169,5 +171,5 @@
 		}
 		s.take(c)
 	}
-	return s.current
+	return s.current, before - s.score
 }
--- a/agent/version/planner/planner.go
+++ b/agent/version/planner/planner.go
@@ -49,7 +49,8 @@
 	ChangeCost clock.Millis
 	// Interval is the least time between two proposals.
 	Interval clock.Millis
-	// Batch is the number of expert weights that one proposal loads.
+	// Batch is the number of expert weights that the first proposal after a
+	// quiet time loads; those that follow load up to twice as many.
 	Batch int
 }
 
@@ -60,7 +61,7 @@
 		Life:       60 * clock.Second,
 		MoveCost:   60,
 		ChangeCost: 60,
-		Interval:   clock.Second,
+		Interval:   500,
 		Batch:      2,
 	}
 }
@@ -75,6 +76,8 @@
 	estimates []estimate
 	last      clock.Millis
 	started   bool
+	// streak is set while each proposal loads weights.
+	streak bool
 	// fresh is set when counts or an outcome have come since the last plan.
 	fresh bool
 }
@@ -127,6 +130,7 @@
 	p.started = true
 	p.last = now
 	p.proposed = plan.Layers
+	p.streak = len(plan.Loads) > 0
 	return []Action{plan}
 }
 
@@ -171,7 +175,7 @@
 	for i, s := range searches {
 		candidates[i], found[i] = s.best(empty)
 	}
-	for len(moves) < p.settings.Batch {
+	for len(moves) < p.batch() {
 		best, gain := -1, p.worth(p.settings.MoveCost)*float64(len(searches))
 		for i, s := range searches {
 			if found[i] && s.score-candidates[i].score >= gain {
@@ -189,6 +193,16 @@
 	return moves
 }
 
+// batch returns the number of weights for the next proposal. The first loads
+// after a quiet time are few, so that they serve soon; with more to follow,
+// larger batches keep the weight store busy during the vote.
+func (p *Planner) batch() int {
+	if p.streak {
+		return 2 * p.settings.Batch
+	}
+	return p.settings.Batch
+}
+
 // free takes a slot out of use so that the next proposal can load it.
 func (p *Planner) free(l *Layer, m Move) {
 	l.expert[m.slot] = Empty
--- a/agent/version/rank/owner.go
+++ b/agent/version/rank/owner.go
@@ -67,6 +67,13 @@
 // Proposed reports whether the owner has made a proposal.
 func (o *Owner) Proposed() bool { return o.version > 0 }
 
+// Stopped reports whether a higher fencing token has ended the owner's duty.
+func (o *Owner) Stopped() bool { return o.superseded }
+
+// Armed reports whether the owner has asked for votes on its proposal. From
+// then on the ranks settle the change without it.
+func (o *Owner) Armed() bool { return o.stage == stageArmed }
+
 // Handle returns the actions that follow from e.
 func (o *Owner) Handle(e Event) []Action {
 	if o.superseded {
--- a/agent/version/rank/rank.go
+++ b/agent/version/rank/rank.go
@@ -398,6 +398,7 @@
 		return nil
 	}
 	r.phase = phaseRunning
+	clear(r.heard)
 	return []Action{Resume{r.fence}}
 }
 
