--- a/measure/cmd/goldcrest-measure/main.go
+++ b/measure/cmd/goldcrest-measure/main.go
@@ -9,8 +9,10 @@
 
 	"github.com/cockroachdb/errors"
 
+	"goldcrestshore/measure/mapchange"
 	"goldcrestshore/measure/once"
 	"goldcrestshore/measure/routing"
+	"goldcrestshore/measure/skew"
 )
 
 // errUsage reports a command line that names no known subject.
@@ -27,6 +29,8 @@
 var subjects = []subject{
 	{"once", once.Run},
 	{"routing", routing.Run},
+	{"skew", skew.Run},
+	{"map", mapchange.Run},
 }
 
 func main() {
