--- a/measure/once/judge.go
+++ b/measure/once/judge.go
@@ -145,6 +145,7 @@
 	broken              int
 	writes              int
 	keyed               int
+	unanswered          int // calls with key that ended without an answer
 	crashing            int
 	maxLost             int
 	lostBeyondTwo       int
@@ -165,6 +166,7 @@
 	r.broken += o.broken
 	r.writes += o.writes
 	r.keyed += o.keyed
+	r.unanswered += o.unanswered
 	r.crashing += o.crashing
 	r.maxLost = max(r.maxLost, o.maxLost)
 	r.lostBeyondTwo += o.lostBeyondTwo
@@ -197,6 +199,9 @@
 		if c.key != "" {
 			r.keyed++
 		}
+		if c.key != "" && c.answer == "" {
+			r.unanswered++
+		}
 	}
 	for print, upstreams := range w.lost {
 		r.maxLost = max(r.maxLost, len(upstreams))
--- a/measure/once/once.go
+++ b/measure/once/once.go
@@ -32,8 +32,8 @@
 	for f := range faultKinds {
 		fmt.Fprintf(out, "fault %-16s %d\n", f, kinds[f])
 	}
-	fmt.Fprintf(out, "sendings=%d answers=%d notRun=%d broken=%d keyed=%d\n",
-		total.sendings, total.answers, total.notRun, total.broken, total.keyed)
+	fmt.Fprintf(out, "sendings=%d answers=%d notRun=%d broken=%d keyed=%d keyedUnanswered=%d\n",
+		total.sendings, total.answers, total.notRun, total.broken, total.keyed, total.unanswered)
 	fmt.Fprintf(out, "crashing requests: fingerprints=%d mostUpstreamsLost=%d lostMoreThanTwo=%d innocentQuarantined=%d\n",
 		total.crashing, total.maxLost, total.lostBeyondTwo, total.innocentQuarantined)
 	fmt.Fprintln(out, total.line())
