--- a/measure/cmd/goldcrest-measure/main.go
+++ b/measure/cmd/goldcrest-measure/main.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"goldcrestshore/measure/drain"
 	"goldcrestshore/measure/once"
 	"goldcrestshore/measure/routing"
 )
@@ -27,6 +28,7 @@
 var subjects = []subject{
 	{"once", once.Run},
 	{"routing", routing.Run},
+	{"drain", drain.Run},
 }
 
 func main() {
