Measure cold starts; warm up returning upstreams with few requests

Change: measure/cold with eleven kinds of cold start and the memory case; two rounds of completions double the limit; one of 24 to 64 requests goes to a cold upstream; a first token is slow only against at least 20 samples.

--- a/agent/request/admission/baseline.go
+++ b/agent/request/admission/baseline.go
@@ -25,11 +25,11 @@
 	// cold start must not pass for normal, but a lasting change is learnt in the
 	// end.
 	coldStep = 0.005
-	// learnFast samples of a class are learnt with four times the step. From
-	// enough samples on, a slow one is known as such.
-	learnFast = 40
-	enough    = 8
-	classes   = 32
+	// enough samples of a class are needed to call one slow; until then the marks
+	// are the least and the greatest. With fewer, a class that began with cached
+	// prompts took all others for slow and stayed at the cold limit.
+	enough  = 20
+	classes = 32
 )
 
 // classOf groups requests whose first tokens take similar time, by the
@@ -49,14 +49,14 @@
 	b.samples++
 	if b.samples == 1 {
 		b.low, b.high = sample, sample
+	}
+	if b.samples <= enough {
+		b.low, b.high = min(b.low, sample), max(b.high, sample)
 		return
 	}
 	step := quantileStep
-	switch {
-	case b.samples > enough && b.slow(took), b.samples > learnFast && cold:
+	if cold || b.slow(took) {
 		step = coldStep
-	case b.samples <= learnFast:
-		step *= 4
 	}
 	b.low = track(b.low, sample, lowQuantile, step)
 	b.high = track(b.high, sample, highQuantile, step)
@@ -73,13 +73,13 @@
 
 // slow reports whether a first token that took so long shows a cold upstream.
 func (b *baseline) slow(took clock.Millis) bool {
-	return b.samples > 0 && took > slowFloor && float64(took) > slowMultiple*b.high
+	return b.samples >= enough && took > slowFloor && float64(took) > slowMultiple*b.high
 }
 
 // fast reports whether a first token that took so long proves a warm upstream;
 // suspect tells that slow ones came before.
 func (b *baseline) fast(took clock.Millis, suspect bool) bool {
-	if b.samples == 0 || took <= slowFloor {
+	if b.samples < enough || took <= slowFloor {
 		return true
 	}
 	if suspect {
--- a/agent/request/admission/temperature.go
+++ b/agent/request/admission/temperature.go
@@ -1,7 +1,13 @@
 package admission
 
-// slowRun slow first tokens without a fast one between make an upstream cold.
-const slowRun = 3
+const (
+	// slowRun slow first tokens without a fast one between make an upstream cold.
+	slowRun = 3
+	// rounds times the limit must complete before the limit doubles, so that an
+	// upstream that gains one place with every second completed request is not
+	// outrun. With one round, measure/cold finds such an upstream over its limit.
+	rounds = 2
+)
 
 // temperature is how much work the upstream can take. Anything may lower the
 // limit at once; only completions raise it.
@@ -59,7 +65,7 @@
 		return
 	}
 	t.done++
-	if t.done < t.limit {
+	if t.done < rounds*t.limit {
 		return
 	}
 	t.limit = min(2*t.limit, t.warmLimit)
--- a/entry/request/route/choose.go
+++ b/entry/request/route/choose.go
@@ -16,8 +16,13 @@
 	// draws of two upstreams are made while the best has a queue of more than
 	// maxQueue ms. Two choices alone miss the few idle upstreams when most are
 	// busy; random draws still keep entries from choosing the same one.
-	draws    = 4
-	maxQueue = 30.0
+	draws = 4
+	// One request of at least warmingLeast and at most warmingMost goes to a cold
+	// upstream: 1.6% to 4%, so that slow first tokens of cold upstreams stay out of
+	// the p95 while the others have cached prompts.
+	warmingLeast = 24
+	warmingMost  = 64
+	maxQueue     = 30.0
 )
 
 // Request is what the choice depends on.
@@ -69,7 +74,11 @@
 	if len(usable) == 0 {
 		return Choice{}, ErrNoUpstream
 	}
-	search := search{table: t, now: now, service: s, request: r, hits: t.prefixes.find(r.prefixes)}
+	hits := t.prefixes.find(r.prefixes)
+	if u := s.warming(usable, r.bytes, len(hits) > 0); u != nil {
+		return Choice{upstream: u.name}, nil
+	}
+	search := search{table: t, now: now, service: s, request: r, hits: hits}
 	search.holders(usable)
 	for range draws {
 		search.pair(usable)
@@ -86,6 +95,30 @@
 	return search.best, nil
 }
 
+// warming returns a cold upstream with room when it is the turn of one, nil
+// otherwise. Predictions alone would leave a cold upstream idle, and it warms up
+// only by completed work. A request whose prompt is cached nowhere is taken
+// sooner, since it would be slow anywhere.
+func (s *service) warming(usable []*upstream, bytes int64, cached bool) *upstream {
+	s.turn++
+	if s.turn < warmingLeast || cached && s.turn < warmingMost {
+		return nil
+	}
+	var most *upstream
+	for _, u := range usable {
+		if !u.load.Condition().Cold() || u.free(bytes) <= 0 {
+			continue
+		}
+		if most == nil || u.free(bytes) > most.free(bytes) {
+			most = u
+		}
+	}
+	if most != nil {
+		s.turn = 0
+	}
+	return most
+}
+
 // predict returns the expected wait for other prompts and the expected time to
 // the first token, both in ms.
 func (t *Table) predict(now clock.Millis, s *service, u *upstream, uncached int) (queue, ms float64) {
--- a/entry/request/route/route_test.go
+++ b/entry/request/route/route_test.go
@@ -170,6 +170,16 @@
 	check.Equal(t, "room after failure", b.r.Room(b.now, model), 8)
 }
 
+func TestWarming(t *testing.T) {
+	b := newBench(t, 3)
+	load := frame.NewLoad(model, frame.NewOccupancy(0, 2, 0, 0), frame.NewCondition(true, false, 1, 0), frame.NewPace(5000, 0))
+	b.r.Apply(b.now, NewHeartbeat("u1", load))
+	check.Equal(t, "choices of a slow cold upstream", b.counts(4*warmingLeast, nil)["u1"], 4)
+	hashes := Prefixes(make([]byte, 4*BlockBytes))
+	b.r.Apply(b.now, NewCacheEvent("u0", 1, hashes[3], true))
+	check.Equal(t, "choices for cached prompts", b.counts(4*warmingMost, hashes)["u1"], 4)
+}
+
 func TestSubset(t *testing.T) {
 	b := newBench(t, 300)
 	first := b.r.Subset(model)
--- a/entry/request/route/table.go
+++ b/entry/request/route/table.go
@@ -53,6 +53,7 @@
 	subset []*upstream
 	ready  []ready
 	pace   pace
+	turn   int // requests since one went to a cold upstream
 }
 
 // send is a request of this entry that has not ended.
--- a/measure/cmd/goldcrest-measure/main.go
+++ b/measure/cmd/goldcrest-measure/main.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"goldcrestshore/measure/cold"
 	"goldcrestshore/measure/drain"
 	"goldcrestshore/measure/once"
 	"goldcrestshore/measure/routing"
@@ -27,6 +28,7 @@
 // subjects lists the measurements in the order of docs/design.md section 8.
 var subjects = []subject{
 	{"once", once.Run},
+	{"cold", cold.Run},
 	{"routing", routing.Run},
 	{"drain", drain.Run},
 }
--- /dev/null
+++ b/measure/cold/cold.go
@@ -0,0 +1,226 @@
+// Package cold measures cold starts: whether an engine ever gets more work than
+// it can handle, and how long it takes to warm up, against a ramp by time; and
+// memory reservation against a plain limit on concurrency.
+package cold
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"goldcrestshore/agent/request/admission"
+	"goldcrestshore/core/process/clock"
+	"goldcrestshore/measure/engine"
+	"goldcrestshore/measure/fleet"
+)
+
+// ErrInvariant reports a cold engine that got more work than it can handle, or
+// an engine that died of its memory.
+var ErrInvariant = errors.New("cold measurement violates an invariant")
+
+const (
+	// rate is the load in requests/s, half of what twelve engines carry.
+	rate     = 30
+	warmUp   = 60 * clock.Second
+	measured = 120 * clock.Second
+	settle   = 60 * clock.Second
+	// slowRamp is a ramp by time that is long enough for the slowest engine of
+	// the cases, fastRamp one that fits the common engine.
+	slowRamp = 20 * clock.Second
+	fastRamp = 5 * clock.Second
+)
+
+// fault is one way for engines to become cold.
+type fault struct {
+	name    string
+	engine  func() engine.Options
+	entries int
+	apply   func(f *fleet.Fleet)
+	watched func(i int) bool
+}
+
+func one(i int) bool { return i == 3 }
+func every(int) bool { return true }
+
+var faults = []fault{
+	{name: "crash and restart", apply: func(f *fleet.Fleet) { f.Agents()[3].Engine().Crash() }, watched: one},
+	{name: "sudden, unannounced", apply: func(f *fleet.Fleet) { f.Agents()[3].Engine().Chill() }, watched: one},
+	{name: "sudden, reports lag 1 s", engine: lagging, apply: func(f *fleet.Fleet) { f.Agents()[3].Engine().Chill() }, watched: one},
+	{name: "sudden, reports never say so", engine: silent, apply: func(f *fleet.Fleet) { f.Agents()[3].Engine().Chill() }, watched: one},
+	{name: "crash, agent restarts too", apply: crashBoth, watched: one},
+	{name: "agent restarts under load", apply: func(f *fleet.Fleet) { f.Agents()[3].Restart() }, watched: one},
+	{name: "agent restarts, engine turns cold", apply: func(f *fleet.Fleet) {
+		f.Agents()[3].Engine().Chill()
+		f.Agents()[3].Restart()
+	}, watched: one},
+	{name: "cold twice", apply: coldTwice, watched: one},
+	{name: "six entries", entries: 6, apply: func(f *fleet.Fleet) { f.Agents()[3].Engine().Crash() }, watched: one},
+	{name: "all together", apply: crashAll, watched: every},
+	{name: "slow to warm up", engine: slowWarming, apply: func(f *fleet.Fleet) { f.Agents()[3].Engine().Crash() }, watched: one},
+}
+
+func lagging() engine.Options {
+	o := engine.DefaultOptions()
+	o.ReportLag = 1 * clock.Second
+	return o
+}
+
+func silent() engine.Options {
+	o := engine.DefaultOptions()
+	o.HideCold = true
+	return o
+}
+
+// slowWarming gains one place with two completions, half of what doubling by
+// completions assumes.
+func slowWarming() engine.Options {
+	o := engine.DefaultOptions()
+	o.WarmPerCompletion = 0.5
+	return o
+}
+
+func crashBoth(f *fleet.Fleet) {
+	a := f.Agents()[3]
+	a.Engine().Crash()
+	f.Sim.After(2*clock.Second, a.Restart)
+}
+
+func coldTwice(f *fleet.Fleet) {
+	a := f.Agents()[3]
+	a.Engine().Chill()
+	f.Sim.After(15*clock.Second, a.Engine().Crash)
+}
+
+func crashAll(f *fleet.Fleet) {
+	for _, a := range f.Agents() {
+		a.Engine().Crash()
+	}
+}
+
+// gate is one way to admit work.
+type gate struct {
+	name string
+	make func(clock.Millis, admission.Limits) fleet.Gate
+}
+
+func gates() []gate {
+	o := engine.DefaultOptions()
+	return []gate{
+		{"product", fleet.NewAdmissionGate},
+		{"ramp of 60 s", fixedRamp(o.ColdCapacity, o.Batch, slowRamp)},
+		{"ramp of 15 s", fixedRamp(o.ColdCapacity, o.Batch, fastRamp)},
+	}
+}
+
+// observed is what one run measured.
+type observed struct {
+	over    int
+	crashes int
+	warmed  clock.Millis // time until the watched engines are warm, 0 for never
+	limited clock.Millis // time until the agents admit the warm limit, 0 for never
+	summary fleet.Summary
+}
+
+// Run measures every fault with every gate, then memory, and writes the report
+// to out.
+func Run(seed uint64, out io.Writer) error {
+	all := gates()
+	results := make([][]observed, len(faults))
+	var group errgroup.Group
+	group.SetLimit(4)
+	for i, f := range faults {
+		results[i] = make([]observed, len(all))
+		for j, g := range all {
+			group.Go(func() error {
+				results[i][j] = f.run(seed, g)
+				return nil
+			})
+		}
+	}
+	if err := group.Wait(); err != nil {
+		return err
+	}
+	over, lost := 0, 0
+	var warm, ramp clock.Millis
+	for i, f := range faults {
+		fmt.Fprintln(out, f.name)
+		for j, o := range results[i] {
+			fmt.Fprintf(out, "  %-14s overLimit=%d crashes=%d engineWarmMs=%d limitWarmMs=%d p95=%dms notInTime=%d\n",
+				all[j].name, o.over, o.crashes, o.warmed, o.limited, o.summary.P95, o.summary.Requests-o.summary.InTime)
+		}
+		over += results[i][0].over
+		lost += results[i][0].summary.Lost
+	}
+	warm, ramp = results[0][0].limited, results[0][1].limited
+	memory, err := measureMemory(seed, out)
+	fmt.Fprintf(out, "result cold overLimit=%d lost=%d warmUpMs=%d fixedRampMs=%d workInTimeVsConcurrency=%.2f outgrew=%d\n",
+		over, lost, warm, ramp, memory.ratio, memory.outgrew)
+	if err != nil {
+		return err
+	}
+	if over > 0 || lost > 0 || memory.outgrew > 0 {
+		return errors.Wrapf(ErrInvariant, "overLimit=%d lost=%d outgrew=%d", over, lost, memory.outgrew)
+	}
+	return nil
+}
+
+func (c fault) run(seed uint64, g gate) observed {
+	o := fleet.DefaultOptions(seed)
+	o.Gate = g.make
+	if c.engine != nil {
+		o.Engine = func(int) engine.Options { return c.engine() }
+	}
+	if c.entries > 0 {
+		o.Entries = c.entries
+	}
+	f := fleet.New(o)
+	w := engine.NewWorkload(engine.Customers(), rand.New(rand.NewPCG(seed, 5)))
+	f.Load(w, warmUp+measured, rate)
+	f.Sim.Run(warmUp)
+	start := f.Sim.Now()
+	c.apply(f)
+	result := observed{}
+	for f.Sim.Now() < start+measured {
+		f.Sim.Run(100)
+		since := f.Sim.Now() - start
+		engines, limits := c.warm(f)
+		result.warmed = first(result.warmed, engines, since)
+		result.limited = first(result.limited, limits, since)
+	}
+	f.Sim.Run(settle)
+	for _, a := range f.Agents() {
+		counts := a.Engine().Counts()
+		result.over += counts.OverLimit
+		result.crashes += counts.Crashes
+	}
+	result.summary = fleet.Summarize(f.Records(), func(r *fleet.Record) bool { return r.Arrived >= start })
+	return result
+}
+
+// warm reports whether the watched engines are warm and whether their agents
+// admit the warm limit.
+func (c fault) warm(f *fleet.Fleet) (engines, limits bool) {
+	engines, limits = true, true
+	for i, a := range f.Agents() {
+		if !c.watched(i) {
+			continue
+		}
+		engines = engines && a.Engine().Up() && !a.Engine().Cold()
+		limits = limits && a.Limit() == engine.DefaultOptions().Batch
+	}
+	return engines, limits
+}
+
+// first keeps the earliest instant from which a condition holds on.
+func first(have clock.Millis, holds bool, since clock.Millis) clock.Millis {
+	switch {
+	case !holds:
+		return 0
+	case have == 0:
+		return since
+	}
+	return have
+}
