--- a/measure/cmd/goldcrest-measure/main.go
+++ b/measure/cmd/goldcrest-measure/main.go
@@ -9,6 +9,8 @@
 
 	"github.com/cockroachdb/errors"
 
+	"goldcrestshore/measure/cold"
+	"goldcrestshore/measure/drain"
 	"goldcrestshore/measure/mapchange"
 	"goldcrestshore/measure/once"
 	"goldcrestshore/measure/routing"
@@ -28,9 +30,11 @@
 // subjects lists the measurements in the order of docs/design.md section 8.
 var subjects = []subject{
 	{"once", once.Run},
+	{"cold", cold.Run},
 	{"routing", routing.Run},
 	{"skew", skew.Run},
 	{"map", mapchange.Run},
+	{"drain", drain.Run},
 }
 
 func main() {
