--- a/agent/version/rank/message.go
+++ b/agent/version/rank/message.go
@@ -154,6 +154,9 @@
 	fence  uint64
 }
 
+// NewRefuse returns a vote no, or with a zero change the fencing token alone.
+func NewRefuse(c Change, fence uint64) Refuse { return Refuse{c, fence} }
+
 // Change returns the change voted on.
 func (m Refuse) Change() Change { return m.change }
 
--- /dev/null
+++ b/standin/process/group/group.go
@@ -0,0 +1,249 @@
+// Package group is a stand-in for a group of model engines whose ranks advance
+// in lock-step on an expert map. It records the map that each rank uses in each
+// step and offers the hooks that the agent beside a rank drives.
+package group
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"goldcrestshore/core/process/clock"
+)
+
+// Errors of the hooks.
+var (
+	// ErrEntered reports an order for a step that the rank has entered.
+	ErrEntered = errors.New("the rank has entered that step")
+	// ErrStaleFence reports an order with a fencing token below one seen.
+	ErrStaleFence = errors.New("stale fencing token")
+	// ErrUnknownRank reports a rank that the group does not have.
+	ErrUnknownRank = errors.New("unknown rank")
+)
+
+// Map identifies an expert map by its owner's fencing token and number.
+type Map struct {
+	Fence   uint64 `json:"fence"`
+	Version uint64 `json:"version"`
+}
+
+// Change is the use of a map from a step on, in one formation of the group.
+// The zero Change stands for none.
+type Change struct {
+	Epoch uint64 `json:"epoch"`
+	To    Map    `json:"to"`
+	Step  int64  `json:"step"`
+}
+
+// Load names an expert to load into a slot of a layer.
+type Load struct {
+	Layer  int `json:"layer"`
+	Slot   int `json:"slot"`
+	Expert int `json:"expert"`
+}
+
+// State is what an engine has stored; it outlives the agent.
+type State struct {
+	Step      int64  `json:"step"`
+	Current   Map    `json:"current"`
+	Held      Change `json:"held"`
+	Scheduled Change `json:"scheduled"`
+	Paused    bool   `json:"paused"`
+	Fence     uint64 `json:"fence"`
+}
+
+// Settings size a group.
+type Settings struct {
+	Ranks int
+	// StepTime is the time between two steps in Run.
+	StepTime clock.Millis
+	// ChecksFencing makes the engines refuse orders with a stale token.
+	ChecksFencing bool
+	// Current is the first map.
+	Current Map
+}
+
+// kept bounds the steps that are recorded; older ones are dropped.
+const kept = 4096
+
+// Group is a running group.
+type Group struct {
+	settings Settings
+
+	mu    sync.Mutex
+	ranks []State
+	loads [][]Load
+	used  map[int64][]Map
+	mixed int
+}
+
+// New returns a group whose ranks have all entered step 0.
+func New(s Settings) *Group {
+	g := &Group{settings: s, ranks: make([]State, s.Ranks), loads: make([][]Load, s.Ranks), used: map[int64][]Map{}}
+	for i := range g.ranks {
+		g.ranks[i].Current = s.Current
+		g.record(i)
+	}
+	return g
+}
+
+// Run ends a step each step time until ctx is done.
+func (g *Group) Run(ctx context.Context) {
+	ticker := time.NewTicker(g.settings.StepTime.Duration())
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			g.Advance()
+		}
+	}
+}
+
+// Advance ends the present step if every rank has entered it, and lets each
+// rank that nothing stops into the next one. It returns the number of ranks
+// that entered a step.
+func (g *Group) Advance() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	last := g.ranks[0].Step
+	for _, r := range g.ranks {
+		last = min(last, r.Step)
+	}
+	entered := 0
+	for i := range g.ranks {
+		if g.ranks[i].Step == last && !g.ranks[i].stopped() {
+			g.enter(i)
+			entered++
+		}
+	}
+	return entered
+}
+
+// stopped reports whether the rank may not enter its next step.
+func (s *State) stopped() bool {
+	return s.Paused || (s.Held != Change{} && s.Held.Step == s.Step+1)
+}
+
+func (g *Group) enter(i int) {
+	s := &g.ranks[i]
+	s.Step++
+	if s.Scheduled != (Change{}) && s.Scheduled.Step <= s.Step {
+		s.Current = s.Scheduled.To
+		s.Scheduled = Change{}
+	}
+	g.record(i)
+}
+
+// record stores the map that a rank uses in its step, and counts the step once
+// if another rank used a different one.
+func (g *Group) record(i int) {
+	s := g.ranks[i]
+	maps := g.used[s.Step]
+	even := true
+	for _, m := range maps {
+		even = even && m == maps[0]
+	}
+	if len(maps) > 0 && even && maps[0] != s.Current {
+		g.mixed++
+	}
+	g.used[s.Step] = append(maps, s.Current)
+	delete(g.used, s.Step-kept)
+}
+
+// MixedSteps returns the number of steps in which ranks used different maps.
+func (g *Group) MixedSteps() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.mixed
+}
+
+// State returns what a rank's engine has stored.
+func (g *Group) State(rank int) (State, error) {
+	var s State
+	err := g.order(rank, 0, false, func(r *State) error {
+		s = *r
+		return nil
+	})
+	return s, err
+}
+
+// Loads returns the experts that a rank has loaded, in order.
+func (g *Group) Loads(rank int) []Load {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return append([]Load(nil), g.loads[rank]...)
+}
+
+// Hold makes a rank stop before the change's step.
+func (g *Group) Hold(rank int, c Change, fence uint64) error {
+	return g.order(rank, fence, true, func(r *State) error {
+		if c.Step <= r.Step {
+			return ErrEntered
+		}
+		r.Held = c
+		return nil
+	})
+}
+
+// Release removes the hold of a change; another hold stays.
+func (g *Group) Release(rank int, c Change, fence uint64) error {
+	return g.order(rank, fence, true, func(r *State) error {
+		r.drop(c)
+		return nil
+	})
+}
+
+// Activate replaces the hold of a change by the order to use its map.
+func (g *Group) Activate(rank int, c Change, fence uint64) error {
+	return g.order(rank, fence, true, func(r *State) error {
+		if c.Step <= r.Step {
+			return ErrEntered
+		}
+		r.drop(c)
+		r.Scheduled = c
+		return nil
+	})
+}
+
+// Pause stops a rank at its next step boundary, or lets it go on.
+func (g *Group) Pause(rank int, paused bool, fence uint64) error {
+	return g.order(rank, fence, true, func(r *State) error {
+		r.Paused = paused
+		return nil
+	})
+}
+
+// Load records an expert as loaded.
+func (g *Group) Load(rank int, l Load, fence uint64) error {
+	return g.order(rank, fence, true, func(*State) error {
+		g.loads[rank] = append(g.loads[rank], l)
+		return nil
+	})
+}
+
+func (s *State) drop(c Change) {
+	if s.Held == c {
+		s.Held = Change{}
+	}
+}
+
+// order runs a hook on a rank; fenced orders are checked and raise the token.
+func (g *Group) order(rank int, fence uint64, fenced bool, run func(*State) error) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if rank < 0 || rank >= len(g.ranks) {
+		return errors.Wrapf(ErrUnknownRank, "rank %d", rank)
+	}
+	r := &g.ranks[rank]
+	if fenced && g.settings.ChecksFencing && fence < r.Fence {
+		return errors.Wrapf(ErrStaleFence, "token %d after %d", fence, r.Fence)
+	}
+	if fenced {
+		r.Fence = max(r.Fence, fence)
+	}
+	return run(r)
+}
