Show where the memory of slow readers is

Cause: the resident peaks alone do not tell what to change, and other work on the machine between the two runs moved the comparison of the callers' times.

--- a/scripts/readers.sh
+++ b/scripts/readers.sh
@@ -5,7 +5,8 @@
 # Two runs with the same seed: normal callers alone, then beside 1,000 readers of
 # 1 KB/s and 50 readers that stop. Bytes per slow reader are the growth of the
 # resident peaks of the entry and of all agents together, divided by the slow
-# and stopped readers. The engines' time does not depend on their batch here, so
+# and stopped readers; the parts on the Go heap and in stacks, read from the
+# metrics endpoints while the readers are held, tell where they are. The engines' time does not depend on their batch here, so
 # that the comparison of the normal callers shows the balancer alone.
 set -eu
 cd "$(dirname "$0")/.."
@@ -31,13 +32,16 @@
 	fleet_init
 	NEXT_PORT=$((BASE_PORT + 1))
 	ENTRIES=
+	ADMINS=()
 	start_platform
 	until curl -sf -o /dev/null -X PUT --data-binary @scripts/testdata/readers.jsonc \
 		"http://$PLATFORM/objects/configuration/root"; do sleep 0.1; done
 	for i in $(seq 0 $((ENGINES - 1))); do
 		start_engine $DC "$i" asistente -coldCapacity 1000 -warmCapacity 1000 -batchPercent 0 -bytesPerToken 1024
+		ADMINS+=("$ADDRESS")
 	done
 	start_entry $DC 0
+	ADMINS+=("$ADDRESS")
 	for _ in $(seq 100); do
 		load normal -rate 5 -duration 500ms -outputTokens 2 >"$RUN_DIR/ready.out" 2>&1 &&
 			grep -q '^result.* requests=[1-9].* notRun=0 .*unreached=0' "$RUN_DIR/ready.out" && return
@@ -67,6 +71,12 @@
 	done
 }
 
+# gauge NAME: sum of a metric over the entry and all agents.
+gauge() {
+	for admin in "${ADMINS[@]}"; do curl -sf "http://$admin/metrics"; done |
+		awk -v name="$1" '$1 == name {sum += $2} END {printf "%d", sum}'
+}
+
 # field NAME FILE: a value of the result line.
 field() { grep '^result load' "$2" | sed "s/.* $1=\([^ ]*\).*/\1/"; }
 
@@ -89,6 +99,8 @@
 
 fleet_up
 normal "$OUT/alone" || failed=1
+HEAP_ALONE=$(gauge go_memstats_heap_alloc_bytes)
+STACK_ALONE=$(gauge go_memstats_stack_inuse_bytes)
 peaks
 BASE_ENTRY=$ENTRY_PEAK
 BASE_AGENTS=$AGENTS_PEAK
@@ -100,20 +112,27 @@
 SLOW_PID=$!
 sleep 15
 normal "$OUT/beside" || failed=1
+HEAP=$(gauge go_memstats_heap_alloc_bytes)
+STACK=$(gauge go_memstats_stack_inuse_bytes)
 wait $SLOW_PID || failed=1
 peaks
 cat "$OUT/slow"
+normal "$OUT/after" || failed=1
 fleet_down || failed=1
 
 PER_READER=$(((ENTRY_PEAK - BASE_ENTRY + AGENTS_PEAK - BASE_AGENTS) / (SLOW + STOPPED)))
-WRONG=$(($(field wrong "$OUT/alone") + $(field wrong "$OUT/beside") + $(field wrong "$OUT/slow")))
-CUT=$(($(field cut "$OUT/alone") + $(field cut "$OUT/beside") + $(field cut "$OUT/slow")))
+HEAP_PER_READER=$(((HEAP - HEAP_ALONE) / (SLOW + STOPPED)))
+STACK_PER_READER=$(((STACK - STACK_ALONE) / (SLOW + STOPPED)))
+WRONG=$(($(field wrong "$OUT/alone") + $(field wrong "$OUT/beside") + $(field wrong "$OUT/after") + $(field wrong "$OUT/slow")))
+CUT=$(($(field cut "$OUT/alone") + $(field cut "$OUT/beside") + $(field cut "$OUT/after") + $(field cut "$OUT/slow")))
 REFUSED=$(grep '^slow readers' "$OUT/slow" | sed 's/.* refused=\([0-9]*\).*/\1/')
-P95_ALONE=$(field firstTokenP95Ms "$OUT/alone")
+# Normal callers alone are measured before and after, since the machine's other
+# work changes during a run.
+P95_ALONE=$(awk "BEGIN {print ($(field firstTokenP95Ms "$OUT/alone") + $(field firstTokenP95Ms "$OUT/after")) / 2}")
 P95_BESIDE=$(field firstTokenP95Ms "$OUT/beside")
 RATIO=$(awk "BEGIN {print $P95_BESIDE / $P95_ALONE}")
 [ "$PER_READER" -le $MAX_BYTES_PER_READER ] || failed=1
 awk "BEGIN {exit !($RATIO * 100 <= $MAX_P95_PERCENT)}" || failed=1
 [ $((WRONG + CUT + REFUSED)) -eq 0 ] || failed=1
-echo "result readers seed=$SEED slow=$SLOW stopped=$STOPPED bytesPerSlowReader=$PER_READER entryPeakBytes=$ENTRY_PEAK agentsPeakBytes=$AGENTS_PEAK entryPeakAloneBytes=$BASE_ENTRY agentsPeakAloneBytes=$BASE_AGENTS p95AloneMs=$P95_ALONE p95Ms=$P95_BESIDE p95Ratio=$RATIO refused=$REFUSED cut=$CUT wrong=$WRONG"
+echo "result readers seed=$SEED slow=$SLOW stopped=$STOPPED bytesPerSlowReader=$PER_READER heapPerSlowReader=$HEAP_PER_READER stackPerSlowReader=$STACK_PER_READER entryPeakBytes=$ENTRY_PEAK agentsPeakBytes=$AGENTS_PEAK entryPeakAloneBytes=$BASE_ENTRY agentsPeakAloneBytes=$BASE_AGENTS p95AloneMs=$P95_ALONE p95Ms=$P95_BESIDE p95Ratio=$RATIO refused=$REFUSED cut=$CUT wrong=$WRONG"
 exit $failed
