Let the memory limit of a fleet be set by its script

Cause: the readers' run used the 32 MB that a node has for control as the limit for the answers of 1,050 callers as well, so that the collector ran all the time. Change: MEMORY_LIMIT in scripts/fleet.sh, 32 MB as before when unset. Measured: nothing yet.

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -75,7 +75,7 @@
 	fi
 	next_port
 	DAEMON_COMMAND[$name]="bin/goldcrest-agent -settings $RUN_DIR/shared.jsonc -instance $name -dataCentre $dc \
-		-listen $listen -advertise $advertise -admin $ADDRESS -service $service -upstream $upstream -memoryLimitBytes 33554432"
+		-listen $listen -advertise $advertise -admin $ADDRESS -service $service -upstream $upstream -memoryLimitBytes ${MEMORY_LIMIT:-33554432}"
 	start_again "$name"
 }
 
@@ -96,7 +96,7 @@
 	local listen=$ADDRESS
 	next_port
 	DAEMON_COMMAND[entry-$dc-$i]="bin/goldcrest-entry -settings $RUN_DIR/shared.jsonc -instance entry-$dc-$i \
-		-dataCentre $dc -listen $listen -admin $ADDRESS -callers $callers -memoryLimitBytes 33554432"
+		-dataCentre $dc -listen $listen -admin $ADDRESS -callers $callers -memoryLimitBytes ${MEMORY_LIMIT:-33554432}"
 	start_again "entry-$dc-$i"
 	ENTRIES="${ENTRIES:+$ENTRIES,}$callers"
 }
