Measure fairness; require strict proof after an unusual first token

Change: after an unusual first token only one near the low mark proves the upstream warm; measure/fairness floods with and without limits.

--- a/agent/request/admission/admission.go
+++ b/agent/request/admission/admission.go
@@ -281,10 +281,13 @@
 	took := a.pace.served(now, h)
 	a.pace.noteFirstToken(now, h, took)
 	b := a.baseline(h)
-	fast := !h.slow && b.fast(took, a.temperature.slow > 0)
+	fast := !h.slow && b.fast(took, a.temperature.suspect)
 	if b.slow(took) {
 		a.markSlow(h)
 	}
+	if !fast {
+		a.temperature.suspect = true
+	}
 	b.learn(took, a.temperature.cold() || a.temperature.slow > 0)
 	if fast {
 		a.temperature.noteFast(h.epoch)
--- a/agent/request/admission/admission_test.go
+++ b/agent/request/admission/admission_test.go
@@ -199,6 +199,18 @@
 		b.apply(NewFirstToken(b.admitted[rounds*14]))
 		check.Equal(t, "admitted with proof", len(b.admitted), rounds*14+3)
 	})
+	t.Run("after an unusual first token only a very fast one is proof", func(t *testing.T) {
+		b := newBench(t, NewLimits(2, 16, 1, 100_000))
+		b.serve(rounds*14, 200)
+		b.serve(1, 300)
+		b.submit(100, 0)
+		b.now += 600
+		b.apply(NewFirstToken(b.submit(100, 0)))
+		for range 3 {
+			b.submit(100, 0)
+		}
+		check.Equal(t, "unproven", b.a.unproven(), 2)
+	})
 	t.Run("a crash closes the upstream until it answers", func(t *testing.T) {
 		b := newBench(t, limits)
 		b.serve(rounds*14, 100)
--- a/agent/request/admission/temperature.go
+++ b/agent/request/admission/temperature.go
@@ -21,6 +21,7 @@
 	epoch       uint64
 	done        int
 	slow        int
+	suspect     bool // a first token was not usual and none near the low mark followed
 	baselines   [classes]baseline
 }
 
@@ -77,6 +78,7 @@
 		return
 	}
 	t.slow++
+	t.suspect = true
 	if t.slow >= slowRun && t.limit > t.coldLimit {
 		t.drop()
 	}
@@ -85,5 +87,6 @@
 func (t *temperature) noteFast(epoch uint64) {
 	if epoch == t.epoch {
 		t.slow = 0
+		t.suspect = false
 	}
 }
--- a/measure/cmd/goldcrest-measure/main.go
+++ b/measure/cmd/goldcrest-measure/main.go
@@ -11,6 +11,7 @@
 
 	"goldcrestshore/measure/cold"
 	"goldcrestshore/measure/drain"
+	"goldcrestshore/measure/fairness"
 	"goldcrestshore/measure/once"
 	"goldcrestshore/measure/routing"
 )
@@ -31,6 +32,7 @@
 	{"cold", cold.Run},
 	{"routing", routing.Run},
 	{"drain", drain.Run},
+	{"fairness", fairness.Run},
 }
 
 func main() {
--- /dev/null
+++ b/measure/fairness/fairness.go
@@ -0,0 +1,130 @@
+// Package fairness measures how far a flooding customer, or a flood of tiny
+// requests, delays the first tokens of small customers.
+package fairness
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"goldcrestshore/core/process/clock"
+	"goldcrestshore/entry/request/customer"
+	"goldcrestshore/measure/engine"
+	"goldcrestshore/measure/fleet"
+)
+
+// ErrInvariant reports requests without an outcome.
+var ErrInvariant = errors.New("fairness measurement violates an invariant")
+
+const (
+	// rate is the load in requests/s without a flood.
+	rate = 40
+	// floodRate is the flood of usual requests, tinyRate that of tiny ones.
+	floodRate = 60
+	tinyRate  = 300
+	warmUp    = 60 * clock.Second
+	measured  = 90 * clock.Second
+	settle    = 45 * clock.Second
+	// maxRatio is the goal for the p95 of small customers.
+	maxRatio = 1.2
+	// Limits of each customer in requests/s and requests at a time; a large
+	// customer sends about 10 requests/s.
+	limitRate       = 15
+	limitConcurrent = 100
+)
+
+// scenario is one run.
+type scenario struct {
+	name    string
+	limited bool
+	flood   *engine.Customer
+	rate    float64
+}
+
+func scenarios() []scenario {
+	usual := engine.Customers()[0]
+	tiny := usual
+	tiny.Prefix, tiny.Prompt, tiny.Output = 0, 20, 4
+	var all []scenario
+	for _, limited := range []bool{true, false} {
+		all = append(all,
+			scenario{"no flood", limited, nil, 0},
+			scenario{"flood", limited, &usual, floodRate},
+			scenario{"tiny requests", limited, &tiny, tinyRate},
+		)
+	}
+	return all
+}
+
+// Run measures the floods with and without limits and writes the report to out.
+// The goal applies with limits; without, only the fair queue acts.
+func Run(seed uint64, out io.Writer) error {
+	all := scenarios()
+	small := make([]fleet.Summary, len(all))
+	lost := make([]int, len(all))
+	var group errgroup.Group
+	group.SetLimit(4)
+	for i, s := range all {
+		group.Go(func() error {
+			small[i], lost[i] = s.run(seed)
+			return nil
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return err
+	}
+	ratios := make([]float64, len(all))
+	total := 0
+	for i, s := range all {
+		base := small[i-i%3]
+		ratios[i] = float64(small[i].P95) / float64(max(base.P95, 1))
+		total += lost[i]
+		fmt.Fprintf(out, "limits=%-5t %-14s small customers: requests=%d notInTime=%d p50=%dms p95=%dms p99=%dms ratio=%.2f\n",
+			s.limited, s.name, small[i].Requests, small[i].Requests-small[i].InTime, small[i].P50, small[i].P95, small[i].P99, ratios[i])
+	}
+	met := ratios[1] <= maxRatio && ratios[2] <= maxRatio
+	fmt.Fprintf(out, "result fairness flood=%.2f tiny=%.2f floodUnlimited=%.2f tinyUnlimited=%.2f goalMet=%t lost=%d\n",
+		ratios[1], ratios[2], ratios[4], ratios[5], met, total)
+	if total > 0 {
+		return errors.Wrapf(ErrInvariant, "lost=%d", total)
+	}
+	return nil
+}
+
+func (s scenario) run(seed uint64) (fleet.Summary, int) {
+	o := fleet.DefaultOptions(seed)
+	for _, c := range engine.Customers() {
+		l := customer.NewLimits(c.Name, 1, 0, 0)
+		if s.limited {
+			l = customer.NewLimits(c.Name, 1, limitRate, limitConcurrent)
+		}
+		o.Customers = append(o.Customers, l)
+	}
+	f := fleet.New(o)
+	w := engine.NewWorkload(engine.Customers(), rand.New(rand.NewPCG(seed, 5)))
+	f.Load(w, warmUp+measured, rate)
+	f.Sim.Run(warmUp)
+	start := f.Sim.Now()
+	if s.flood != nil {
+		flood := engine.NewWorkload([]engine.Customer{*s.flood}, rand.New(rand.NewPCG(seed, 6)))
+		f.Load(flood, measured, s.rate)
+	}
+	f.Sim.Run(measured + settle)
+	lost := fleet.Summarize(f.Records(), nil).Lost
+	return fleet.Summarize(f.Records(), func(r *fleet.Record) bool {
+		return r.Arrived >= start && isSmall(r.Request.Customer)
+	}), lost
+}
+
+// isSmall reports whether a customer is not one of the three large ones.
+func isSmall(name string) bool {
+	for i, c := range engine.Customers() {
+		if c.Name == name {
+			return i >= 3
+		}
+	}
+	return false
+}
