--- a/agent/process/server/server.go
+++ b/agent/process/server/server.go
@@ -71,7 +71,7 @@
 	group.Go(func() error { return s.serveEntries(running, listener) })
 	group.Go(func() error { return s.serveAdmin(running) })
 	group.Go(func() error {
-		s.register(running)
+		s.register(stopping)
 		<-stopping.Done()
 		s.drain(running)
 		cancel()
@@ -90,7 +90,10 @@
 	s.self = peer.NewIdentity(platform.RoleAgent, s.Settings.Instance(), s.Settings.DataCentre())
 	s.clock = clock.System()
 	s.platform = platform.New(s.Settings.Platform())
-	s.views = &relay.Client{Platform: s.platform, Log: s.Log, Clock: s.clock}
+	s.views = &relay.Client{
+		Platform: s.platform, Log: s.Log, Clock: s.clock, Self: s.self, Address: s.Settings.Advertise(),
+		Key: s.Settings.Key(), Contacts: s.Settings.Contacts(), Scope: s.Metrics.Scope(), Load: func() frame.Load { return s.heartbeat().Load() },
+	}
 	s.gate = &gate{limit: s.limit, refusal: s.outOfService, held: map[frame.ID]bool{}}
 	s.entries = &entry.Server{
 		Clock:          s.clock,
@@ -140,17 +143,26 @@
 }
 
 func (s *Server) serveEntries(ctx context.Context, l net.Listener) error {
-	listener := &peer.Listener{Self: s.self, Key: s.Settings.Key(), Log: s.Log, Serve: s.entries.Serve}
+	listener := &peer.Listener{Self: s.self, Key: s.Settings.Key(), Log: s.Log, Serve: s.serve}
 	return listener.Run(ctx, l)
 }
 
+// serve runs a connection by the role of its peer.
+func (s *Server) serve(ctx context.Context, c *peer.Conn) {
+	if c.Peer().Role() == relay.RoleSubscriber {
+		s.views.Serve(ctx, c)
+		return
+	}
+	s.entries.Serve(ctx, c)
+}
+
 func (s *Server) serveAdmin(ctx context.Context) error {
 	return metric.Serve(ctx, s.Settings.Admin(), map[string]http.Handler{"/metrics": s.Metrics.Handler()})
 }
 
 // register announces the agent to the platform and tries again until it works.
 func (s *Server) register(ctx context.Context) {
-	i := platform.NewInstance(s.Settings.Instance(), platform.RoleAgent, s.Settings.DataCentre(), s.Settings.Listen()).
+	i := platform.NewInstance(s.Settings.Instance(), platform.RoleAgent, s.Settings.DataCentre(), s.Settings.Advertise()).
 		WithUpstream(s.Upstream, s.Service)
 	platform.Announce(ctx, s.platform, i, func(err error) { s.Log.Error(event.PlatformFailed, err, nil) })
 }
--- a/core/process/settings/common.go
+++ b/core/process/settings/common.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"runtime/debug"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 )
@@ -10,6 +11,11 @@
 // ErrMissing reports a setting that has no default and was not given.
 var ErrMissing = errors.New("setting is missing")
 
+// gcPercent is how far the heap grows between collections. Answers held for slow
+// readers are most of the heap, and a node has 32 MB for control, so that memory
+// counts for more than the processor time of collecting a few megabytes.
+const gcPercent = 25
+
 // Common are the settings that every daemon has.
 type Common struct {
 	instance    string
@@ -17,8 +23,10 @@
 	platform    string
 	key         string
 	listen      string
+	advertise   string
 	admin       string
 	logLevel    string
+	contacts    string
 	memoryLimit int64
 }
 
@@ -30,14 +38,16 @@
 	fs.StringVar(&c.platform, "platform", "", "address of the platform's object API, ip:port")
 	fs.StringVar(&c.key, "key", "", "key shared by all goldcrestshore processes; keep it in the settings file")
 	fs.StringVar(&c.listen, "listen", "", "address for other goldcrestshore processes, ip:port")
+	fs.StringVar(&c.advertise, "advertise", "", "address that other processes dial, ip:port; the listen address when empty")
 	fs.StringVar(&c.admin, "admin", "", "address of the metrics and status endpoints, ip:port; empty for none")
 	fs.StringVar(&c.logLevel, "logLevel", "info", "lowest severity that is logged")
+	fs.StringVar(&c.contacts, "contacts", "", "addresses of some other processes, ip:port with commas, for a start while the platform is down")
 	fs.Int64Var(&c.memoryLimit, "memoryLimitBytes", 0, "soft memory limit of the Go runtime, 0 for none")
 	return c
 }
 
-// Check returns ErrMissing for the first absent setting and applies the memory
-// limit.
+// Check returns ErrMissing for the first absent setting and sets up the
+// runtime's memory use.
 func (c *Common) Check() error {
 	required := []struct{ name, value string }{
 		{"instance", c.instance}, {"dataCentre", c.dataCentre}, {"platform", c.platform},
@@ -48,6 +58,7 @@
 			return errors.Wrapf(ErrMissing, "%q", r.name)
 		}
 	}
+	debug.SetGCPercent(gcPercent)
 	if c.memoryLimit > 0 {
 		debug.SetMemoryLimit(c.memoryLimit)
 	}
@@ -69,8 +80,21 @@
 // Listen returns the address for other processes.
 func (c *Common) Listen() string { return c.listen }
 
+// Advertise returns the address that other processes dial.
+func (c *Common) Advertise() string {
+	if c.advertise == "" {
+		return c.listen
+	}
+	return c.advertise
+}
+
 // Admin returns the address of the metrics and status endpoints.
 func (c *Common) Admin() string { return c.admin }
 
 // LogLevel returns the lowest severity that is logged.
 func (c *Common) LogLevel() string { return c.logLevel }
+
+// Contacts returns the addresses of some other processes.
+func (c *Common) Contacts() []string {
+	return strings.FieldsFunc(c.contacts, func(r rune) bool { return r == ',' || r == ' ' })
+}
--- a/entry/process/server/dispatch.go
+++ b/entry/request/dispatch/dispatch.go
@@ -1,4 +1,6 @@
-package server
+// Package dispatch runs callers' requests on upstreams: it chooses an agent,
+// copies the answer, and decides whether a failed request is sent to another.
+package dispatch
 
 import (
 	"context"
@@ -11,33 +13,41 @@
 	"goldcrestshore/core/process/clock"
 	"goldcrestshore/core/process/event"
 	"goldcrestshore/core/request/outcome"
+	"goldcrestshore/core/version/relay"
 	"goldcrestshore/entry/connection/agent"
+	"goldcrestshore/entry/process/claims"
 	"goldcrestshore/entry/request/caller"
 	"goldcrestshore/entry/request/retry"
 )
 
-// dispatcher runs requests on agents.
-type dispatcher struct {
-	pool        *pool
-	clock       *clock.Clock
-	log         *event.Log
-	incarnation uint64
-	sequence    atomic.Uint64
-
-	mu     sync.Mutex
-	budget retry.Budget
+// Dispatcher runs requests on agents. Exported fields are set before use.
+type Dispatcher struct {
+	Pool  *agent.Pool
+	Clock *clock.Clock
+	Log   *event.Log
+	// Incarnation is that of this entry; it makes request ids unique.
+	Incarnation uint64
+	// Claims makes requests with a key run at most once; nil refuses them.
+	Claims *claims.Service
+
+	sequence atomic.Uint64
+	mu       sync.Mutex
+	budget   retry.Budget
 }
 
 // Dispatch implements caller.Dispatcher.
-func (d *dispatcher) Dispatch(ctx context.Context, r *caller.Request, a *caller.Answer) error {
-	if !d.pool.view().Available(r.Service().Name()) {
-		return outcome.Refuse(outcome.DependencyOut, outcome.NotRun, int64(clock.Second))
+func (d *Dispatcher) Dispatch(ctx context.Context, r *caller.Request, a *caller.Answer) error {
+	if !d.Pool.View().Available(r.Service().Name()) {
+		return unavailable(d.Pool.View(), r.Service().Name())
 	}
 	d.decide(retry.First{})
+	if r.Key() != "" && !r.Idempotent() {
+		return d.dispatchClaimed(ctx, r, a)
+	}
 	tried := map[string]bool{}
 	state := retry.NewRequest(r.Idempotent())
 	for {
-		l := d.pool.choose(r.Service().Name(), tried)
+		l := d.Pool.Choose(r.Service().Name(), tried)
 		if l == nil {
 			return noUpstream(state)
 		}
@@ -50,18 +60,28 @@
 		if !errors.As(err, &failed) {
 			return err
 		}
-		switch next := d.decide(failed.event(state, r.Deadline()-d.clock.Now())).(type) {
+		switch next := d.decide(failed.event(state, r.Deadline()-d.Clock.Now())).(type) {
 		case retry.GiveUp:
-			return errors.Wrapf(next.Refusal(), "%v", err)
+			return next.Refusal()
 		case retry.Again:
 			state = next.Request()
-			d.log.Error(event.RequestRetried, err, event.Fields{"upstream": l.Name})
+			d.Log.Error(event.RequestRetried, err, event.Fields{"upstream": l.Name})
 		}
 	}
 }
 
+// unavailable refuses a request whose service, or one that it depends on, has
+// no upstream that takes work.
+func unavailable(v *relay.Snapshot, service string) error {
+	code := outcome.DependencyOut
+	if !v.AnyTakes(service) {
+		code = outcome.NoUpstream
+	}
+	return outcome.Refuse(code, outcome.NotRun, int64(clock.Second))
+}
+
 // decide passes an event to the budget that all requests share.
-func (d *dispatcher) decide(e retry.Event) retry.Action {
+func (d *Dispatcher) decide(e retry.Event) retry.Action {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.budget.Handle(e)
@@ -78,9 +98,9 @@
 
 // attempt runs the request once. Its error is an attemptError unless the caller
 // has left or the deadline has passed.
-func (d *dispatcher) attempt(ctx context.Context, l *link, r *caller.Request, a *caller.Answer) error {
-	id := frame.NewID(d.incarnation, d.sequence.Add(1))
-	e, err := l.Submit(id, d.submit(r))
+func (d *Dispatcher) attempt(ctx context.Context, l *agent.Link, r *caller.Request, a *caller.Answer) error {
+	id := frame.NewID(d.Incarnation, d.sequence.Add(1))
+	e, err := l.Submit(id, d.submit(r, ""))
 	if err != nil {
 		return &attemptError{retry.LostBeforeSubmit, outcome.NoUpstream, 0}
 	}
@@ -88,9 +108,9 @@
 	return copyAnswer(ctx, e, a)
 }
 
-func (d *dispatcher) submit(r *caller.Request) *frame.Submit {
-	left := r.Deadline() - d.clock.Now()
-	terms := frame.NewTerms(int64(left), r.Customer().Priority(), r.Idempotent(), r.Stream(), "")
+func (d *Dispatcher) submit(r *caller.Request, claimKey string) *frame.Submit {
+	left := r.Deadline() - d.Clock.Now()
+	terms := frame.NewTerms(int64(left), r.Customer().Priority(), r.Idempotent(), r.Stream(), claimKey)
 	return frame.NewSubmit(r.Service().Name(), r.Customer().Name(), r.Call(), terms, r.Size(), r.ConfigVersion())
 }
 
@@ -109,7 +129,7 @@
 }
 
 // copyAnswer passes the events of an exchange to the caller until its end.
-func copyAnswer(ctx context.Context, e *agent.Exchange, a *caller.Answer) error {
+func copyAnswer(ctx context.Context, e *agent.Exchange, a answer) error {
 	for {
 		next, err := e.Next(ctx)
 		if err != nil {
@@ -142,7 +162,7 @@
 	return &attemptError{failure, r.Code(), r.RetryAfterMs()}
 }
 
-func lost(l agent.Lost, a *caller.Answer) error {
+func lost(l agent.Lost, a answer) error {
 	failure := retry.LostAfterSubmit
 	switch {
 	case l.NotRun():
@@ -154,7 +174,7 @@
 }
 
 // finish ends the caller's answer when every byte has arrived intact.
-func finish(end agent.End, a *caller.Answer) error {
+func finish(end agent.End, a answer) error {
 	if end.Complete() {
 		return errors.Wrap(a.Finish(), "write to caller")
 	}
--- a/measure/cmd/goldcrest-measure/main.go
+++ b/measure/cmd/goldcrest-measure/main.go
@@ -12,8 +12,10 @@
 	"goldcrestshore/measure/cold"
 	"goldcrestshore/measure/drain"
 	"goldcrestshore/measure/fairness"
+	"goldcrestshore/measure/mapchange"
 	"goldcrestshore/measure/once"
 	"goldcrestshore/measure/routing"
+	"goldcrestshore/measure/skew"
 )
 
 // errUsage reports a command line that names no known subject.
@@ -31,6 +33,8 @@
 	{"once", once.Run},
 	{"cold", cold.Run},
 	{"routing", routing.Run},
+	{"skew", skew.Run},
+	{"map", mapchange.Run},
 	{"drain", drain.Run},
 	{"fairness", fairness.Run},
 }
