Admit work at the agent by the admission decision

Cause: the agent admitted up to the warm limit, without memory reservation, temperature or waiting. Change: the gate drives agent/request/admission with requests, load reports and the configuration in force. Conclusion: the agent's placeholder is gone.

--- /dev/null
+++ b/agent/process/server/gate_test.go
@@ -0,0 +1,71 @@
+package server
+
+import (
+	"context"
+	"testing"
+
+	"goldcrestshore/agent/request/admission"
+	"goldcrestshore/agent/request/upstream"
+	"goldcrestshore/core/connection/frame"
+	"goldcrestshore/core/process/check"
+	"goldcrestshore/core/process/clock"
+	"goldcrestshore/core/request/outcome"
+)
+
+// newTestGate returns a gate of a plain service with the given limit.
+func newTestGate(limit int) (*gate, *state) {
+	in := &state{confirmed: true, limits: admission.NewLimits(limit, limit, 0, 0).WithoutReports()}
+	g := newGate("registro", clock.NewManual(clock.Hour))
+	g.state = func() state { return *in }
+	g.refusal = func(*frame.Submit) *outcome.Refusal { return nil }
+	g.load = func(context.Context) (upstream.Load, error) { return upstream.Load{}, nil }
+	return g, in
+}
+
+// decided submits a request and returns the decision, "waiting" for none yet.
+func decided(g *gate, id frame.ID) *string {
+	result := "waiting"
+	terms := frame.NewTerms(int64(clock.Minute), 0, true, false, "")
+	m := frame.NewSubmit("registro", "a", frame.Call{}, terms, frame.Size{}, 0)
+	g.Submit(id, m, func(r *outcome.Refusal) {
+		result = "admitted"
+		if r != nil {
+			result = string(r.Code())
+		}
+	})
+	return &result
+}
+
+func TestGate(t *testing.T) {
+	first, second := frame.NewID(1, 1), frame.NewID(1, 2)
+	t.Run("a waiting request is admitted when a place is free", func(t *testing.T) {
+		g, _ := newTestGate(1)
+		check.Equal(t, "first", *decided(g, first), "admitted")
+		waiting := decided(g, second)
+		check.Equal(t, "second", *waiting, "waiting")
+		g.Done(first, nil)
+		check.Equal(t, "second after the first", *waiting, "admitted")
+	})
+	t.Run("a withdrawn request is not decided", func(t *testing.T) {
+		g, _ := newTestGate(1)
+		decided(g, first)
+		waiting := decided(g, second)
+		g.Withdraw(second)
+		g.Done(first, nil)
+		check.Equal(t, "second", *waiting, "waiting")
+		check.Equal(t, "held", g.admission.Held(), 0)
+	})
+	t.Run("an out mark refuses new work at once", func(t *testing.T) {
+		g, in := newTestGate(1)
+		decided(g, first)
+		in.out = true
+		check.Equal(t, "second", *decided(g, second), string(outcome.OutOfService))
+	})
+	t.Run("a withdrawal that overtakes its submit gives the place back", func(t *testing.T) {
+		g, _ := newTestGate(1)
+		g.follow()
+		terms := frame.NewTerms(int64(clock.Minute), 0, true, false, "")
+		g.apply(admission.NewSubmit(first, terms, frame.Size{}))
+		check.Equal(t, "held", g.admission.Held(), 0)
+	})
+}
--- a/agent/process/server/server.go
+++ b/agent/process/server/server.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"goldcrestshore/agent/connection/entry"
+	"goldcrestshore/agent/request/admission"
 	"goldcrestshore/agent/request/upstream"
 	"goldcrestshore/core/connection/frame"
 	"goldcrestshore/core/connection/peer"
@@ -22,6 +23,7 @@
 	"goldcrestshore/core/process/settings"
 	"goldcrestshore/core/request/outcome"
 	"goldcrestshore/core/version/relay"
+	"goldcrestshore/core/version/text"
 )
 
 const (
@@ -68,6 +70,7 @@
 	group, running := errgroup.WithContext(running)
 	group.Go(func() error { return s.views.Run(running) })
 	group.Go(func() error { s.entries.Run(running); return nil })
+	group.Go(func() error { s.gate.Run(running); return nil })
 	group.Go(func() error { return s.serveEntries(running, listener) })
 	group.Go(func() error { return s.serveAdmin(running) })
 	group.Go(func() error {
@@ -94,12 +97,16 @@
 		Platform: s.platform, Log: s.Log, Clock: s.clock, Self: s.self, Address: s.Settings.Advertise(),
 		Key: s.Settings.Key(), Contacts: s.Settings.Contacts(), Scope: s.Metrics.Scope(), Load: func() frame.Load { return s.heartbeat().Load() },
 	}
-	s.gate = &gate{limit: s.limit, refusal: s.outOfService, held: map[frame.ID]bool{}}
+	client := upstream.New(s.Upstream)
+	s.gate = newGate(s.Service, s.clock)
+	s.gate.state = s.state
+	s.gate.refusal = s.misdirected
+	s.gate.load = client.Load
 	s.entries = &entry.Server{
 		Clock:          s.clock,
 		Log:            s.Log,
 		Gate:           s.gate,
-		Upstream:       upstream.New(s.Upstream),
+		Upstream:       client,
 		Heartbeat:      s.heartbeat,
 		Incarnation:    s.self.Incarnation(),
 		MaxStreamBytes: s.MaxStreamBytes,
@@ -107,39 +114,41 @@
 	s.entries.Start(ctx)
 }
 
-func (s *Server) limit() int {
+// state returns what the configuration in force says about the upstream.
+func (s *Server) state() state {
 	v := s.views.Current()
 	if !v.Ready() || v.Text() == nil {
-		return 0
+		return state{}
 	}
+	out := v.IsOut(s.Settings.Instance(), s.Settings.DataCentre())
 	service, ok := v.Text().Service(s.Service)
 	if !ok {
-		return 0
+		// A service that the text does not have gets no work.
+		return state{out: true}
 	}
-	return service.WarmLimit()
+	limits := admission.NewLimits(service.ColdLimit(), service.WarmLimit(), service.MemoryPerTokenBytes(), service.MemoryBudgetBytes())
+	reports := service.Kind() == text.Model
+	if !reports {
+		limits = limits.WithoutReports()
+	}
+	return state{confirmed: true, reports: reports, out: out, limits: limits}
 }
 
-// outOfService refuses work that the configuration does not allow here.
-func (s *Server) outOfService(m *frame.Submit) *outcome.Refusal {
+// misdirected refuses work for another service, and work that an entry sent by
+// a configuration that is not in force here yet.
+func (s *Server) misdirected(m *frame.Submit) *outcome.Refusal {
 	v := s.views.Current()
 	if !v.Ready() || v.Text() == nil || v.Version() < m.ConfigVersion() {
 		return outcome.Refuse(outcome.ConfigUnconfirmed, outcome.NotRun, 0)
 	}
-	if v.IsOut(s.Settings.Instance(), s.Settings.DataCentre()) || m.Service() != s.Service {
+	if m.Service() != s.Service {
 		return outcome.Refuse(outcome.OutOfService, outcome.NotRun, 0)
 	}
 	return nil
 }
 
 func (s *Server) heartbeat() *frame.Heartbeat {
-	v := s.views.Current()
-	held, leaving := s.gate.state()
-	leaving = leaving || v.IsOut(s.Settings.Instance(), s.Settings.DataCentre())
-	load := frame.NewLoad(s.Service,
-		frame.NewOccupancy(held, s.limit(), 0, 0),
-		frame.NewCondition(false, leaving, 0, 0),
-		frame.NewPace(0, 0))
-	return frame.NewHeartbeat(v.Version(), load)
+	return frame.NewHeartbeat(s.views.Current().Version(), s.gate.report())
 }
 
 func (s *Server) serveEntries(ctx context.Context, l net.Listener) error {
