Confirm refusals of unavailable services for keyed requests

Cause: a key sent again while its service had no upstream was refused as not run although an earlier sending may have run. Change: dispatch gives such a refusal to the claim service, whose owner knows.

--- a/entry/request/dispatch/claimed.go
+++ b/entry/request/dispatch/claimed.go
@@ -35,8 +35,9 @@
 	state   retry.Request
 }
 
-// dispatchClaimed runs a keyed request at most once over all entries.
-func (d *Dispatcher) dispatchClaimed(ctx context.Context, r *caller.Request, a *caller.Answer) error {
+// dispatchClaimed runs a keyed request at most once over all entries. If its
+// service is not available, an earlier sending may still have run.
+func (d *Dispatcher) dispatchClaimed(ctx context.Context, r *caller.Request, a *caller.Answer, available bool) error {
 	if d.Claims == nil {
 		return outcome.Refuse(outcome.NotReady, outcome.NotRun, 0)
 	}
@@ -44,8 +45,8 @@
 	call := d.Claims.Open(r.Customer().Name(), r.Key(), q.Method(), q.Path(), q.Body(), r.Deadline())
 	defer call.Close()
 	c := &claimed{Dispatcher: d, request: r, answer: a, call: call, state: retry.NewRequest(false)}
-	step, err := c.ask(ctx, map[string]bool{})
 	tried := map[string]bool{}
+	step, err := c.begin(ctx, available, tried)
 	for err == nil {
 		switch s := step.(type) {
 		case claims.Stored:
@@ -68,6 +69,13 @@
 	return err
 }
 
+func (c *claimed) begin(ctx context.Context, available bool, tried map[string]bool) (claims.Step, error) {
+	if !available {
+		return c.call.GaveUp(ctx, unavailable(c.Pool.View(), c.request.Service().Name()))
+	}
+	return c.ask(ctx, tried)
+}
+
 // ask chooses an upstream and claims the key for it.
 func (c *claimed) ask(ctx context.Context, tried map[string]bool) (claims.Step, error) {
 	c.link = c.Pool.Choose(c.request.Service().Name(), tried)
--- a/entry/request/dispatch/dispatch.go
+++ b/entry/request/dispatch/dispatch.go
@@ -37,12 +37,14 @@
 
 // Dispatch implements caller.Dispatcher.
 func (d *Dispatcher) Dispatch(ctx context.Context, r *caller.Request, a *caller.Answer) error {
-	if !d.Pool.View().Available(r.Service().Name()) {
+	keyed := r.Key() != "" && !r.Idempotent()
+	available := d.Pool.View().Available(r.Service().Name())
+	if !available && !keyed {
 		return unavailable(d.Pool.View(), r.Service().Name())
 	}
 	d.decide(retry.First{})
-	if r.Key() != "" && !r.Idempotent() {
-		return d.dispatchClaimed(ctx, r, a)
+	if keyed {
+		return d.dispatchClaimed(ctx, r, a, available)
 	}
 	tried := map[string]bool{}
 	state := retry.NewRequest(r.Idempotent())
@@ -72,7 +74,7 @@
 
 // unavailable refuses a request whose service, or one that it depends on, has
 // no upstream that takes work.
-func unavailable(v *relay.Snapshot, service string) error {
+func unavailable(v *relay.Snapshot, service string) *outcome.Refusal {
 	code := outcome.DependencyOut
 	if !v.AnyTakes(service) {
 		code = outcome.NoUpstream
