--- a/agent/request/suspect/suspect.go
+++ b/agent/request/suspect/suspect.go
@@ -69,7 +69,7 @@
 func (Admit) action()  {}
 func (Refuse) action() {}
 
-type aboard struct {
+type inFlight struct {
 	print   fingerprint.Fingerprint
 	expires clock.Millis
 }
@@ -77,7 +77,7 @@
 // Gate holds the requests that were in flight at recent crashes. The zero value
 // has none. It is not safe for concurrent use.
 type Gate struct {
-	prints  []aboard
+	prints  []inFlight
 	suspect fingerprint.Fingerprint // the suspect in flight, if running > 0
 	running int
 }
@@ -87,7 +87,7 @@
 
 // Handle applies an event. Crashed has no action and returns nil.
 func (g *Gate) Handle(now clock.Millis, e Event) Action {
-	g.prints = slices.DeleteFunc(g.prints, func(a aboard) bool { return a.expires <= now })
+	g.prints = slices.DeleteFunc(g.prints, func(a inFlight) bool { return a.expires <= now })
 	switch e := e.(type) {
 	case Submitted:
 		return g.submitted(e)
@@ -98,7 +98,7 @@
 	case Crashed:
 		g.running = 0
 		for _, f := range e.prints {
-			g.prints = append(g.prints, aboard{f, now + keep})
+			g.prints = append(g.prints, inFlight{f, now + keep})
 		}
 		g.prints = g.prints[max(0, len(g.prints)-maxPrints):]
 	}
@@ -106,7 +106,7 @@
 }
 
 func (g *Gate) submitted(e Submitted) Action {
-	crashed := slices.ContainsFunc(g.prints, func(a aboard) bool { return a.print == e.print })
+	crashed := slices.ContainsFunc(g.prints, func(a inFlight) bool { return a.print == e.print })
 	if crashed || e.suspect && g.running > 0 && g.suspect != e.print {
 		return Refuse{outcome.Refuse(outcome.Overloaded, outcome.NotRun, retryAfterMs)}
 	}
--- a/entry/request/claim/client.go
+++ b/entry/request/claim/client.go
@@ -178,8 +178,8 @@
 	withdrawing       // the owner decides which refusal is true
 )
 
-// pursuit is one request at the entry that received it.
-type pursuit struct {
+// sending is one request at the entry that received it.
+type sending struct {
 	begin   Begin
 	ref     Ref
 	stage   stage
@@ -193,13 +193,13 @@
 type Client struct {
 	entry    uint64
 	sequence uint64
-	requests map[uint64]*pursuit
+	requests map[uint64]*sending
 	refs     map[Ref]uint64
 }
 
 // NewClient returns the client of an entry's incarnation.
 func NewClient(entry uint64) *Client {
-	return &Client{entry: entry, requests: map[uint64]*pursuit{}, refs: map[Ref]uint64{}}
+	return &Client{entry: entry, requests: map[uint64]*sending{}, refs: map[Ref]uint64{}}
 }
 
 // Len returns the number of requests under way.
@@ -209,7 +209,7 @@
 func (c *Client) Handle(now clock.Millis, e ClientEvent) []ClientAction {
 	switch e := e.(type) {
 	case Begin:
-		return c.ask(now, &pursuit{begin: e})
+		return c.ask(now, &sending{begin: e})
 	case Arrived:
 		return c.arrived(e.answered)
 	case AgentRefused:
@@ -228,13 +228,13 @@
 	return nil
 }
 
-func (c *Client) ask(now clock.Millis, p *pursuit) []ClientAction {
+func (c *Client) ask(now clock.Millis, p *sending) []ClientAction {
 	c.renew(now, p)
 	p.stage = asking
 	return []ClientAction{SendAsk{p.ask()}}
 }
 
-func (p *pursuit) ask() Ask {
+func (p *sending) ask() Ask {
 	b := p.begin
 	return Ask{p.ref, b.key, b.body, b.upstream, b.deadline}
 }
@@ -289,7 +289,7 @@
 func (c *Client) gaveUp(now clock.Millis, e GaveUp) []ClientAction {
 	p := c.requests[e.request]
 	if p == nil {
-		p = &pursuit{begin: Begin{request: e.request, key: e.key}, stage: refused}
+		p = &sending{begin: Begin{request: e.request, key: e.key}, stage: refused}
 	}
 	if p.stage != refused {
 		return nil
@@ -303,7 +303,7 @@
 
 // renew gives p a new reference, so that late replies to an earlier one are
 // recognised.
-func (c *Client) renew(now clock.Millis, p *pursuit) {
+func (c *Client) renew(now clock.Millis, p *sending) {
 	c.drop(p.begin.request)
 	c.sequence++
 	p.ref = Ref{c.entry, c.sequence}
@@ -314,14 +314,14 @@
 
 // unconfirmed is the refusal when the owner did not reply. This sending did not
 // run, but another one with the key may have.
-func (p *pursuit) unconfirmed() *outcome.Refusal {
+func (p *sending) unconfirmed() *outcome.Refusal {
 	if p.refusal != nil {
 		return outcome.Refuse(p.refusal.Code(), outcome.Unknown, p.refusal.RetryAfterMs())
 	}
 	return outcome.Refuse(outcome.DeadlineExceeded, outcome.Unknown, 0)
 }
 
-func (p *pursuit) withdraw() Withdraw {
+func (p *sending) withdraw() Withdraw {
 	return Withdraw{p.ref, p.begin.key, p.grant, p.refusal.Code(), p.refusal.RetryAfterMs()}
 }
 
--- a/entry/request/suspect/suspect_test.go
+++ b/entry/request/suspect/suspect_test.go
@@ -53,7 +53,7 @@
 	f.lost++
 	f.boots[upstream]++
 	for _, e := range f.entries {
-		e.Handle(f.now, NewCrashed(upstream, f.boots[upstream], e.Aboard(upstream)))
+		e.Handle(f.now, NewCrashed(upstream, f.boots[upstream], e.InFlight(upstream)))
 	}
 	f.exchange()
 }
--- a/entry/request/suspect/tracker.go
+++ b/entry/request/suspect/tracker.go
@@ -50,9 +50,9 @@
 type Tracker struct {
 	records map[Fingerprint]*record
 	flights map[uint64]flight
-	// blamed holds the crashes of the quarantined fingerprints.
-	blamed map[Crash]bool
-	heard  clock.Millis // 0 while Heard is not used
+	// explained holds the crashes of the quarantined fingerprints.
+	explained map[Crash]bool
+	heard     clock.Millis // 0 while Heard is not used
 	// settled is when the messages missed during a silence have arrived.
 	settled clock.Millis
 }
@@ -154,12 +154,12 @@
 	if !changed {
 		return nil
 	}
-	t.blame()
+	t.explain()
 	return append([]Action{Announce{}}, t.cancelQuarantined()...)
 }
 
-// Aboard returns the fingerprints that this entry has in flight on an upstream.
-func (t *Tracker) Aboard(upstream string) []Fingerprint {
+// InFlight returns the fingerprints that this entry has in flight on an upstream.
+func (t *Tracker) InFlight(upstream string) []Fingerprint {
 	var all []Fingerprint
 	for _, f := range t.flights {
 		if f.upstream == upstream {
@@ -187,7 +187,7 @@
 		}
 	}
 	if out != nil {
-		t.blame()
+		t.explain()
 	}
 	return append(out, t.cancelQuarantined()...)
 }
@@ -226,24 +226,24 @@
 func (t *Tracker) evidence(r *record) []Crash {
 	var left []Crash
 	for _, c := range r.crashes {
-		if !slices.Contains(r.cleared, c) && (r.quarantined || !t.blamed[c]) {
+		if !slices.Contains(r.cleared, c) && (r.quarantined || !t.explained[c]) {
 			left = append(left, c)
 		}
 	}
 	return left
 }
 
-// blame recomputes the crashes explained by quarantined fingerprints. It runs
+// explain recomputes the crashes explained by quarantined fingerprints. It runs
 // after all fingerprints of a crash have been judged, so that of two that were
 // in flight at the same two crashes both are quarantined.
-func (t *Tracker) blame() {
-	t.blamed = map[Crash]bool{}
+func (t *Tracker) explain() {
+	t.explained = map[Crash]bool{}
 	for _, r := range t.records {
 		if !r.quarantined {
 			continue
 		}
 		for _, c := range r.crashes {
-			t.blamed[c] = true
+			t.explained[c] = true
 		}
 	}
 }
@@ -271,7 +271,7 @@
 		}
 	}
 	if freed {
-		t.blame()
+		t.explain()
 	}
 }
 
--- a/measure/once/agent.go
+++ b/measure/once/agent.go
@@ -54,7 +54,7 @@
 	crashed    uint64 // its incarnation
 }
 
-// Kinds of verdict.const
+// Kinds of verdict.
 const (
 	answered = iota
 	refusedNotRun
--- a/measure/once/entry.go
+++ b/measure/once/entry.go
@@ -309,7 +309,7 @@
 		return // the watch of the attempt finds out
 	}
 	// A request may have killed the whole instance.
-	e.upstreamCrashed(name+" agent", number, e.tracker.Aboard(name))
+	e.upstreamCrashed(name+" agent", number, e.tracker.InFlight(name))
 	for _, n := range slices.Sorted(maps.Keys(e.works)) {
 		w := e.works[n]
 		if w.upstream == name && w.attempt != 0 && open[w.attempt] != nil {
@@ -413,13 +413,13 @@
 		case claim.Write:
 			s.put(&e.process, a, func(r claim.Wrote) { e.ownerEvent(shard, r) })
 		case claim.Wake:
-			e.wake1(shard, a.At())
+			e.wakeOwner(shard, a.At())
 		}
 	}
 }
 
-// wake1 keeps only the earliest timer of an owner.
-func (e *entry) wake1(shard int, at clock.Millis) {
+// wakeOwner keeps only the earliest timer of an owner.
+func (e *entry) wakeOwner(shard int, at clock.Millis) {
 	if pending := e.wakes[shard]; pending > e.engine.now && pending <= at {
 		return
 	}
--- a/measure/once/fault.go
+++ b/measure/once/fault.go
@@ -18,7 +18,7 @@
 	lateWrite
 	pausedOwner
 	silentConnection
-	wildFrames
+	lateFrames
 	crashingRequest
 	plannedEntryStop
 	plannedAgentStop
@@ -26,7 +26,7 @@
 )
 
 var faultNames = [...]string{"entryDeath", "ownerDeath", "agentDeath", "upstreamDeath", "platformDown",
-	"platformSlow", "lostAnswer", "lateWrite", "pausedOwner", "silentConnection", "wildFrames",
+	"platformSlow", "lostAnswer", "lateWrite", "pausedOwner", "silentConnection", "lateFrames",
 	"crashingRequest", "plannedEntryStop", "plannedAgentStop"}
 
 // String returns the name of the fault.
@@ -49,12 +49,12 @@
 			p.fault = w.faults[0].fault
 		}
 		w.faults = append(w.faults, p)
-		w.engine.after(p.at, func() { w.strike(p.fault) })
+		w.engine.after(p.at, func() { w.inject(p.fault) })
 	}
 }
 
-// strike makes a fault happen now.
-func (w *world) strike(f fault) {
+// inject makes a fault happen now.
+func (w *world) inject(f fault) {
 	e := w.engine
 	switch f {
 	case entryDeath:
@@ -77,8 +77,8 @@
 		w.pauseOwner()
 	case silentConnection:
 		w.silence()
-	case wildFrames:
-		w.network.wild = max(w.network.wild, e.now+e.between(500, 3000))
+	case lateFrames:
+		w.network.disordered = max(w.network.disordered, e.now+e.between(500, 3000))
 	case crashingRequest:
 		w.crashingCaller()
 	case plannedEntryStop:
--- a/measure/once/world.go
+++ b/measure/once/world.go
@@ -130,9 +130,9 @@
 
 // network carries messages between processes.
 type network struct {
-	engine *engine
-	silent map[[2]string]clock.Millis // until when a connection carries nothing
-	wild   clock.Millis               // until when messages are late or repeated
+	engine     *engine
+	silent     map[[2]string]clock.Millis // until when a connection carries nothing
+	disordered clock.Millis               // until when messages are late or repeated
 }
 
 func pair(a, b string) [2]string {
@@ -145,7 +145,7 @@
 // send delivers do at to, unless the connection is silent or an end is dead.
 func (n *network) send(from, to *process, do func()) {
 	n.sendAfter(from, to, n.engine.between(1, 3), do)
-	if n.engine.now < n.wild && n.engine.chance(40) {
+	if n.engine.now < n.disordered && n.engine.chance(40) {
 		n.sendAfter(from, to, n.engine.between(1, 1500), do)
 	}
 }
@@ -154,7 +154,7 @@
 	if n.engine.now < n.silent[pair(from.name, to.name)] {
 		return
 	}
-	if n.engine.now < n.wild && n.engine.chance(40) {
+	if n.engine.now < n.disordered && n.engine.chance(40) {
 		d += n.engine.between(1, 2500)
 	}
 	to.later(d, do)
