Leave out heartbeats that tell nothing new

Cause: agents reported their load to every entry each 250 ms although it had not changed; make measure-control shows 32.59 KB/s for an entry among 100 processes. Change: an equal heartbeat is sent once a second; a changed one at the next 250 ms.

--- a/core/connection/peer/conn.go
+++ b/core/connection/peer/conn.go
@@ -51,7 +51,8 @@
 	Heartbeat func() *frame.Heartbeat
 	// OnUnknownKind is told of each skipped frame; it may be nil.
 	OnUnknownKind func(error)
-	// Interval is the time between heartbeats.
+	// Interval is the time between heartbeats that differ; equal ones are sent
+	// every DefaultInterval, or every Interval if that is longer.
 	Interval clock.Millis
 	// Silence is the time without a frame after which the connection is closed.
 	Silence clock.Millis
@@ -63,6 +64,10 @@
 	done     chan struct{}
 	close    sync.Once
 	received atomic.Uint64
+
+	// Owned by the goroutine that sends heartbeats.
+	lastBeat frame.Heartbeat
+	lastSent time.Time
 }
 
 // Dial connects to a listener and authenticates both ends.
@@ -257,10 +262,16 @@
 	}
 }
 
+// sendHeartbeat leaves out a heartbeat that tells nothing new while the last one
+// is recent enough for the peer to know that the connection is alive.
 func (c *Conn) sendHeartbeat() error {
 	beat := frame.NewHeartbeat(0, frame.Load{})
 	if c.Heartbeat != nil {
 		beat = c.Heartbeat()
 	}
+	if *beat == c.lastBeat && time.Since(c.lastSent) < (DefaultInterval-c.Interval/2).Duration() {
+		return nil
+	}
+	c.lastBeat, c.lastSent = *beat, time.Now()
 	return c.Send(frame.ID{}, beat)
 }
--- a/core/connection/peer/peer_test.go
+++ b/core/connection/peer/peer_test.go
@@ -4,11 +4,17 @@
 	"bytes"
 	"context"
 	"net"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
+	"time"
+
+	"golang.org/x/sync/semaphore"
 
 	"goldcrestshore/core/connection/frame"
 	"goldcrestshore/core/process/check"
 	"goldcrestshore/core/process/clock"
+	"goldcrestshore/core/process/ring"
 )
 
 type ends struct {
@@ -96,3 +102,37 @@
 	e.dialer.Interval, e.dialer.Silence = 5*clock.Millis(1), 20*clock.Millis(1)
 	check.Is(t, "Run", e.dialer.Run(context.Background()), ErrSilent)
 }
+
+// Guards against control traffic for load reports that tell nothing new, and
+// against a report that is held back although it changed.
+func TestUnchangedHeartbeatsAreLeftOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, b := net.Pipe()
+		var held atomic.Int64
+		got := make(chan int, 100)
+		dialer := &Conn{Interval: 250, Silence: DefaultSilence, conn: a, queue: ring.New[[]byte](8), bytes: semaphore.NewWeighted(1 << 20), done: make(chan struct{}),
+			Heartbeat: func() *frame.Heartbeat {
+				load := frame.NewLoad("s", frame.NewOccupancy(int(held.Load()), 1, 0, 0), frame.Condition{}, frame.Pace{})
+				return frame.NewHeartbeat(1, load)
+			}}
+		listener := &Conn{Interval: DefaultInterval, Silence: DefaultSilence, conn: b, queue: ring.New[[]byte](8), bytes: semaphore.NewWeighted(1 << 20), done: make(chan struct{}),
+			OnHeartbeat: func(beat *frame.Heartbeat) { got <- beat.Load().Occupancy().Held() }}
+		ctx, cancel := context.WithCancel(t.Context())
+		for _, c := range []*Conn{dialer, listener} {
+			go func() { _ = c.Run(ctx) }()
+		}
+		time.Sleep(10*time.Second + 10*time.Millisecond)
+		synctest.Wait()
+		check.Equal(t, "heartbeats in 10 s", len(got), 11)
+		for range len(got) {
+			<-got
+		}
+		held.Store(1)
+		time.Sleep(300 * time.Millisecond)
+		synctest.Wait()
+		check.Equal(t, "heartbeats after a change", len(got), 1)
+		check.Equal(t, "changed report", <-got, 1)
+		cancel()
+		synctest.Wait()
+	})
+}
