--- a/entry/request/route/route_test.go
+++ b/entry/request/route/route_test.go
@@ -103,6 +103,15 @@
 		check.Is(t, "all full", err, ErrNoRoom)
 		check.Equal(t, "room", b.r.Room(b.now, model), 0)
 	})
+	t.Run("a report does not hide a request that is still on its way", func(t *testing.T) {
+		b := newBench(t, 1)
+		b.send(nil)
+		b.beat(0, 0, 10, 0)
+		check.Equal(t, "room while on its way", b.r.Room(b.now, model), 9)
+		b.now += flight
+		b.beat(0, 1, 10, 0)
+		check.Equal(t, "room after its arrival", b.r.Room(b.now, model), 9)
+	})
 	t.Run("memory that would not fit makes an upstream full", func(t *testing.T) {
 		b := newBench(t, 1)
 		load := frame.NewLoad(model, frame.NewOccupancy(1, 10, 900, 1000), frame.NewCondition(false, false, 1, 0), frame.NewPace(0, 0))
--- a/entry/request/route/table.go
+++ b/entry/request/route/table.go
@@ -199,7 +199,7 @@
 	}
 	uncached := max(e.request.promptTokens-e.choice.cachedTokens, 1)
 	t.sends[e.id] = &send{to: u, service: s, at: now, uncached: uncached, predicted: e.choice.predicted, bytes: e.request.bytes}
-	u.sent(uncached, e.request.bytes)
+	u.sent(now, uncached, e.request.bytes)
 	t.prefixes.hint(u, e.request.prefixes)
 }
 
--- a/entry/request/route/upstream.go
+++ b/entry/request/route/upstream.go
@@ -1,10 +1,16 @@
 package route
 
 import (
+	"slices"
+
 	"goldcrestshore/core/connection/frame"
 	"goldcrestshore/core/process/clock"
 )
 
+// flight is how long a request may be on its way to an agent. One that was sent
+// less long before a report arrived is not part of it.
+const flight = 10 * clock.Millis(1)
+
 // rampStart is the number of own requests that a returned upstream may hold at
 // first. Every entry starts at one, and the agent holds the cold limit.
 const rampStart = 1
@@ -23,9 +29,17 @@
 	done       int  // completions since the ramp was last raised
 	own        int  // own requests that have not ended
 	since      since
+	recent     []departure
 	cache      cacheState
 }
 
+// departure is an own request that may not have arrived yet.
+type departure struct {
+	at     clock.Millis
+	tokens int
+	bytes  int64
+}
+
 // since is the entry's own work since the last report.
 type since struct {
 	sent   int
@@ -55,7 +69,12 @@
 	u.reportedAt = now
 	u.connected = true
 	u.full = false
-	u.since = since{}
+	u.recent = slices.DeleteFunc(u.recent, func(d departure) bool { return now-d.at >= flight })
+	u.since = since{sent: len(u.recent)}
+	for _, d := range u.recent {
+		u.since.tokens += d.tokens
+		u.since.bytes += d.bytes
+	}
 	if restarted {
 		u.cache = cacheState{epoch: u.cache.epoch + 1}
 	}
@@ -75,7 +94,8 @@
 
 func (u *upstream) lost() { u.connected = false }
 
-func (u *upstream) sent(tokens int, bytes int64) {
+func (u *upstream) sent(now clock.Millis, tokens int, bytes int64) {
+	u.recent = append(u.recent, departure{now, tokens, bytes})
 	u.own++
 	u.since.sent++
 	u.since.tokens += tokens
--- a/measure/drain/drain.go
+++ b/measure/drain/drain.go
@@ -21,7 +21,7 @@
 
 // Spans of one run.
 const (
-	warmUp = 60 * clock.Second
+	warmUp = 120 * clock.Second
 	outage = 60 * clock.Second
 	after  = 80 * clock.Second
 	settle = 60 * clock.Second
--- a/measure/fairness/fairness.go
+++ b/measure/fairness/fairness.go
@@ -25,7 +25,7 @@
 	// floodRate is the flood of usual requests, tinyRate that of tiny ones.
 	floodRate = 60
 	tinyRate  = 300
-	warmUp    = 60 * clock.Second
+	warmUp    = 120 * clock.Second
 	measured  = 90 * clock.Second
 	settle    = 45 * clock.Second
 	// maxRatio is the goal for the p95 of small customers.
--- a/measure/routing/row.go
+++ b/measure/routing/row.go
@@ -17,7 +17,7 @@
 
 // Spans of one run.
 const (
-	warmUp   = 60 * clock.Second
+	warmUp   = 120 * clock.Second
 	measured = 120 * clock.Second
 	settle   = 60 * clock.Second
 )
