Schedule requests by the customer queue and the route table

Cause: the entry chose between two random agents and dispatched without turns, limits or a bounded set of connections. Change: entry/request/schedule runs both decisions under one lock; connections go to the subset only; an attempt that never left the process no longer spends the retry budget; an upstream counts as silent after 1.5 s, because unchanged heartbeats now come once a second. Shares between entries and engines' cache events are not passed to it yet.

--- a/entry/connection/agent/pool.go
+++ b/entry/connection/agent/pool.go
@@ -18,12 +18,23 @@
 // refreshInterval is how often links follow the instance list.
 const refreshInterval = 200 * clock.Millis(1)
 
-// Pool keeps a link to each agent of the instance list. Exported fields are set
+// Router chooses among agents and learns from their reports.
+type Router interface {
+	// Wanted returns the agents to keep connections to.
+	Wanted() map[string]bool
+	// Heartbeat takes an agent's load report.
+	Heartbeat(agent string, load frame.Load)
+	// Lost tells that the connection to an agent is gone.
+	Lost(agent string)
+}
+
+// Pool keeps a link to each agent that the router wants. Exported fields are set
 // before Run.
 type Pool struct {
-	Self peer.Identity
-	Key  []byte
-	Log  *event.Log
+	Router Router
+	Self   peer.Identity
+	Key    []byte
+	Log    *event.Log
 	// Clock times lost connections.
 	Clock *clock.Clock
 	// View returns the configuration and the instance list.
@@ -37,14 +48,10 @@
 	links map[string]*member
 }
 
-// member is one agent of the pool with its last load report.
+// member is one agent of the pool.
 type member struct {
 	*Link
-	instance platform.Instance
-	cancel   context.CancelFunc
-
-	mu   sync.Mutex
-	load frame.Load
+	cancel context.CancelFunc
 }
 
 // Run follows the instance list until ctx is done.
@@ -67,22 +74,19 @@
 	if p.links == nil {
 		p.links = map[string]*member{}
 	}
-	listed := map[string]bool{}
+	wanted := p.Router.Wanted()
 	for _, i := range p.View().Instances() {
-		if i.Role() != platform.RoleAgent {
+		if i.Role() != platform.RoleAgent || !wanted[i.Name()] {
 			continue
 		}
-		listed[i.Name()] = true
 		if l := p.links[i.Name()]; l == nil || l.Address != i.Address() {
 			p.open(ctx, i)
-		} else {
-			l.instance = i
 		}
 	}
 	for name, l := range p.links {
-		// A link stays while requests run on it, also when its agent has left
-		// the list.
-		if !listed[name] && l.Open() == 0 {
+		// A link stays while requests run on it, also when its agent is not
+		// wanted any more.
+		if !wanted[name] && l.Open() == 0 {
 			l.cancel()
 			delete(p.links, name)
 		}
@@ -95,12 +99,16 @@
 		old.cancel()
 	}
 	running, cancel := context.WithCancel(ctx)
-	l := &member{instance: i, cancel: cancel}
+	l := &member{cancel: cancel}
 	l.Link = &Link{
 		Dial: p.Dial, Random: p.linkRandom(), Name: i.Name(), Address: i.Address(), Self: p.Self, Key: p.Key, Clock: p.Clock, Log: p.Log,
 		Heartbeat:   func() *frame.Heartbeat { return frame.NewHeartbeat(p.View().Version(), frame.Load{}) },
-		OnHeartbeat: func(_ *Link, beat *frame.Heartbeat) { l.setLoad(beat.Load()) },
-		OnChange:    func(*Link, bool) {},
+		OnHeartbeat: func(_ *Link, beat *frame.Heartbeat) { p.Router.Heartbeat(i.Name(), beat.Load()) },
+		OnChange: func(_ *Link, connected bool) {
+			if !connected {
+				p.Router.Lost(i.Name())
+			}
+		},
 	}
 	p.links[i.Name()] = l
 	go l.Run(running)
@@ -114,40 +122,12 @@
 	return rand.New(rand.NewPCG(p.Random.Uint64(), p.Random.Uint64()))
 }
 
-func (l *member) setLoad(load frame.Load) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.load = load
-}
-
-func (l *member) lastLoad() frame.Load {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.load
-}
-
-// Choose returns the less loaded of two random links that take work of the
-// service and were not tried yet, nil for none.
-func (p *Pool) Choose(service string, tried map[string]bool) *Link {
+// Link returns the link to an agent, nil for none.
+func (p *Pool) Link(name string) *Link {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var candidates []*member
-	for name, l := range p.links {
-		if !tried[name] && p.usable(l, service) {
-			candidates = append(candidates, l)
-		}
-	}
-	if len(candidates) == 0 {
-		return nil
+	if l := p.links[name]; l != nil {
+		return l.Link
 	}
-	a := candidates[rand.IntN(len(candidates))]
-	b := candidates[rand.IntN(len(candidates))]
-	if b.Open() < a.Open() {
-		return b.Link
-	}
-	return a.Link
-}
-
-func (p *Pool) usable(l *member, service string) bool {
-	return l.instance.Service() == service && l.Connected() && p.View().Takes(l.instance) && !l.lastLoad().Condition().Leaving()
+	return nil
 }
--- a/entry/process/server/server.go
+++ b/entry/process/server/server.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os/signal"
@@ -29,6 +30,7 @@
 	"goldcrestshore/entry/process/claims"
 	"goldcrestshore/entry/request/caller"
 	"goldcrestshore/entry/request/dispatch"
+	"goldcrestshore/entry/request/schedule"
 )
 
 // deregisterTimeout bounds the last platform call of a stopping entry.
@@ -45,14 +47,15 @@
 	Log            *event.Log
 	Metrics        *metric.Registry
 
-	self     peer.Identity
-	clock    *clock.Clock
-	platform *platform.Client
-	views    *relay.Client
-	pool     *agent.Pool
-	burn     *burn.Recorder
-	claims   *claims.Service
-	callers  *caller.Server
+	self      peer.Identity
+	clock     *clock.Clock
+	platform  *platform.Client
+	views     *relay.Client
+	pool      *agent.Pool
+	scheduler *schedule.Scheduler
+	burn      *burn.Recorder
+	claims    *claims.Service
+	callers   *caller.Server
 }
 
 // Run serves until a signal asks it to stop and every answer is finished.
@@ -69,6 +72,7 @@
 	group, running := errgroup.WithContext(running)
 	group.Go(func() error { return s.views.Run(running) })
 	group.Go(func() error { s.pool.Run(running); return nil })
+	group.Go(func() error { s.scheduler.Run(running); return nil })
 	group.Go(func() error { return s.servePeers(running, listener) })
 	group.Go(func() error { s.register(stopping); return nil })
 	group.Go(func() error { s.burn.Run(running); return nil })
@@ -134,7 +138,11 @@
 		Platform: s.platform, Log: s.Log, Clock: s.clock, Self: s.self, Address: s.Settings.Advertise(),
 		Key: s.Settings.Key(), Contacts: s.Settings.Contacts(), Scope: s.Metrics.Scope(),
 	}
-	s.pool = &agent.Pool{Self: s.self, Key: s.Settings.Key(), Log: s.Log, Clock: s.clock, View: s.views.Current}
+	s.scheduler = &schedule.Scheduler{
+		Clock: s.clock, View: s.views.Current, Entry: s.Settings.Instance(), DataCentre: s.Settings.DataCentre(),
+		Incarnation: s.self.Incarnation(), Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+	s.pool = &agent.Pool{Router: s.scheduler, Self: s.self, Key: s.Settings.Key(), Log: s.Log, Clock: s.clock, View: s.views.Current}
 	s.burn = &burn.Recorder{
 		Platform: s.platform, Clock: s.clock, Log: s.Log, Instance: s.Settings.Instance(),
 		Interval: burn.DefaultInterval, Elected: s.elected, Limit: s.burnLimit(),
@@ -148,13 +156,19 @@
 		Clock:          s.clock,
 		Log:            s.Log,
 		View:           s.views.Current,
-		Dispatcher:     &dispatch.Dispatcher{Pool: s.pool, Clock: s.clock, Log: s.Log, Incarnation: s.self.Incarnation(), Claims: s.claims},
+		Dispatcher:     s.dispatcher(),
 		Listen:         s.Callers,
 		MaxConnections: s.MaxConnections,
 		MaxRequests:    s.MaxRequests,
 	}
 }
 
+func (s *Server) dispatcher() *dispatch.Dispatcher {
+	return &dispatch.Dispatcher{
+		Pool: s.pool, Scheduler: s.scheduler, Clock: s.clock, Log: s.Log, Incarnation: s.self.Incarnation(), Claims: s.claims,
+	}
+}
+
 // elected tells whether the list makes this entry the one that removes the
 // counts of entries that are gone. Two of them do no harm.
 func (s *Server) elected() bool {
--- a/entry/request/dispatch/claimed.go
+++ b/entry/request/dispatch/claimed.go
@@ -7,11 +7,11 @@
 
 	"goldcrestshore/core/connection/frame"
 	"goldcrestshore/core/request/outcome"
-	"goldcrestshore/entry/connection/agent"
 	"goldcrestshore/entry/process/claims"
 	"goldcrestshore/entry/request/caller"
 	"goldcrestshore/entry/request/claim"
 	"goldcrestshore/entry/request/retry"
+	"goldcrestshore/entry/request/schedule"
 )
 
 // maxCapturedBytes is the largest answer that the claim log stores.
@@ -31,7 +31,7 @@
 	request *caller.Request
 	answer  *caller.Answer
 	call    *claims.Call
-	link    *agent.Link
+	turn    *schedule.Turn
 	state   retry.Request
 }
 
@@ -45,8 +45,13 @@
 	call := d.Claims.Open(r.Customer().Name(), r.Key(), q.Method(), q.Path(), q.Body(), r.Deadline())
 	defer call.Close()
 	c := &claimed{Dispatcher: d, request: r, answer: a, call: call, state: retry.NewRequest(false)}
-	tried := map[string]bool{}
-	step, err := c.begin(ctx, available, tried)
+	complete := false
+	defer func() {
+		if c.turn != nil {
+			c.turn.Close(complete)
+		}
+	}()
+	step, err := c.begin(ctx, available)
 	for err == nil {
 		switch s := step.(type) {
 		case claims.Stored:
@@ -54,12 +59,12 @@
 		case claims.Refused:
 			return s.Refusal()
 		case claims.Submit:
-			tried[c.link.Name] = true
 			failed := c.submitOnce(ctx, s.Grant())
 			if failed == nil {
+				complete = true
 				return nil
 			}
-			step, err = c.recover(ctx, failed, tried)
+			step, err = c.recover(ctx, failed)
 		}
 	}
 	if ctx.Err() != nil {
@@ -69,32 +74,41 @@
 	return err
 }
 
-func (c *claimed) begin(ctx context.Context, available bool, tried map[string]bool) (claims.Step, error) {
+func (c *claimed) begin(ctx context.Context, available bool) (claims.Step, error) {
 	if !available {
 		return c.call.GaveUp(ctx, unavailable(c.Pool.View(), c.request.Service().Name()))
 	}
-	return c.ask(ctx, tried)
+	turn, err := c.enter(ctx, c.request)
+	if err != nil {
+		return c.call.GaveUp(ctx, outcome.As(err))
+	}
+	c.turn = turn
+	return c.ask(ctx)
 }
 
-// ask chooses an upstream and claims the key for it.
-func (c *claimed) ask(ctx context.Context, tried map[string]bool) (claims.Step, error) {
-	c.link = c.Pool.Choose(c.request.Service().Name(), tried)
-	if c.link == nil {
-		return c.call.GaveUp(ctx, outcome.Refuse(outcome.NoUpstream, outcome.NotRun, 1000))
+// ask claims the key for the upstream of the turn. Upstreams without a
+// connection are passed over.
+func (c *claimed) ask(ctx context.Context) (claims.Step, error) {
+	for {
+		if l := c.Pool.Link(c.turn.Upstream()); l != nil && l.Connected() {
+			return c.call.Ask(ctx, l.Name, l.Incarnation())
+		}
+		c.Scheduler.Lost(c.turn.Upstream())
+		if err := c.turn.Again(ctx, false); err != nil {
+			return c.call.GaveUp(ctx, outcome.As(deadlineRefusal(err, outcome.NotRun)))
+		}
 	}
-	return c.call.Ask(ctx, c.link.Name, c.link.Incarnation())
 }
 
 // submitOnce submits the request under a grant and reports the answer.
 func (c *claimed) submitOnce(ctx context.Context, grant string) error {
-	id := frame.NewID(c.Incarnation, c.sequence.Add(1))
-	e, err := c.link.Submit(id, c.submit(c.request, grant))
+	e, err := c.send(c.turn, c.submit(c.request, grant))
 	if err != nil {
-		return &attemptError{retry.LostBeforeSubmit, outcome.NoUpstream, 0}
+		return err
 	}
 	defer e.Close()
 	captured := &capture{Answer: c.answer}
-	if err := copyAnswer(ctx, e, captured); err != nil {
+	if err := copyAnswer(ctx, e, captured, c.turn.Answering); err != nil {
 		return err
 	}
 	c.call.Finished(captured.stored())
@@ -102,7 +116,7 @@
 }
 
 // recover decides what follows an attempt without a whole answer.
-func (c *claimed) recover(ctx context.Context, err error, tried map[string]bool) (claims.Step, error) {
+func (c *claimed) recover(ctx context.Context, err error) (claims.Step, error) {
 	var failed *attemptError
 	if !errors.As(err, &failed) {
 		return nil, err
@@ -120,7 +134,10 @@
 	switch next := c.decide(failed.event(c.state, c.request.Deadline()-c.Clock.Now())).(type) {
 	case retry.Again:
 		c.state = next.Request()
-		return c.ask(ctx, tried)
+		if err := c.turn.Again(ctx, false); err != nil {
+			return c.call.GaveUp(ctx, outcome.As(deadlineRefusal(err, outcome.NotRun)))
+		}
+		return c.ask(ctx)
 	case retry.GiveUp:
 		return c.call.GaveUp(ctx, next.Refusal())
 	}
--- a/entry/request/dispatch/dispatch.go
+++ b/entry/request/dispatch/dispatch.go
@@ -14,17 +14,23 @@
 	"goldcrestshore/core/process/event"
 	"goldcrestshore/core/request/outcome"
 	"goldcrestshore/core/version/relay"
+	"goldcrestshore/core/version/text"
 	"goldcrestshore/entry/connection/agent"
 	"goldcrestshore/entry/process/claims"
 	"goldcrestshore/entry/request/caller"
+	"goldcrestshore/entry/request/customer"
 	"goldcrestshore/entry/request/retry"
+	"goldcrestshore/entry/request/route"
+	"goldcrestshore/entry/request/schedule"
 )
 
 // Dispatcher runs requests on agents. Exported fields are set before use.
 type Dispatcher struct {
-	Pool  *agent.Pool
-	Clock *clock.Clock
-	Log   *event.Log
+	Pool *agent.Pool
+	// Scheduler gives requests their turn and their upstream.
+	Scheduler *schedule.Scheduler
+	Clock     *clock.Clock
+	Log       *event.Log
 	// Incarnation is that of this entry; it makes request ids unique.
 	Incarnation uint64
 	// Claims makes requests with a key run at most once; nil refuses them.
@@ -46,15 +52,44 @@
 	if keyed {
 		return d.dispatchClaimed(ctx, r, a, available)
 	}
-	tried := map[string]bool{}
+	turn, err := d.enter(ctx, r)
+	if err != nil {
+		return err
+	}
+	err = d.run(ctx, r, a, turn)
+	turn.Close(err == nil)
+	return err
+}
+
+// enter waits for the turn of r and its first upstream.
+func (d *Dispatcher) enter(ctx context.Context, r *caller.Request) (*schedule.Turn, error) {
+	prompt, limit := r.Size().PromptTokens(), r.Size().MaxTokens()
+	var prefixes []uint64
+	if r.Service().Kind() == text.Model {
+		prefixes = route.Prefixes(r.Call().Body())
+	}
+	bytes := int64(prompt+limit) * r.Service().MemoryPerTokenBytes()
+	request := route.NewRequest(r.Service().Name(), prompt, bytes, prefixes)
+	terms := schedule.NewTerms(r.Customer().Name(), r.Customer().Priority(), customer.Cost(prompt, limit), r.Deadline(), request)
+	turn, err := d.Scheduler.Enter(ctx, r.Service().Name(), terms)
+	return turn, deadlineRefusal(err, outcome.NotRun)
+}
+
+// deadlineRefusal replaces the error of a context by a refusal.
+func deadlineRefusal(err error, result outcome.Outcome) error {
+	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
+		return errors.Wrapf(outcome.Refuse(outcome.DeadlineExceeded, result, 0), "%v", err)
+	}
+	return err
+}
+
+// run sends the request to the upstream of its turn, and to others while the
+// rules on retries allow it.
+func (d *Dispatcher) run(ctx context.Context, r *caller.Request, a *caller.Answer, turn *schedule.Turn) error {
 	state := retry.NewRequest(r.Idempotent())
 	for {
-		l := d.Pool.Choose(r.Service().Name(), tried)
-		if l == nil {
-			return noUpstream(state)
-		}
-		tried[l.Name] = true
-		err := d.attempt(ctx, l, r, a)
+		upstream := turn.Upstream()
+		err := d.attempt(ctx, turn, r, a)
 		if err == nil || ctx.Err() != nil {
 			return err
 		}
@@ -62,16 +97,31 @@
 		if !errors.As(err, &failed) {
 			return err
 		}
-		switch next := d.decide(failed.event(state, r.Deadline()-d.Clock.Now())).(type) {
-		case retry.GiveUp:
-			return next.Refusal()
-		case retry.Again:
-			state = next.Request()
-			d.Log.Error(event.RequestRetried, err, event.Fields{"upstream": l.Name})
+		if failed.failure != retry.LostBeforeSubmit {
+			switch next := d.decide(failed.event(state, r.Deadline()-d.Clock.Now())).(type) {
+			case retry.GiveUp:
+				return next.Refusal()
+			case retry.Again:
+				state = next.Request()
+				d.Log.Error(event.RequestRetried, err, event.Fields{"upstream": upstream})
+			}
+		}
+		if err := turn.Again(ctx, failed.ran()); err != nil {
+			return d.stopped(err, state)
 		}
 	}
 }
 
+// stopped refuses a request that gets no further upstream.
+func (d *Dispatcher) stopped(err error, state retry.Request) error {
+	result := outcome.NotRun
+	if state.MayHaveRun() {
+		result = outcome.Unknown
+	}
+	refusal := outcome.As(deadlineRefusal(err, result))
+	return outcome.Refuse(refusal.Code(), result, refusal.RetryAfterMs())
+}
+
 // unavailable refuses a request whose service, or one that it depends on, has
 // no upstream that takes work.
 func unavailable(v *relay.Snapshot, service string) *outcome.Refusal {
@@ -89,25 +139,29 @@
 	return d.budget.Handle(e)
 }
 
-// noUpstream refuses a request that no further upstream can take.
-func noUpstream(state retry.Request) error {
-	result := outcome.NotRun
-	if state.MayHaveRun() {
-		result = outcome.Unknown
-	}
-	return outcome.Refuse(outcome.NoUpstream, result, int64(clock.Second))
-}
-
 // attempt runs the request once. Its error is an attemptError unless the caller
 // has left or the deadline has passed.
-func (d *Dispatcher) attempt(ctx context.Context, l *agent.Link, r *caller.Request, a *caller.Answer) error {
-	id := frame.NewID(d.Incarnation, d.sequence.Add(1))
-	e, err := l.Submit(id, d.submit(r, ""))
+func (d *Dispatcher) attempt(ctx context.Context, turn *schedule.Turn, r *caller.Request, a *caller.Answer) error {
+	e, err := d.send(turn, d.submit(r, ""))
 	if err != nil {
-		return &attemptError{retry.LostBeforeSubmit, outcome.NoUpstream, 0}
+		return err
 	}
 	defer e.Close()
-	return copyAnswer(ctx, e, a)
+	return copyAnswer(ctx, e, a, turn.Answering)
+}
+
+// send submits m to the upstream of a turn. Its error is an attemptError for a
+// request that has not left this process.
+func (d *Dispatcher) send(turn *schedule.Turn, m *frame.Submit) (*agent.Exchange, error) {
+	id := frame.NewID(d.Incarnation, d.sequence.Add(1))
+	l := d.Pool.Link(turn.Upstream())
+	if l != nil {
+		if e, err := l.Submit(id, m); err == nil {
+			return e, nil
+		}
+	}
+	d.Scheduler.Lost(turn.Upstream())
+	return nil, &attemptError{retry.LostBeforeSubmit, outcome.NoUpstream, 0}
 }
 
 func (d *Dispatcher) submit(r *caller.Request, claimKey string) *frame.Submit {
@@ -126,12 +180,19 @@
 // Error describes the failure in one line.
 func (e *attemptError) Error() string { return "attempt failed: " + string(e.code) }
 
+// ran tells that the upstream may have run the attempt.
+func (e *attemptError) ran() bool {
+	return e.failure != retry.RefusedNotRun && e.failure != retry.LostBeforeSubmit
+}
+
 func (e *attemptError) event(state retry.Request, remaining clock.Millis) retry.Failed {
 	return retry.NewFailed(state, e.failure, e.code, e.retryAfterMs, remaining)
 }
 
-// copyAnswer passes the events of an exchange to the caller until its end.
-func copyAnswer(ctx context.Context, e *agent.Exchange, a answer) error {
+// copyAnswer passes the events of an exchange to the caller until its end, and
+// calls answering at the first body byte.
+func copyAnswer(ctx context.Context, e *agent.Exchange, a answer, answering func()) error {
+	first := sync.OnceFunc(answering)
 	for {
 		next, err := e.Next(ctx)
 		if err != nil {
@@ -144,6 +205,7 @@
 		case agent.Head:
 			a.Head(next.Status(), next.Header())
 		case agent.Data:
+			first()
 			if err := a.Write(next.Bytes()); err != nil {
 				return errors.Wrap(err, "write to caller")
 			}
--- a/entry/request/route/table.go
+++ b/entry/request/route/table.go
@@ -29,8 +29,8 @@
 	// entries, which keeps heartbeats within the traffic budget of a node.
 	SubsetSize = 32
 	// Silence is the age of the last heartbeat from which an upstream is
-	// skipped: four heartbeats of 250 ms.
-	Silence = 1 * clock.Second
+	// skipped. Heartbeats come at least once a second.
+	Silence = 1500 * clock.Millis(1)
 )
 
 // Table is what one entry knows of its upstreams. It is not safe for
--- /dev/null
+++ b/entry/request/schedule/schedule.go
@@ -0,0 +1,173 @@
+// Package schedule gives each request its turn among the customers and an
+// upstream. It runs the decisions of packages customer and route, which are pure,
+// under one lock.
+package schedule
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"goldcrestshore/core/connection/frame"
+	"goldcrestshore/core/connection/platform"
+	"goldcrestshore/core/process/clock"
+	"goldcrestshore/core/request/outcome"
+	"goldcrestshore/core/version/relay"
+	"goldcrestshore/entry/request/customer"
+	"goldcrestshore/entry/request/route"
+)
+
+const (
+	// tickInterval is the resolution of waits in the queue.
+	tickInterval = 50 * clock.Millis(1)
+	// contactWait is how long a request waits for a service whose upstreams are
+	// listed but all out of contact. A connection is replaced within it.
+	contactWait = 3 * clock.Second
+)
+
+// Scheduler schedules the requests of one entry. Exported fields are set before
+// Run.
+type Scheduler struct {
+	Clock *clock.Clock
+	// View returns the configuration, the out marks and the instance list.
+	View func() *relay.Snapshot
+	// Entry and DataCentre are those of this process.
+	Entry      string
+	DataCentre string
+	// Incarnation makes the ids of turns unique.
+	Incarnation uint64
+	Random      *rand.Rand
+
+	mu       sync.Mutex
+	queue    *customer.Queue
+	table    *route.Table
+	followed *relay.Snapshot
+	services []string
+	turns    map[frame.ID]*Turn
+	sequence uint64
+}
+
+// Run lets queued requests time out until ctx is done.
+func (s *Scheduler) Run(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval.Duration())
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		s.change(func(now clock.Millis) { s.apply(now, customer.Tick{}) })
+	}
+}
+
+// Heartbeat takes an agent's load report.
+func (s *Scheduler) Heartbeat(agent string, load frame.Load) {
+	s.change(func(now clock.Millis) { s.table.Apply(now, route.NewHeartbeat(agent, load)) })
+}
+
+// Lost tells that the connection to an agent is gone.
+func (s *Scheduler) Lost(agent string) {
+	s.change(func(now clock.Millis) { s.table.Apply(now, route.NewLost(agent)) })
+}
+
+// Wanted returns the agents to which this entry keeps connections.
+func (s *Scheduler) Wanted() map[string]bool {
+	wanted := map[string]bool{}
+	s.change(func(clock.Millis) {
+		for _, service := range s.services {
+			for _, agent := range s.table.Subset(service) {
+				wanted[agent] = true
+			}
+		}
+	})
+	return wanted
+}
+
+// change runs f under the lock with the newest view, and then sends what can be
+// sent.
+func (s *Scheduler) change(f func(now clock.Millis)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.Clock.Now()
+	s.follow(now)
+	f(now)
+	s.pump(now)
+}
+
+// follow brings a new view to the decisions.
+func (s *Scheduler) follow(now clock.Millis) {
+	if s.queue == nil {
+		s.queue, s.turns = customer.New(), map[frame.ID]*Turn{}
+		s.table = route.New(s.Entry, s.DataCentre, s.Random)
+	}
+	v := s.View()
+	if v == s.followed || v.Text() == nil {
+		return
+	}
+	s.followed = v
+	var limits []customer.Limits
+	for _, c := range v.Text().Customers() {
+		limits = append(limits, customer.NewLimits(c.Name(), c.Weight(), int(c.RequestsPerSecond()), c.Concurrent()))
+	}
+	s.apply(now, customer.NewConfigure(limits))
+	s.followInstances(now, v)
+}
+
+func (s *Scheduler) followInstances(now clock.Millis, v *relay.Snapshot) {
+	var list []route.Upstream
+	out := v.Out().Instances()
+	seen := map[string]bool{}
+	s.services = nil
+	for _, i := range v.Instances() {
+		if i.Role() != platform.RoleAgent {
+			continue
+		}
+		list = append(list, route.NewUpstream(i.Name(), i.Service(), i.DataCentre()))
+		if i.State() == platform.Leaving {
+			out = append(out, i.Name())
+		}
+		if !seen[i.Service()] {
+			seen[i.Service()] = true
+			s.services = append(s.services, i.Service())
+		}
+	}
+	s.table.Apply(now, route.NewList(list))
+	s.table.Apply(now, route.NewOutMarks(v.Out().DataCentres(), out))
+}
+
+// apply passes an event to the queue and carries out what it decides.
+func (s *Scheduler) apply(now clock.Millis, e customer.Event) {
+	for _, action := range s.queue.Apply(now, e) {
+		switch action := action.(type) {
+		case customer.Dispatch:
+			t := s.turns[action.ID()]
+			s.table.Apply(now, route.NewReady(t.id, t.request, t.tried))
+		case customer.Refuse:
+			t := s.turns[action.ID()]
+			delete(s.turns, t.id)
+			t.answer <- assignment{refusal: action.Refusal()}
+		}
+	}
+}
+
+// pump tells the queue how much room there is and assigns upstreams.
+func (s *Scheduler) pump(now clock.Millis) {
+	for _, service := range s.services {
+		room := s.table.Room(now, service) + route.Lookahead - s.table.ReadyCount(service)
+		s.apply(now, customer.NewRoom(service, max(room, 0)))
+		for {
+			id, choice, ok := s.table.Next(now, service)
+			if !ok {
+				break
+			}
+			s.turns[id].answer <- assignment{upstream: choice.Upstream()}
+		}
+	}
+}
+
+// noUpstream is the refusal of a service whose upstreams are out of contact.
+func noUpstream() *outcome.Refusal {
+	return outcome.Refuse(outcome.NoUpstream, outcome.NotRun, int64(clock.Second))
+}
--- a/measure/session/harness_test.go
+++ b/measure/session/harness_test.go
@@ -43,6 +43,7 @@
 	"goldcrestshore/entry/connection/agent"
 	"goldcrestshore/entry/request/caller"
 	"goldcrestshore/entry/request/dispatch"
+	"goldcrestshore/entry/request/schedule"
 )
 
 var update = flag.Bool("update", false, "rewrite the golden files")
@@ -129,7 +130,7 @@
 		s.gates[name], s.self[name] = &openGate{}, peer.NewIdentity(platform.RoleAgent, name, dataCentreOf(name))
 		s.agents[name] = &entry.Server{
 			Clock: clock.System(), Log: log, Gate: s.gates[name], Upstream: u,
-			Heartbeat:      func() *frame.Heartbeat { return frame.NewHeartbeat(1, frame.Load{}) },
+			Heartbeat:      func() *frame.Heartbeat { return frame.NewHeartbeat(1, s.load(name)) },
 			Incarnation:    s.self[name].Incarnation(),
 			MaxStreamBytes: 1 << 20,
 		}
@@ -137,16 +138,28 @@
 		go s.agents[name].Run(ctx)
 	}
 	self := peer.NewIdentity(platform.RoleEntry, "entry-1", "bilbao")
-	pool := &agent.Pool{Self: self, Key: key, Log: log, Clock: clock.System(), View: s.view.Load, Dial: s.dial, Random: rand.New(rand.NewPCG(1, 1))}
+	scheduler := &schedule.Scheduler{
+		Clock: clock.System(), View: s.view.Load, Entry: "entry-1", DataCentre: "bilbao",
+		Incarnation: 1, Random: rand.New(rand.NewPCG(2, 2)),
+	}
+	go scheduler.Run(ctx)
+	pool := &agent.Pool{Router: scheduler, Self: self, Key: key, Log: log, Clock: clock.System(), View: s.view.Load, Dial: s.dial, Random: rand.New(rand.NewPCG(1, 1))}
 	go pool.Run(ctx)
 	s.caller = &caller.Server{
 		Clock: clock.System(), Log: log, View: s.view.Load, MaxConnections: 10, MaxRequests: 10,
-		Dispatcher: &dispatch.Dispatcher{Pool: pool, Clock: clock.System(), Log: log, Incarnation: self.Incarnation()},
+		Dispatcher: &dispatch.Dispatcher{Pool: pool, Scheduler: scheduler, Clock: clock.System(), Log: log, Incarnation: self.Incarnation()},
 	}
 	s.wait(100)
 	return s
 }
 
+// load is the report of a warm upstream with room.
+func (s *session) load(agent string) frame.Load {
+	return frame.NewLoad(serviceOf(agent), frame.NewOccupancy(0, 4, 0, 0), frame.Condition{}, frame.Pace{})
+}
+
+func serviceOf(agent string) string { return agent[strings.Index(agent, "-")+1:] }
+
 // dataCentreOf reads names such as "bilbao-redactor".
 func dataCentreOf(agent string) string { return agent[:strings.Index(agent, "-")] }
 
@@ -155,8 +168,7 @@
 	check.NoError(s.t, "Parse", err)
 	var list []platform.Instance
 	for _, name := range slices.Sorted(maps.Keys(upstreams)) {
-		service := name[strings.Index(name, "-")+1:]
-		list = append(list, platform.NewInstance(name, platform.RoleAgent, dataCentreOf(name), name).WithUpstream("u", service))
+		list = append(list, platform.NewInstance(name, platform.RoleAgent, dataCentreOf(name), name).WithUpstream("u", serviceOf(name)))
 	}
 	s.view.Store(relay.NewSnapshot(version, parsed, marks, list))
 }
