--- a/scripts/slope.awk
+++ b/scripts/slope.awk
@@ -19,4 +19,5 @@
 		printf "\n"
 	}
 	printf "result control maxCorePercent=%.3f maxResidentMB=%.1f maxKBps=%.2f goalCorePercent=1.9 goalResidentMB=32 goalKBps=17\n", most[1], most[2], most[3]
+	exit !(most[1] <= 1.9 && most[2] <= 32 && most[3] <= 17)
 }
