--- a/measure/cmd/goldcrest-measure/main.go
+++ b/measure/cmd/goldcrest-measure/main.go
@@ -11,6 +11,7 @@
 
 	"goldcrestshore/measure/cold"
 	"goldcrestshore/measure/drain"
+	"goldcrestshore/measure/fairness"
 	"goldcrestshore/measure/mapchange"
 	"goldcrestshore/measure/once"
 	"goldcrestshore/measure/routing"
@@ -35,6 +36,7 @@
 	{"skew", skew.Run},
 	{"map", mapchange.Run},
 	{"drain", drain.Run},
+	{"fairness", fairness.Run},
 }
 
 func main() {
