Judge first tokens against a mark above prompts that are not cached

Cause: after a long time with nine of ten prompts cached, the high mark stood at the time of cached prompts. Change: the high mark is the 97th percentile, usual is up to 1.6 times it, and six slow first tokens make an upstream cold.

--- a/agent/request/admission/baseline.go
+++ b/agent/request/admission/baseline.go
@@ -12,13 +12,16 @@
 	// slowFloor keeps the jitter of very short first-token times from counting.
 	slowFloor = 100 * clock.Millis(1)
 	// usualMultiple times the high mark is still usual.
-	usualMultiple = 1.25
+	usualMultiple = 1.6
 	// The baseline has two marks, since cached prompts are answered several
 	// times faster than others. Only times far above the high mark show a cold
 	// upstream, and once there was one, only times near the low mark show a warm
 	// one: a cold upstream answers cached prompts as fast as a warm one others.
+	// The high mark is far up: with nine of ten prompts cached, a lower one fell
+	// to the time of cached prompts, and when a data centre left, the prompts that
+	// the others had not cached made all of them look cold.
 	lowQuantile  = 0.2
-	highQuantile = 0.9
+	highQuantile = 0.97
 	// quantileStep is the relative size of a correction of a mark.
 	quantileStep = 0.05
 	// coldStep is used instead for slow samples and while the upstream is cold: a
--- a/agent/request/admission/temperature.go
+++ b/agent/request/admission/temperature.go
@@ -2,7 +2,8 @@
 
 const (
 	// slowRun slow first tokens without a fast one between make an upstream cold.
-	slowRun = 3
+	// Until then, the bound on unproven work keeps new work within the cold limit.
+	slowRun = 6
 	// rounds times the limit must complete before the limit doubles, so that an
 	// upstream that gains one place with every second completed request is not
 	// outrun. With one round, measure/cold finds such an upstream over its limit.
