Choose upstreams at the entry by the route table

Cause: the pool took the less loaded of two random links, without load reports, prompt prefixes or a ramp on return. Change: the pool keeps a route table current with the instance list, out marks, heartbeats and its own requests, and chooses by it. Conclusion: the choice is wired; the customer queue is not yet.

--- a/entry/connection/agent/pool.go
+++ b/entry/connection/agent/pool.go
@@ -13,6 +13,7 @@
 	"goldcrestshore/core/process/clock"
 	"goldcrestshore/core/process/event"
 	"goldcrestshore/core/version/relay"
+	"goldcrestshore/entry/request/route"
 )
 
 // refreshInterval is how often links follow the instance list.
@@ -33,8 +34,10 @@
 	// Random seeds the jitter of each link; nil uses the global source.
 	Random *rand.Rand
 
-	mu    sync.Mutex
-	links map[string]*member
+	mu       sync.Mutex
+	links    map[string]*member
+	table    *route.Table
+	followed *relay.Snapshot // the one that the table has
 }
 
 // member is one agent of the pool with its last load report.
@@ -67,6 +70,7 @@
 	if p.links == nil {
 		p.links = map[string]*member{}
 	}
+	p.follow(p.View())
 	listed := map[string]bool{}
 	for _, i := range p.View().Instances() {
 		if i.Role() != platform.RoleAgent {
@@ -98,9 +102,16 @@
 	l := &member{instance: i, cancel: cancel}
 	l.Link = &Link{
 		Dial: p.Dial, Random: p.linkRandom(), Name: i.Name(), Address: i.Address(), Self: p.Self, Key: p.Key, Clock: p.Clock, Log: p.Log,
-		Heartbeat:   func() *frame.Heartbeat { return frame.NewHeartbeat(p.View().Version(), frame.Load{}) },
-		OnHeartbeat: func(_ *Link, beat *frame.Heartbeat) { l.setLoad(beat.Load()) },
-		OnChange:    func(*Link, bool) {},
+		Heartbeat: func() *frame.Heartbeat { return frame.NewHeartbeat(p.View().Version(), frame.Load{}) },
+		OnHeartbeat: func(_ *Link, beat *frame.Heartbeat) {
+			l.setLoad(beat.Load())
+			p.Note(route.NewHeartbeat(i.Name(), beat.Load()))
+		},
+		OnChange: func(_ *Link, connected bool) {
+			if !connected {
+				p.Note(route.NewLost(i.Name()))
+			}
+		},
 	}
 	p.links[i.Name()] = l
 	go l.Run(running)
@@ -126,28 +137,6 @@
 	return l.load
 }
 
-// Choose returns the less loaded of two random links that take work of the
-// service and were not tried yet, nil for none.
-func (p *Pool) Choose(service string, tried map[string]bool) *Link {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var candidates []*member
-	for name, l := range p.links {
-		if !tried[name] && p.usable(l, service) {
-			candidates = append(candidates, l)
-		}
-	}
-	if len(candidates) == 0 {
-		return nil
-	}
-	a := candidates[rand.IntN(len(candidates))]
-	b := candidates[rand.IntN(len(candidates))]
-	if b.Open() < a.Open() {
-		return b.Link
-	}
-	return a.Link
-}
-
 func (p *Pool) usable(l *member, service string) bool {
 	return l.instance.Service() == service && l.Connected() && p.View().Takes(l.instance) && !l.lastLoad().Condition().Leaving()
 }
--- a/entry/request/dispatch/claimed.go
+++ b/entry/request/dispatch/claimed.go
@@ -12,6 +12,7 @@
 	"goldcrestshore/entry/request/caller"
 	"goldcrestshore/entry/request/claim"
 	"goldcrestshore/entry/request/retry"
+	"goldcrestshore/entry/request/route"
 )
 
 // maxCapturedBytes is the largest answer that the claim log stores.
@@ -32,6 +33,8 @@
 	answer  *caller.Answer
 	call    *claims.Call
 	link    *agent.Link
+	choice  route.Choice
+	wanted  route.Request
 	state   retry.Request
 }
 
@@ -70,7 +73,8 @@
 
 // ask chooses an upstream and claims the key for it.
 func (c *claimed) ask(ctx context.Context, tried map[string]bool) (claims.Step, error) {
-	c.link = c.Pool.Choose(c.request.Service().Name(), tried)
+	c.wanted = routeRequest(c.request)
+	c.link, c.choice = c.Pool.Choose(c.wanted, tried)
 	if c.link == nil {
 		return c.call.GaveUp(ctx, outcome.Refuse(outcome.NoUpstream, outcome.NotRun, 1000))
 	}
@@ -85,8 +89,11 @@
 		return &attemptError{retry.LostBeforeSubmit, outcome.NoUpstream, 0}
 	}
 	defer e.Close()
+	c.Pool.Note(route.NewSent(id, c.choice, c.wanted))
 	captured := &capture{Answer: c.answer}
-	if err := copyAnswer(ctx, e, captured); err != nil {
+	err = copyAnswer(ctx, e, &noted{answer: captured, first: func() { c.Pool.Note(route.NewFirstToken(id)) }})
+	c.noteEnd(id, err)
+	if err != nil {
 		return err
 	}
 	c.call.Finished(captured.stored())
--- a/entry/request/dispatch/dispatch.go
+++ b/entry/request/dispatch/dispatch.go
@@ -18,6 +18,7 @@
 	"goldcrestshore/entry/process/claims"
 	"goldcrestshore/entry/request/caller"
 	"goldcrestshore/entry/request/retry"
+	"goldcrestshore/entry/request/route"
 )
 
 // Dispatcher runs requests on agents. Exported fields are set before use.
@@ -46,13 +47,14 @@
 	}
 	tried := map[string]bool{}
 	state := retry.NewRequest(r.Idempotent())
+	wanted := routeRequest(r)
 	for {
-		l := d.Pool.Choose(r.Service().Name(), tried)
+		l, choice := d.Pool.Choose(wanted, tried)
 		if l == nil {
 			return noUpstream(state)
 		}
 		tried[l.Name] = true
-		err := d.attempt(ctx, l, r, a)
+		err := d.attempt(ctx, l, r, a, choice, wanted)
 		if err == nil || ctx.Err() != nil {
 			return err
 		}
@@ -98,14 +100,17 @@
 
 // attempt runs the request once. Its error is an attemptError unless the caller
 // has left or the deadline has passed.
-func (d *Dispatcher) attempt(ctx context.Context, l *agent.Link, r *caller.Request, a *caller.Answer) error {
+func (d *Dispatcher) attempt(ctx context.Context, l *agent.Link, r *caller.Request, a *caller.Answer, choice route.Choice, wanted route.Request) error {
 	id := frame.NewID(d.Incarnation, d.sequence.Add(1))
 	e, err := l.Submit(id, d.submit(r, ""))
 	if err != nil {
 		return &attemptError{retry.LostBeforeSubmit, outcome.NoUpstream, 0}
 	}
 	defer e.Close()
-	return copyAnswer(ctx, e, a)
+	d.Pool.Note(route.NewSent(id, choice, wanted))
+	err = copyAnswer(ctx, e, &noted{answer: a, first: func() { d.Pool.Note(route.NewFirstToken(id)) }})
+	d.noteEnd(id, err)
+	return err
 }
 
 func (d *Dispatcher) submit(r *caller.Request, claimKey string) *frame.Submit {
--- a/entry/request/route/choose.go
+++ b/entry/request/route/choose.go
@@ -39,6 +39,9 @@
 	return Request{service, promptTokens, bytes, prefixes}
 }
 
+// Service returns the name of the service.
+func (r Request) Service() string { return r.service }
+
 // Choice is the upstream chosen for a request.
 type Choice struct {
 	upstream     string
