Add the search over two owners and a crash, run on demand

Cause: the combined search did not end within 420 s in one piece. Change: a benchmark searches it with one dying member at a time. Before: no result.

--- a/measure/mapchange/explore_test.go
+++ b/measure/mapchange/explore_test.go
@@ -1,6 +1,7 @@
 package mapchange
 
 import (
+	"fmt"
 	"testing"
 
 	"goldcrestshore/core/process/check"
@@ -46,3 +47,24 @@
 		})
 	}
 }
+
+// BenchmarkExploreTwoOwnersAndCrash searches two owners with one crash and
+// restart, one dying member at a time. It takes minutes and gigabytes, so that
+// it runs on demand with -bench TwoOwnersAndCrash -benchtime 1x.
+func BenchmarkExploreTwoOwnersAndCrash(b *testing.B) {
+	for m := range exploredRanks {
+		b.Run(fmt.Sprintf("member %d", m), func(b *testing.B) {
+			for range b.N {
+				x := Exploration{
+					Owners: 2, Lead: 1, LastStep: 1, Armed: true,
+					Crash: true, Crashable: 1 << m, QuickRecovery: true,
+				}
+				got, err := x.Run()
+				check.NoError(b, "explore", err)
+				check.Equal(b, "mixed maps", got.Mixed, 0)
+				check.Equal(b, "stuck states", got.Stuck, 0)
+				b.ReportMetric(float64(got.States), "states")
+			}
+		})
+	}
+}
