--- /dev/null
+++ b/scripts/slopes.sh
@@ -0,0 +1,65 @@
+#!/usr/bin/env bash
+# Measures the processor time that entry and agents spend for each request and
+# each streamed token, from runs that differ in one of them. The last line begins
+# with "result slopes".
+set -u
+cd "$(dirname "$0")/.."
+BASE_PORT=${BASE_PORT:-24000}
+RUN_DIR=${RUN_DIR:-run/slopes}
+. scripts/fleet.sh
+SEED=${SEED:-1}
+SECONDS_EACH=${SECONDS_EACH:-10}
+TICKS=$(getconf CLK_TCK)
+DC=gt-central-a
+
+fail() {
+	echo "slopes: $*" >&2
+	exit 1
+}
+
+fleet_init
+start_platform
+for i in 0 1 2 3; do
+	start_engine $DC "$i" asistente -coldCapacity 1000 -warmCapacity 1000 -batchPercent 0 -bytesPerToken 1024 \
+		-firstTokenBase 1ms -betweenTokens 2ms
+done
+start_entry $DC 0
+until curl -sf -o /dev/null -X PUT --data-binary @scripts/testdata/readers.jsonc \
+	"http://$PLATFORM/objects/configuration/root"; do sleep 0.1; done
+ready() {
+	curl -sf "http://$ENTRIES/v1/chat/completions" -H 'Authorization: Bearer key-of-normal' \
+		-d '{"model":"asistente","messages":[{"role":"user","content":"hola"}],"max_tokens":1}'
+}
+for _ in $(seq 100); do ready >/dev/null 2>&1 && break; sleep 0.1; done
+ready >/dev/null || fail "the entry is not ready"
+
+# cpu NAME: processor time of a process in clock ticks.
+cpu() { awk '{print $14 + $15}' "/proc/${PID[$1]}/stat"; }
+agents_cpu() {
+	local sum=0 i
+	for i in 0 1 2 3; do sum=$((sum + $(cpu agent-asistente-$DC-$i))); done
+	echo $sum
+}
+
+# run RATE TOKENS: sets ENTRY_MS, AGENT_MS and REQUESTS of one run.
+run() {
+	local entry agents
+	entry=$(cpu entry-$DC-0)
+	agents=$(agents_cpu)
+	bin/goldcrest-standin load -entries "$ENTRIES" -keys normal=key-of-normal -services asistente=model \
+		-mix streamed=1 -rate "$1" -duration "${SECONDS_EACH}s" -outputTokens "$2-$2" -promptBytes 1000-1000 \
+		-seed "$SEED" >"$RUN_DIR/load.out" 2>&1 || { tail -3 "$RUN_DIR/load.out"; fail "the load failed"; }
+	ENTRY_MS=$(((($(cpu entry-$DC-0) - entry) * 1000) / TICKS))
+	AGENT_MS=$(((($(agents_cpu) - agents) * 1000) / TICKS))
+	REQUESTS=$(sed -n 's/^result load requests=\([0-9]*\).*/\1/p' "$RUN_DIR/load.out")
+	echo "rate=$1 tokens=$2 requests=$REQUESTS entryMs=$ENTRY_MS agentsMs=$AGENT_MS"
+}
+
+run 100 8 && E1=$ENTRY_MS A1=$AGENT_MS R1=$REQUESTS
+run 100 200 && E2=$ENTRY_MS A2=$AGENT_MS R2=$REQUESTS
+run 200 8 && E3=$ENTRY_MS A3=$AGENT_MS R3=$REQUESTS
+awk -v e1="$E1" -v e2="$E2" -v e3="$E3" -v a1="$A1" -v a2="$A2" -v a3="$A3" -v r1="$R1" -v r2="$R2" -v r3="$R3" 'BEGIN {
+	et = (e2 / r2 - e1 / r1) / 192; at = (a2 / r2 - a1 / r1) / 192
+	er = (e3 - e1) / (r3 - r1) - 8 * et; ar = (a3 - a1) / (r3 - r1) - 8 * at
+	printf "result slopes entryMsPerRequest=%.3f entryUsPerToken=%.2f agentMsPerRequest=%.3f agentUsPerToken=%.2f\n", er, et * 1000, ar, at * 1000
+}'
