Bound the wait of a keyed request for its claim

Change: after 10 s the caller gets claimUnsettled with the outcome unknown and may send the key again.

--- a/entry/process/claims/call.go
+++ b/entry/process/claims/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -10,6 +11,11 @@
 	"goldcrestshore/entry/request/claim"
 )
 
+// settleWait is how long a request waits for its claim. It covers the loss of a
+// silent connection and the take-over of a shard; without it a request in flight
+// at an agent that was killed had no answer until its caller's deadline.
+const settleWait = 10 * clock.Second
+
 // Step tells what to do next with a keyed request.
 type Step interface{ step() }
 
@@ -97,7 +103,11 @@
 
 func (c *Call) put(e claim.ClientEvent) { c.service.put(clientEvent{e, c}) }
 
+// next waits for the next step. A claim whose agent is gone may stay unsettled
+// until the agent returns, so the wait has a bound; the key can be sent again.
 func (c *Call) next(ctx context.Context) (Step, error) {
+	timer := time.NewTimer(settleWait.Duration())
+	defer timer.Stop()
 	select {
 	case step := <-c.steps:
 		return step, nil
@@ -105,5 +115,7 @@
 		return nil, errors.Wrap(ctx.Err(), "wait for the claim")
 	case <-c.service.done:
 		return nil, outcome.Refuse(outcome.Stopping, outcome.Unknown, 0)
+	case <-timer.C:
+		return nil, outcome.Refuse(outcome.ClaimUnsettled, outcome.Unknown, int64(settleWait))
 	}
 }
