End the slow-reader measurement when its port is in use

Cause: a platform that could not listen made the script wait without end. Change: the wait is bounded and ends with the platform's error.

--- a/scripts/readers.sh
+++ b/scripts/readers.sh
@@ -34,8 +34,13 @@
 	ENTRIES=
 	ADMINS=()
 	start_platform
-	until curl -sf -o /dev/null -X PUT --data-binary @scripts/testdata/readers.jsonc \
-		"http://$PLATFORM/objects/configuration/root"; do sleep 0.1; done
+	# A port that is in use ends the platform, so the wait is bounded.
+	for _ in $(seq 50); do
+		curl -sf -o /dev/null -X PUT --data-binary @scripts/testdata/readers.jsonc \
+			"http://$PLATFORM/objects/configuration/root" && break
+		kill -0 "${PID[platform]}" || { cat "$RUN_DIR/platform.log"; exit 1; }
+		sleep 0.1
+	done
 	for i in $(seq 0 $((ENGINES - 1))); do
 		start_engine $DC "$i" asistente -coldCapacity 1000 -warmCapacity 1000 -batchPercent 0 -bytesPerToken 1024
 		ADMINS+=("$ADDRESS")
