--- a/agent/request/admission/temperature.go
+++ b/agent/request/admission/temperature.go
@@ -2,7 +2,8 @@
 
 const (
 	// slowRun slow first tokens without a fast one between make an upstream cold.
-	slowRun = 3
+	// Until then, the bound on unproven work keeps new work within the cold limit.
+	slowRun = 6
 	// rounds times the limit must complete before the limit doubles, so that an
 	// upstream that gains one place with every second completed request is not
 	// outrun. With one round, measure/cold finds such an upstream over its limit.
@@ -21,6 +22,7 @@
 	epoch       uint64
 	done        int
 	slow        int
+	suspect     bool // a first token was not usual and none near the low mark followed
 	baselines   [classes]baseline
 }
 
@@ -77,6 +79,7 @@
 		return
 	}
 	t.slow++
+	t.suspect = true
 	if t.slow >= slowRun && t.limit > t.coldLimit {
 		t.drop()
 	}
@@ -85,5 +88,6 @@
 func (t *temperature) noteFast(epoch uint64) {
 	if epoch == t.epoch {
 		t.slow = 0
+		t.suspect = false
 	}
 }
