Report a taken port, closed handshakes and reused connections properly

Cause: found by the load generator's author: the entry panicked when its port was taken, a dialer that left was logged as a failed authentication, and the agent closed the engine's connection at the final event, so that each streamed request opened a new one. Change: the library's panic becomes an error; only a wrong proof, or the end of the connection after ours, is a failed authentication; the rest of a finished body is drained within a second. Measured: new tests for the first two; tests pass under the race detector.

--- a/agent/request/upstream/events.go
+++ b/agent/request/upstream/events.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -21,6 +22,8 @@
 	// maxResumes bounds how often one answer is taken up again after a broken
 	// connection to an engine that is still the same.
 	maxResumes = 3
+	// drainTimeout bounds the wait for the end of a body after its final event.
+	drainTimeout = time.Second
 )
 
 var (
@@ -35,9 +38,13 @@
 	copied := 0
 	for attempt := 0; ; attempt++ {
 		n, err := copyEventsOnce(answer, response.Body)
+		if err == nil {
+			go drain(response.Body)
+			return nil
+		}
 		_ = response.Body.Close()
 		copied += n
-		if err == nil || !errors.Is(err, ErrBroken) || ctx.Err() != nil {
+		if !errors.Is(err, ErrBroken) || ctx.Err() != nil {
 			return err
 		}
 		if attempt == maxResumes || incarnation == "" || copied == 0 {
@@ -57,6 +64,15 @@
 	}
 }
 
+// drain reads what follows the final event, so that the connection can be used
+// again.
+func drain(body io.ReadCloser) {
+	timer := time.AfterFunc(drainTimeout, func() { _ = body.Close() })
+	defer timer.Stop()
+	_, _ = io.CopyN(io.Discard, body, firstLineBytes)
+	_ = body.Close()
+}
+
 // copyEventsOnce copies whole events and returns how many.
 func copyEventsOnce(answer Answer, body io.Reader) (int, error) {
 	lines := bufio.NewScanner(body)
--- a/core/connection/peer/handshake.go
+++ b/core/connection/peer/handshake.go
@@ -4,6 +4,7 @@
 	"crypto/hmac"
 	"crypto/rand"
 	"crypto/sha256"
+	"io"
 	"net"
 
 	"github.com/cockroachdb/errors"
@@ -61,7 +62,11 @@
 	if _, err := send(conn, frame.NewProof(mac(key, dialerLabel, dialer, listener))); err != nil {
 		return errors.Wrap(err, "send proof")
 	}
-	return verify(conn, mac(key, listenerLabel, dialer, listener))
+	err := verify(conn, mac(key, listenerLabel, dialer, listener))
+	if errors.Is(err, io.EOF) {
+		return errors.Wrap(ErrAuthentication, "the listener closed the connection after the proof")
+	}
+	return err
 }
 
 func proveAsListener(conn net.Conn, key, dialer, listener []byte) error {
@@ -75,7 +80,7 @@
 func verify(conn net.Conn, want []byte) error {
 	_, m, err := frame.Read(conn)
 	if err != nil {
-		return errors.Wrapf(ErrAuthentication, "read proof: %v", err)
+		return errors.Wrap(err, "read proof")
 	}
 	proof, ok := m.(*frame.Proof)
 	if !ok || !hmac.Equal(proof.MAC(), want) {
--- a/core/connection/peer/peer_test.go
+++ b/core/connection/peer/peer_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -63,6 +64,13 @@
 		check.Is(t, "dialer", e.dialErr, ErrAuthentication)
 		check.Is(t, "listener", e.listErr, ErrAuthentication)
 	})
+	// Guards against a log of failed authentications for dialers that give up.
+	t.Run("a dialer that leaves is no failed authentication", func(t *testing.T) {
+		a, b := tcpPair(t)
+		check.NoError(t, "Close", a.Close())
+		_, err := Accept(b, NewIdentity("agent", "a1", "bilbao"), []byte("k"))
+		check.Equal(t, "failed authentication", errors.Is(err, ErrAuthentication), false)
+	})
 	t.Run("a proof returned to its maker is refused", func(t *testing.T) {
 		h, err := newHello(NewIdentity("entry", "e1", "x"))
 		check.NoError(t, "newHello", err)
--- a/entry/request/caller/server.go
+++ b/entry/request/caller/server.go
@@ -94,7 +94,18 @@
 		return errors.Wrap(err, "create HTTP server")
 	}
 	logx.Disable()
-	server.StartWithOpts(s.configure)
+	return start(server, s.configure)
+}
+
+// start serves until the process stops. The library panics when it cannot
+// listen; that becomes an error.
+func start(server *rest.Server, configure func(*http.Server)) (err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			err = errors.Newf("serve callers: %v", cause)
+		}
+	}()
+	server.StartWithOpts(configure)
 	return nil
 }
 
--- a/entry/request/caller/server_test.go
+++ b/entry/request/caller/server_test.go
@@ -222,3 +222,15 @@
 	check.Equal(t, "code", strings.Contains(body, string(outcome.Stopping)), true)
 	check.Equal(t, "connection is closed", r.Close, true)
 }
+
+// Guards against a stack trace in place of an error when the port is taken.
+func TestTakenPortIsAnError(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	check.NoError(t, "Listen", err)
+	defer l.Close()
+	s := newServer(t, nil)
+	s.Listen = l.Addr().String()
+	if err := s.Run(); err == nil {
+		t.Error("Run: got no error, want one")
+	}
+}
