--- a/measure/engine/workload.go
+++ b/measure/engine/workload.go
@@ -20,7 +20,7 @@
 	Output    int // median of the generated tokens
 }
 
-// Customers returns ten customers, three of them large, with 28 templates in
+// Customers returns ten customers, three of them large, with 29 templates in
 // all. The templates together exceed one engine's cache about twice.
 func Customers() []Customer {
 	var all []Customer
--- a/measure/routing/row.go
+++ b/measure/routing/row.go
@@ -8,7 +8,7 @@
 	"goldcrestshore/measure/fleet"
 )
 
-// Rates in requests/s for twelve engines, whose measured capacity is about 65.
+// Rates in requests/s for twelve engines, which carry about 65 when saturated.
 const (
 	halfRate = 30
 	highRate = 45
