--- a/measure/mapchange/explore_test.go
+++ b/measure/mapchange/explore_test.go
@@ -1,6 +1,7 @@
 package mapchange
 
 import (
+	"fmt"
 	"testing"
 
 	"goldcrestshore/core/process/check"
@@ -30,9 +31,40 @@
 	}
 }
 
-// TestExploreReportsMixedMap guards against a checker that cannot fail: an
-// armed rank enters its step before it knows the outcome.
+// TestExploreReportsMixedMap guards against a checker that cannot fail, by
+// breaking a rule of the protocol.
 func TestExploreReportsMixedMap(t *testing.T) {
-	got := explore(t, &Exploration{Owners: 1, Lead: 1, Armed: true, DeafEngine: true})
-	check.Equal(t, "a mixed map is reported", got.Mixed > 0, true)
+	for _, x := range []Exploration{
+		{Name: "an armed rank enters its step", Owners: 1, Lead: 1, Armed: true, DeafEngine: true},
+		{
+			Name: "a restarted agent keeps its incarnation", Owners: 1, Lead: 1, LastStep: 1, Armed: true,
+			Crash: true, Crashable: 0b011, RepeatPrepare: true, QuickRecovery: true, SameIncarnation: true,
+		},
+	} {
+		t.Run(x.Name, func(t *testing.T) {
+			got := explore(t, &x)
+			check.Equal(t, "a mixed map is reported", got.Mixed > 0, true)
+		})
+	}
+}
+
+// BenchmarkExploreTwoOwnersAndCrash searches two owners with one crash and
+// restart, one dying member at a time. It takes minutes and gigabytes, so that
+// it runs on demand with -bench TwoOwnersAndCrash -benchtime 1x.
+func BenchmarkExploreTwoOwnersAndCrash(b *testing.B) {
+	for m := range exploredRanks {
+		b.Run(fmt.Sprintf("member %d", m), func(b *testing.B) {
+			for range b.N {
+				x := Exploration{
+					Owners: 2, Lead: 1, LastStep: 1, Armed: true,
+					Crash: true, Crashable: 1 << m, QuickRecovery: true,
+				}
+				got, err := x.Run()
+				check.NoError(b, "explore", err)
+				check.Equal(b, "mixed maps", got.Mixed, 0)
+				check.Equal(b, "stuck states", got.Stuck, 0)
+				b.ReportMetric(float64(got.States), "states")
+			}
+		})
+	}
 }
