Let an answer that has started outlive the default deadline

Change: without the header the 120 s hold until the answer starts; then it may take an hour. A deadline that the caller names holds for the whole answer. Measured: four cases in virtual time.

--- a/entry/request/caller/answer.go
+++ b/entry/request/caller/answer.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strings"
+	"sync/atomic"
 
 	"goldcrestshore/core/connection/frame"
 	"goldcrestshore/core/process/clock"
@@ -22,7 +23,7 @@
 	w       http.ResponseWriter
 	head    *heldHead
 	held    []byte
-	started bool
+	started atomic.Bool
 	written int64
 
 	clock   *clock.Clock
@@ -67,14 +68,14 @@
 }
 
 // Started tells whether the caller may have received a part of the answer.
-func (a *Answer) Started() bool { return a.started }
+func (a *Answer) Started() bool { return a.started.Load() }
 
 // Written returns the number of body bytes given to the caller.
 func (a *Answer) Written() int64 { return a.written }
 
 // Write takes body bytes. An error means that the caller has left.
 func (a *Answer) Write(p []byte) error {
-	if !a.started && !a.head.events && len(a.held)+len(p) <= holdBytes {
+	if !a.Started() && !a.head.events && len(a.held)+len(p) <= holdBytes {
 		a.held = append(a.held, p...)
 		return nil
 	}
@@ -93,10 +94,10 @@
 
 // start sends the head and what was held.
 func (a *Answer) start() {
-	if a.started {
+	if a.Started() {
 		return
 	}
-	a.started = true
+	a.started.Store(true)
 	a.firstAt = a.clock.Now()
 	for _, f := range a.head.header {
 		a.w.Header().Add(f.Name(), f.Value())
--- a/entry/request/caller/level.go
+++ b/entry/request/caller/level.go
@@ -36,7 +36,7 @@
 	name := r.Service().Name()
 	whole := err == nil && a.status() < http.StatusInternalServerError
 	s.Recorder.Count(name, burn.Answered, whole)
-	if !a.started {
+	if !a.Started() {
 		return
 	}
 	s.Recorder.Count(name, burn.FirstToken, a.firstAt-began <= objective.FirstToken())
--- a/entry/request/caller/request.go
+++ b/entry/request/caller/request.go
@@ -27,8 +27,12 @@
 	// bodyTimeout bounds a body that is sent slowly.
 	bodyTimeout = 30 * clock.Second
 
+	// defaultDeadline is how long a caller that names no deadline waits for the
+	// start of its answer. An answer that has started may take up to maxAnswer,
+	// since its reader may be slow; readers that stop are found by TCP.
 	defaultDeadline = 120 * clock.Second
 	maxDeadline     = 600 * clock.Second
+	maxAnswer       = 1 * clock.Hour
 
 	// bytesPerToken is a low estimate, so that a prompt is never taken for
 	// shorter than it is by much.
@@ -57,6 +61,7 @@
 	stream   bool
 	once     bool
 	deadline clock.Millis
+	end      clock.Millis
 	version  uint64
 }
 
@@ -81,9 +86,13 @@
 // Idempotent tells whether the request may run more than once.
 func (r *Request) Idempotent() bool { return !r.once }
 
-// Deadline returns the instant after which the answer is of no use.
+// Deadline returns the instant after which it is of no use to start the answer.
 func (r *Request) Deadline() clock.Millis { return r.deadline }
 
+// End returns the instant at which an answer that has started is broken off. It
+// is the deadline if the caller named one.
+func (r *Request) End() clock.Millis { return r.end }
+
 // ConfigVersion returns the configuration version that was applied.
 func (r *Request) ConfigVersion() uint64 { return r.version }
 
@@ -99,7 +108,7 @@
 	if !ok {
 		return nil, refuse(outcome.Unauthorized)
 	}
-	deadline, err := parseDeadline(q.Header.Get(deadlineHeader), now)
+	deadline, end, err := parseDeadline(q.Header.Get(deadlineHeader), now)
 	if err != nil {
 		return nil, err
 	}
@@ -111,7 +120,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Request{customer: customer, key: key, deadline: deadline, version: v.Version()}
+	r := &Request{customer: customer, key: key, deadline: deadline, end: end, version: v.Version()}
 	if q.URL.Path == chatPath && q.Method == http.MethodPost {
 		err = r.routeChat(v.Text(), body)
 	} else {
@@ -125,15 +134,17 @@
 	return r, nil
 }
 
-func parseDeadline(header string, now clock.Millis) (clock.Millis, error) {
+// parseDeadline returns the instants until which the answer may start and end.
+func parseDeadline(header string, now clock.Millis) (deadline, end clock.Millis, err error) {
 	if header == "" {
-		return now + defaultDeadline, nil
+		return now + defaultDeadline, now + maxAnswer, nil
 	}
 	ms, err := strconv.ParseInt(header, 10, 64)
 	if err != nil || ms <= 0 {
-		return 0, refuse(outcome.BadRequest)
+		return 0, 0, refuse(outcome.BadRequest)
 	}
-	return now + min(clock.Millis(ms), maxDeadline), nil
+	deadline = now + min(clock.Millis(ms), maxDeadline)
+	return deadline, deadline, nil
 }
 
 func readBody(w http.ResponseWriter, q *http.Request) ([]byte, error) {
--- a/entry/request/caller/server.go
+++ b/entry/request/caller/server.go
@@ -159,10 +159,16 @@
 }
 
 func (s *Server) answer(w http.ResponseWriter, q *http.Request, r *Request) {
-	ctx, cancel := context.WithTimeout(q.Context(), (r.Deadline() - s.Clock.Now()).Duration())
+	began := s.Clock.Now()
+	ctx, cancel := context.WithTimeout(q.Context(), (r.End() - began).Duration())
 	defer cancel()
 	a := NewAnswer(w, s.Clock)
-	began := s.Clock.Now()
+	late := time.AfterFunc((r.Deadline() - began).Duration(), func() {
+		if !a.Started() {
+			cancel()
+		}
+	})
+	defer late.Stop()
 	err := s.Dispatcher.Dispatch(ctx, r, a)
 	if q.Context().Err() == nil {
 		s.record(r, a, began, err)
--- a/entry/request/caller/server_test.go
+++ b/entry/request/caller/server_test.go
@@ -7,8 +7,10 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"goldcrestshore/core/connection/frame"
@@ -234,3 +236,45 @@
 		t.Error("Run: got no error, want one")
 	}
 }
+
+// Guards against a deadline that the caller did not name and that cuts the
+// answer of a slow reader.
+func TestDeadlines(t *testing.T) {
+	cases := []struct {
+		name, header string
+		starts       bool
+		want         clock.Millis // when the dispatcher is told to stop
+	}{
+		{"default, no answer", "", false, defaultDeadline},
+		{"default, answer has started", "", true, maxAnswer},
+		{"named, no answer", "5000", false, 5 * clock.Second},
+		{"named, answer has started", "5000", true, 5 * clock.Second},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				start := time.Now()
+				var got clock.Millis
+				s := newServer(t, func(ctx context.Context, _ *Request, a *Answer) error {
+					a.Head(http.StatusOK, nil)
+					if c.starts {
+						check.NoError(t, "Write", a.Write(make([]byte, holdBytes+1)))
+					}
+					<-ctx.Done()
+					got = clock.FromDuration(time.Since(start))
+					return ctx.Err()
+				})
+				q := httptest.NewRequestWithContext(t.Context(), "GET", "/x/1", nil)
+				q.Header.Set(authorizationHeader, bearerPrefix+"k")
+				if c.header != "" {
+					q.Header.Set(deadlineHeader, c.header)
+				}
+				func() {
+					defer func() { _ = recover() }()
+					s.ServeHTTP(httptest.NewRecorder(), q)
+				}()
+				check.Equal(t, "stopped after", got, c.want)
+			})
+		})
+	}
+}
--- a/entry/request/dispatch/dispatch.go
+++ b/entry/request/dispatch/dispatch.go
@@ -165,7 +165,7 @@
 }
 
 func (d *Dispatcher) submit(r *caller.Request, claimKey string) *frame.Submit {
-	left := r.Deadline() - d.Clock.Now()
+	left := r.End() - d.Clock.Now()
 	terms := frame.NewTerms(int64(left), r.Customer().Priority(), r.Idempotent(), r.Stream(), claimKey)
 	return frame.NewSubmit(r.Service().Name(), r.Customer().Name(), r.Call(), terms, r.Size(), r.ConfigVersion())
 }
