Add golden sessions of operators

Cause: racing operators and marks were checked by fragments of output only. Change: two sessions with everything that operators type and see.

--- /dev/null
+++ b/ctl/process/operator/session_test.go
@@ -0,0 +1,76 @@
+package operator
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"goldcrestshore/core/process/check"
+)
+
+var update = flag.Bool("update", false, "rewrite the golden files")
+
+// writeID is the random mark by which apply recognises its own write.
+var writeID = regexp.MustCompile(`[0-9a-f]{16,}`)
+
+// session records what operators type and see.
+type session struct{ record strings.Builder }
+
+func (s *session) run(name string, d *desk, line string) {
+	code := d.run(line)
+	fmt.Fprintf(&s.record, "%s$ goldcrestctl %s\n", name, strings.ReplaceAll(line, " ONLINE", ""))
+	for _, printed := range []string{d.out.String(), d.err.String()} {
+		printed = strings.ReplaceAll(printed, d.path("services.jsonc"), "FILE")
+		printed = strings.ReplaceAll(printed, d.address, "ADDRESS")
+		s.record.WriteString(writeID.ReplaceAllString(printed, "ID"))
+	}
+	fmt.Fprintf(&s.record, "[exit %d]\n\n", code)
+}
+
+func (s *session) compare(t *testing.T, name string) {
+	t.Helper()
+	path := filepath.Join("testdata", name+".golden")
+	if *update {
+		check.NoError(t, "WriteFile", os.WriteFile(path, []byte(s.record.String()), 0o644))
+	}
+	want, err := os.ReadFile(path)
+	check.NoError(t, "ReadFile", err)
+	check.Equal(t, name, s.record.String(), string(want))
+}
+
+// Guards against an operator whose change silently replaces another's.
+func TestSessionRacingOperators(t *testing.T) {
+	first := newDesk(t)
+	second := first.beside()
+	var s session
+	first.save("services.jsonc", content("95"))
+	s.run("first", first, "apply ONLINE FILE")
+	s.run("second", second, "get ONLINE FILE")
+	first.save("services.jsonc", content("96"))
+	s.run("first", first, "diff ONLINE FILE")
+	s.run("first", first, "apply ONLINE FILE")
+	second.save("services.jsonc", content("99"))
+	s.run("second", second, "apply ONLINE FILE")
+	s.run("second", second, "get ONLINE FILE")
+	second.save("services.jsonc", content("99"))
+	s.run("second", second, "apply ONLINE FILE")
+	s.compare(t, "racing")
+}
+
+// Guards against marks that an operator cannot see or set twice.
+func TestSessionDataCentreOutAndBack(t *testing.T) {
+	d := newDesk(t)
+	var s session
+	d.save("services.jsonc", content("95"))
+	s.run("operator", d, "apply ONLINE FILE")
+	s.run("operator", d, "datacentre out ONLINE oviedo")
+	s.run("operator", d, "datacentre out ONLINE oviedo")
+	s.run("operator", d, "datacentre out ONLINE nowhere")
+	s.run("operator", d, "datacentre in ONLINE oviedo")
+	s.run("operator", d, "datacentre in ONLINE oviedo")
+	s.compare(t, "datacentre")
+}
