Use plain names in the operators' tests

Cause: the type desk needed its comment to be understood. Change: workspace; the help of the mark commands reads "one instance". Measured: the tests of ctl pass.

--- a/ctl/process/operator/marks.go
+++ b/ctl/process/operator/marks.go
@@ -19,7 +19,7 @@
 	return &ffcli.Command{
 		Name:       what,
 		ShortUsage: "goldcrestctl " + what + " out|in [flags] <name>",
-		ShortHelp:  "Take a " + what + " out of service or back in.",
+		ShortHelp:  "Take one " + what + " out of service or back in.",
 		LongHelp: fmt.Sprintf(`New work ends within 3 s after the command; held work finishes. Examples:
 
   goldcrestctl %[1]s out -platform 127.0.0.1:21000 %[2]s
@@ -39,7 +39,7 @@
 	return &ffcli.Command{
 		Name:       direction,
 		ShortUsage: fmt.Sprintf("goldcrestctl %s %s [flags] <name>", what, direction),
-		ShortHelp:  fmt.Sprintf("Take a %s %s.", what, direction),
+		ShortHelp:  fmt.Sprintf("Take one %s %s.", what, direction),
 		LongHelp:   fmt.Sprintf("Example:\n\n  goldcrestctl %s %s -platform 127.0.0.1:21000 %s", what, direction, exampleName[what]),
 		FlagSet:    t.shared("goldcrestctl " + what + " " + direction),
 		Exec: t.ready(1, "one name", func(ctx context.Context, args []string) error {
--- a/ctl/process/operator/operator_test.go
+++ b/ctl/process/operator/operator_test.go
@@ -17,8 +17,8 @@
 	"goldcrestshore/core/version/mark"
 )
 
-// desk is an operator at work: a folder and a platform.
-type desk struct {
+// workspace is what one operator works with: a folder and a platform.
+type workspace struct {
 	t        *testing.T
 	folder   string
 	fake     *fake.Platform
@@ -26,27 +26,27 @@
 	out, err bytes.Buffer
 }
 
-func newDesk(t *testing.T) *desk {
+func newWorkspace(t *testing.T) *workspace {
 	t.Helper()
 	f, _ := fake.New(t)
-	return &desk{t: t, folder: t.TempDir(), fake: f, address: f.Address()}
+	return &workspace{t: t, folder: t.TempDir(), fake: f, address: f.Address()}
 }
 
-// beside returns another operator at the same platform.
-func (d *desk) beside() *desk {
-	return &desk{t: d.t, folder: d.t.TempDir(), fake: d.fake, address: d.address}
+// another returns another operator at the same platform.
+func (d *workspace) another() *workspace {
+	return &workspace{t: d.t, folder: d.t.TempDir(), fake: d.fake, address: d.address}
 }
 
-func (d *desk) path(file string) string { return filepath.Join(d.folder, file) }
+func (d *workspace) path(file string) string { return filepath.Join(d.folder, file) }
 
-func (d *desk) save(file, content string) {
+func (d *workspace) save(file, content string) {
 	d.t.Helper()
 	check.NoError(d.t, "save", os.WriteFile(d.path(file), []byte(content), 0o600))
 }
 
 // run carries out a command line in which FILE stands for services.jsonc and a
 // command that calls the platform gets its address.
-func (d *desk) run(line string) int {
+func (d *workspace) run(line string) int {
 	d.out.Reset()
 	d.err.Reset()
 	args := strings.Fields(strings.ReplaceAll(line, "FILE", d.path("services.jsonc")))
@@ -59,14 +59,14 @@
 	return Run(context.Background(), args, &d.out, &d.err)
 }
 
-func (d *desk) assertRun(line string, want int) {
+func (d *workspace) assertRun(line string, want int) {
 	d.t.Helper()
 	if got := d.run(line); got != want {
 		d.t.Errorf("%s: got exit code %d, want %d\n%s%s", line, got, want, d.out.String(), d.err.String())
 	}
 }
 
-func (d *desk) assertPrinted(want ...string) {
+func (d *workspace) assertPrinted(want ...string) {
 	d.t.Helper()
 	printed := d.out.String() + d.err.String()
 	for _, w := range want {
@@ -90,7 +90,7 @@
 // Guards against a fault that reaches the platform, and a message that does not
 // name the place.
 func TestCheck(t *testing.T) {
-	d := newDesk(t)
+	d := newWorkspace(t)
 	d.save("services.jsonc", content("95"))
 	d.assertRun("check FILE", exitDone)
 	d.assertPrinted("1 services")
@@ -106,7 +106,7 @@
 
 // Guards against exit codes that scripts cannot rely on.
 func TestCommandLine(t *testing.T) {
-	d := newDesk(t)
+	d := newWorkspace(t)
 	d.assertRun("", exitUsage)
 	d.assertRun("colour", exitUsage)
 	d.assertRun("check", exitUsage)
@@ -125,10 +125,10 @@
 
 // Guards against one operator's change that silently removes another's.
 func TestRacingOperators(t *testing.T) {
-	first := newDesk(t)
+	first := newWorkspace(t)
 	first.save("services.jsonc", content("95"))
 	first.assertRun("apply ONLINE FILE", exitDone)
-	second := first.beside()
+	second := first.another()
 	second.save("services.jsonc", content("94"))
 	second.assertRun("apply ONLINE FILE", exitUsage)
 	second.assertPrinted("run get first")
@@ -153,7 +153,7 @@
 
 // Guards against a wrong verdict on a write whose answer was lost.
 func TestLostAnswer(t *testing.T) {
-	d := newDesk(t)
+	d := newWorkspace(t)
 	d.save("services.jsonc", content("95"))
 	d.fake.LoseAnswers(1)
 	d.assertRun("apply ONLINE -base 0 FILE", exitDone)
@@ -169,7 +169,7 @@
 
 // Guards against a wrong verdict on each state that a read back can find.
 func TestSettle(t *testing.T) {
-	d := newDesk(t)
+	d := newWorkspace(t)
 	w := write{file: d.path("f"), base: 4, id: "own", raw: []byte("new\n")}
 	rows := []struct {
 		name string
@@ -194,7 +194,7 @@
 
 // Guards against a claim about a write while the platform is down.
 func TestPlatformDown(t *testing.T) {
-	d := newDesk(t)
+	d := newWorkspace(t)
 	d.save("services.jsonc", content("95"))
 	d.fake.SetDown(true)
 	d.assertRun("apply ONLINE -timeout 300 -base 0 FILE", exitUnavailable)
@@ -222,7 +222,7 @@
 // Guards against marks on names that nothing has, and against a second out or in
 // that fails.
 func TestMarks(t *testing.T) {
-	d := newDesk(t)
+	d := newWorkspace(t)
 	d.save("services.jsonc", content("95"))
 	d.assertRun("apply ONLINE -base 0 FILE", exitDone)
 	d.fake.SetInstances(platform.NewInstance("e1", platform.RoleEntry, "oviedo", "127.0.0.1:1"))
@@ -244,7 +244,7 @@
 // Guards against a status that counts a process twice, trusts a dead relay or
 // adds capacity that is out of service.
 func TestStatus(t *testing.T) {
-	d := newDesk(t)
+	d := newWorkspace(t)
 	d.save("services.jsonc", content("95"))
 	d.assertRun("apply ONLINE -base 0 FILE", exitDone)
 	var list []platform.Instance
--- a/ctl/process/operator/session_test.go
+++ b/ctl/process/operator/session_test.go
@@ -20,7 +20,7 @@
 // session records what operators type and see.
 type session struct{ record strings.Builder }
 
-func (s *session) run(name string, d *desk, line string) {
+func (s *session) run(name string, d *workspace, line string) {
 	code := d.run(line)
 	fmt.Fprintf(&s.record, "%s$ goldcrestctl %s\n", name, strings.ReplaceAll(line, " ONLINE", ""))
 	for _, printed := range []string{d.out.String(), d.err.String()} {
@@ -44,8 +44,8 @@
 
 // Guards against an operator whose change silently replaces another's.
 func TestSessionRacingOperators(t *testing.T) {
-	first := newDesk(t)
-	second := first.beside()
+	first := newWorkspace(t)
+	second := first.another()
 	var s session
 	first.save("services.jsonc", content("95"))
 	s.run("first", first, "apply ONLINE FILE")
@@ -63,7 +63,7 @@
 
 // Guards against marks that an operator cannot see or set twice.
 func TestSessionDataCentreOutAndBack(t *testing.T) {
-	d := newDesk(t)
+	d := newWorkspace(t)
 	var s session
 	d.save("services.jsonc", content("95"))
 	s.run("operator", d, "apply ONLINE FILE")
