--- a/entry/request/schedule/schedule.go
+++ b/entry/request/schedule/schedule.go
@@ -85,6 +85,18 @@
 	return wanted
 }
 
+// Shares returns each customer's use of this entry, for the other entries.
+func (s *Scheduler) Shares() []frame.Share {
+	var shares []frame.Share
+	s.change(func(now clock.Millis) { shares = s.queue.Shares(now) })
+	return shares
+}
+
+// Merge takes what another entry measured. It is due every second.
+func (s *Scheduler) Merge(entry string, shares []frame.Share) {
+	s.change(func(now clock.Millis) { s.apply(now, customer.NewShares(entry, shares)) })
+}
+
 // change runs f under the lock with the newest view, and then sends what can be
 // sent.
 func (s *Scheduler) change(f func(now clock.Millis)) {
