Keep one type for stored answers

Cause: the claim packages of entry and agent each had the same answer and header types, with conversions between them and the frames. Change: core/request/stored.Answer on frame.Field replaces both and four loops.

--- a/agent/connection/entry/claims.go
+++ b/agent/connection/entry/claims.go
@@ -10,6 +10,7 @@
 	"goldcrestshore/core/connection/peer"
 	"goldcrestshore/core/process/clock"
 	"goldcrestshore/core/request/outcome"
+	"goldcrestshore/core/request/stored"
 )
 
 // maxCapturedBytes is the largest answer kept for an owner that asks; the claim
@@ -113,13 +114,9 @@
 }
 
 // answer returns what was kept; its status is 0 if the answer was too large.
-func (c *capture) answer() claim.Answer {
+func (c *capture) answer() stored.Answer {
 	if c.large || c.head == nil {
-		return claim.Answer{}
+		return stored.Answer{}
 	}
-	var header []claim.Field
-	for _, f := range c.head.Header() {
-		header = append(header, claim.NewField(f.Name(), f.Value()))
-	}
-	return claim.NewAnswer(c.head.Status(), header, c.body)
+	return stored.New(c.head.Status(), c.head.Header(), c.body)
 }
--- a/agent/request/claim/claim.go
+++ b/agent/request/claim/claim.go
@@ -12,6 +12,7 @@
 	"strings"
 
 	"goldcrestshore/core/process/clock"
+	"goldcrestshore/core/request/stored"
 )
 
 const (
@@ -39,48 +40,6 @@
 	Unknown State = "unknown" // the upstream broke off, or the claim is forgotten
 )
 
-// Field is one header line of a stored answer.
-type Field struct {
-	name  string
-	value string
-}
-
-// NewField returns a header line.
-func NewField(name, value string) Field { return Field{name, value} }
-
-// Name returns the header name.
-func (f Field) Name() string { return f.name }
-
-// Value returns the header value.
-func (f Field) Value() string { return f.value }
-
-// Answer is a whole answer of the upstream.
-type Answer struct {
-	status int
-	header []Field
-	body   []byte
-}
-
-// NewAnswer returns an answer.
-func NewAnswer(status int, header []Field, body []byte) Answer { return Answer{status, header, body} }
-
-// Status returns the HTTP status; 0 means that no answer is stored.
-func (a Answer) Status() int { return a.status }
-
-// Header returns the header lines.
-func (a Answer) Header() []Field { return a.header }
-
-// Body returns the body.
-func (a Answer) Body() []byte { return a.body }
-
-func (a Answer) size() int {
-	n := len(a.body)
-	for _, f := range a.header {
-		n += len(f.name) + len(f.value)
-	}
-	return n
-}
-
 // Event is an input of Table.Handle. Each names a claim by its text form.
 type Event interface{ claimKey() string }
 
@@ -99,11 +58,11 @@
 // Finished tells that the upstream completed the request.
 type Finished struct {
 	key    string
-	answer Answer
+	answer stored.Answer
 }
 
 // NewFinished describes a completed request.
-func NewFinished(key string, a Answer) Finished { return Finished{key, a} }
+func NewFinished(key string, a stored.Answer) Finished { return Finished{key, a} }
 
 // Failed tells that the upstream broke off or was cancelled.
 type Failed struct{ key string }
@@ -145,14 +104,14 @@
 // Told answers Asked.
 type Told struct {
 	state  State
-	answer Answer
+	answer stored.Answer
 }
 
 // State returns what became of the claim.
 func (t Told) State() State { return t.state }
 
 // Answer returns the stored answer, whose status is 0 if there is none.
-func (t Told) Answer() Answer { return t.answer }
+func (t Told) Answer() stored.Answer { return t.answer }
 
 func (Run) action()    {}
 func (Refuse) action() {}
@@ -161,7 +120,7 @@
 type entry struct {
 	state   State
 	asked   bool // refused by a query
-	answer  Answer
+	answer  stored.Answer
 	expires clock.Millis // 0 while running
 }
 
--- a/agent/request/claim/table.go
+++ b/agent/request/claim/table.go
@@ -1,5 +1,9 @@
 package claim
 
+import (
+	"goldcrestshore/core/request/stored"
+)
+
 import "goldcrestshore/core/process/clock"
 
 // Table holds the claims of one incarnation of an agent. It is not safe for
@@ -27,11 +31,11 @@
 	case Submitted:
 		return t.submitted(now, e.key)
 	case Rejected:
-		t.settle(now, e.key, NotRun, Answer{})
+		t.settle(now, e.key, NotRun, stored.Answer{})
 	case Finished:
 		t.settle(now, e.key, Done, e.answer)
 	case Failed:
-		t.settle(now, e.key, Unknown, Answer{})
+		t.settle(now, e.key, Unknown, stored.Answer{})
 	case Asked:
 		return t.asked(now, e.key)
 	}
@@ -71,15 +75,15 @@
 }
 
 // settle ends a running claim; a settled one stays as it is.
-func (t *Table) settle(now clock.Millis, key string, s State, a Answer) {
+func (t *Table) settle(now clock.Millis, key string, s State, a stored.Answer) {
 	x := t.entries[key]
 	if x == nil || x.state != Running {
 		return
 	}
 	x.state = s
-	if s == Done && a.size() <= maxAnswerBytes {
+	if s == Done && a.Size() <= maxAnswerBytes {
 		x.answer = a
-		t.answerBytes += a.size()
+		t.answerBytes += a.Size()
 	}
 	t.add(now, key, x)
 }
@@ -111,7 +115,7 @@
 	}
 	key := t.order[0]
 	t.order = t.order[1:]
-	t.answerBytes -= t.entries[key].answer.size()
+	t.answerBytes -= t.entries[key].answer.Size()
 	delete(t.entries, key)
 	if p, ok := placeOf(key); ok {
 		t.forgotten[p.shard] = max(t.forgotten[p.shard], p.position)
--- a/agent/request/claim/table_test.go
+++ b/agent/request/claim/table_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"goldcrestshore/core/process/check"
+	"goldcrestshore/core/request/stored"
 )
 
 func told(t *testing.T, a Action) Told {
@@ -23,7 +24,7 @@
 	check.Equal(t, "first", table.Handle(0, NewSubmitted("1-1-0")), Action(Run{}))
 	check.Equal(t, "while running", table.Handle(0, NewSubmitted("1-1-0")), Action(Refuse{}))
 	check.Equal(t, "state", told(t, table.Handle(0, NewAsked("1-1-0"))).State(), Running)
-	table.Handle(0, NewFinished("1-1-0", NewAnswer(200, nil, []byte("x"))))
+	table.Handle(0, NewFinished("1-1-0", stored.New(200, nil, []byte("x"))))
 	check.Equal(t, "after the end", table.Handle(0, NewSubmitted("1-1-0")), Action(Refuse{}))
 	got := told(t, table.Handle(0, NewAsked("1-1-0")))
 	check.Equal(t, "state", got.State(), Done)
@@ -54,7 +55,7 @@
 	for i := range 3 * maxClaims {
 		key := fmt.Sprintf("1-%d-0", i+1)
 		check.Equal(t, "run", table.Handle(0, NewSubmitted(key)), Action(Run{}))
-		table.Handle(0, NewFinished(key, NewAnswer(200, nil, body)))
+		table.Handle(0, NewFinished(key, stored.New(200, nil, body)))
 	}
 	check.AtMost(t, "claims", table.Len(), maxClaims)
 	check.AtMost(t, "bytes", table.answerBytes, maxAnswersBytes)
--- a/entry/process/claims/call.go
+++ b/entry/process/claims/call.go
@@ -8,6 +8,7 @@
 
 	"goldcrestshore/core/process/clock"
 	"goldcrestshore/core/request/outcome"
+	"goldcrestshore/core/request/stored"
 	"goldcrestshore/entry/request/claim"
 )
 
@@ -27,10 +28,10 @@
 func (s Submit) Grant() string { return s.grant }
 
 // Stored carries the answer of an earlier sending.
-type Stored struct{ answer claim.Answer }
+type Stored struct{ answer stored.Answer }
 
 // Answer returns the stored answer.
-func (s Stored) Answer() claim.Answer { return s.answer }
+func (s Stored) Answer() stored.Answer { return s.answer }
 
 // Refused ends the request.
 type Refused struct{ refusal *outcome.Refusal }
@@ -95,7 +96,7 @@
 }
 
 // Finished tells that the whole answer has arrived.
-func (c *Call) Finished(a claim.Answer) { c.put(claim.NewFinished(c.request, a)) }
+func (c *Call) Finished(a stored.Answer) { c.put(claim.NewFinished(c.request, a)) }
 
 // Close ends the call; a claim that is still open is resolved when the key is
 // sent again.
--- a/entry/process/claims/convert.go
+++ b/entry/process/claims/convert.go
@@ -8,6 +8,7 @@
 	"goldcrestshore/core/connection/frame"
 	"goldcrestshore/core/process/clock"
 	"goldcrestshore/core/request/outcome"
+	"goldcrestshore/core/request/stored"
 	"goldcrestshore/entry/request/claim"
 )
 
@@ -30,7 +31,7 @@
 		return e.Ref(), frame.NewClaimWithdraw(k[:], grant, string(e.Code()), e.RetryAfterMs())
 	case claim.Report:
 		k, a := e.Key(), e.Answer()
-		return claim.Ref{}, frame.NewClaimReport(k[:], e.Grant().String(), e.State().String(), a.Status(), framesOf(a.Header()), a.Body())
+		return claim.Ref{}, frame.NewClaimReport(k[:], e.Grant().String(), e.State().String(), a.Status(), a.Header(), a.Body())
 	}
 	return claim.Ref{}, &frame.Cancel{}
 }
@@ -56,7 +57,7 @@
 			return k, nil, err
 		}
 		g, err := claim.ParseGrant(m.Grant())
-		a := claim.NewAnswer(m.Status(), fieldsOf(m.Header()), slices.Clone(m.Body()))
+		a := stored.New(m.Status(), m.Header(), slices.Clone(m.Body()))
 		return k, claim.NewReport(k, g, claim.ParseState(m.State()), a), err
 	}
 	return claim.Key{}, nil, errFrame
@@ -84,7 +85,7 @@
 	case claim.Granted:
 		return frame.NewClaimGrant(k[:], r.Grant().String(), r.Upstream().Name(), r.Upstream().Incarnation())
 	case claim.Stored:
-		return frame.NewClaimAnswer(k[:], r.Answer().Status(), framesOf(r.Answer().Header()), r.Answer().Body())
+		return frame.NewClaimAnswer(k[:], r.Answer().Status(), r.Answer().Header(), r.Answer().Body())
 	case claim.Refused:
 		x := r.Refusal()
 		return frame.NewClaimRefusal(k[:], string(x.Code()), x.Outcome() == outcome.NotRun, x.RetryAfterMs())
@@ -104,7 +105,7 @@
 		g, err := claim.ParseGrant(m.Grant())
 		return claim.NewAnswered(ref, k, claim.NewGranted(g, claim.NewUpstream(m.Upstream(), m.Incarnation()))), err
 	case m.Status() != 0:
-		a := claim.NewAnswer(m.Status(), fieldsOf(m.Header()), slices.Clone(m.Body()))
+		a := stored.New(m.Status(), m.Header(), slices.Clone(m.Body()))
 		return claim.NewAnswered(ref, k, claim.NewStored(a)), nil
 	case m.Code() != "":
 		o := outcome.Unknown
@@ -115,19 +116,3 @@
 	}
 	return claim.Answered{}, errFrame
 }
-
-func fieldsOf(header []frame.Field) []claim.Field {
-	var out []claim.Field
-	for _, f := range header {
-		out = append(out, claim.NewField(f.Name(), f.Value()))
-	}
-	return out
-}
-
-func framesOf(header []claim.Field) []frame.Field {
-	var out []frame.Field
-	for _, f := range header {
-		out = append(out, frame.NewField(f.Name(), f.Value()))
-	}
-	return out
-}
--- a/entry/process/claims/convert_test.go
+++ b/entry/process/claims/convert_test.go
@@ -8,6 +8,7 @@
 	"goldcrestshore/core/connection/frame"
 	"goldcrestshore/core/process/check"
 	"goldcrestshore/core/request/outcome"
+	"goldcrestshore/core/request/stored"
 	"goldcrestshore/entry/request/claim"
 )
 
@@ -31,7 +32,7 @@
 // TestEvents guards against a field that is lost on the way to an owner.
 func TestEvents(t *testing.T) {
 	ref, k, now := claim.NewRef(7, 8), claim.KeyOf("customer", "key"), int64(1000)
-	answer := claim.NewAnswer(201, []claim.Field{claim.NewField("A", "b")}, []byte("body"))
+	answer := stored.New(201, []frame.Field{frame.NewField("A", "b")}, []byte("body"))
 	events := []claim.Event{
 		claim.NewAsk(ref, k, 9, claim.NewUpstream("u", 10), 1500),
 		claim.NewWithdraw(ref, k, grant(t), outcome.Cold, 250),
@@ -55,7 +56,7 @@
 	ref, k := claim.NewRef(7, 8), claim.KeyOf("customer", "key")
 	replies := []claim.Reply{
 		claim.NewGranted(grant(t), claim.NewUpstream("u", 10)),
-		claim.NewStored(claim.NewAnswer(201, []claim.Field{claim.NewField("A", "b")}, []byte("body"))),
+		claim.NewStored(stored.New(201, []frame.Field{frame.NewField("A", "b")}, []byte("body"))),
 		claim.NewRefused(outcome.Refuse(outcome.PlatformDown, outcome.NotRun, 2000)),
 		claim.NewRefused(outcome.Refuse(outcome.ClaimUnsettled, outcome.Unknown, 0)),
 	}
--- a/entry/process/claims/service.go
+++ b/entry/process/claims/service.go
@@ -21,6 +21,7 @@
 	"goldcrestshore/core/process/limiter"
 	"goldcrestshore/core/process/rendezvous"
 	"goldcrestshore/core/process/ring"
+	"goldcrestshore/core/request/stored"
 	"goldcrestshore/core/version/relay"
 	"goldcrestshore/entry/request/claim"
 )
@@ -342,7 +343,7 @@
 			s.put(shardEvent{shard, claim.NewAgentUnreached(q)})
 			return
 		}
-		answer := claim.NewAnswer(m.Status(), fieldsOf(m.Header()), slices.Clone(m.Body()))
+		answer := stored.New(m.Status(), m.Header(), slices.Clone(m.Body()))
 		s.put(shardEvent{shard, claim.NewAgentState(q, m.Incarnation(), claim.ParseState(m.State()), m.Status() != 0, answer)})
 	}()
 }
--- a/entry/process/claims/service_test.go
+++ b/entry/process/claims/service_test.go
@@ -20,6 +20,7 @@
 	"goldcrestshore/core/process/clock"
 	"goldcrestshore/core/process/event"
 	"goldcrestshore/core/request/outcome"
+	"goldcrestshore/core/request/stored"
 	"goldcrestshore/core/version/mark"
 	"goldcrestshore/core/version/relay"
 	"goldcrestshore/entry/request/claim"
@@ -162,7 +163,7 @@
 		c := open(first, key)
 		got, err := c.Ask(ctx, "u", 1)
 		step[Submit](t, got, err)
-		c.Finished(claim.NewAnswer(200, nil, []byte(key)))
+		c.Finished(stored.New(200, nil, []byte(key)))
 		c.Close()
 		again := open(second, key)
 		got, err = again.Ask(ctx, "u", 1)
--- a/entry/request/claim/claim.go
+++ b/entry/request/claim/claim.go
@@ -18,6 +18,7 @@
 	"github.com/cockroachdb/errors"
 
 	"goldcrestshore/core/request/outcome"
+	"goldcrestshore/core/request/stored"
 )
 
 // Shards is the number of shards. It is a part of the stored layout: another
@@ -107,48 +108,6 @@
 // Shard returns the shard of the claim.
 func (g Grant) Shard() int { return g.shard }
 
-// Field is one header line of a stored answer.
-type Field struct {
-	name  string
-	value string
-}
-
-// NewField returns a header line.
-func NewField(name, value string) Field { return Field{name, value} }
-
-// Name returns the header name.
-func (f Field) Name() string { return f.name }
-
-// Value returns the header value.
-func (f Field) Value() string { return f.value }
-
-// Answer is a whole answer of an upstream.
-type Answer struct {
-	status int
-	header []Field
-	body   []byte
-}
-
-// NewAnswer returns an answer.
-func NewAnswer(status int, header []Field, body []byte) Answer { return Answer{status, header, body} }
-
-// Status returns the HTTP status.
-func (a Answer) Status() int { return a.status }
-
-// Header returns the header lines.
-func (a Answer) Header() []Field { return a.header }
-
-// Body returns the body.
-func (a Answer) Body() []byte { return a.body }
-
-func (a Answer) size() int {
-	n := len(a.body)
-	for _, f := range a.header {
-		n += len(f.name) + len(f.value)
-	}
-	return n
-}
-
 // State is what is known about a claim.
 type State int
 
@@ -195,13 +154,13 @@
 func (g Granted) Upstream() Upstream { return g.upstream }
 
 // Stored is the answer of an earlier run.
-type Stored struct{ answer Answer }
+type Stored struct{ answer stored.Answer }
 
 // NewStored returns a received answer.
-func NewStored(a Answer) Stored { return Stored{a} }
+func NewStored(a stored.Answer) Stored { return Stored{a} }
 
 // Answer returns the stored answer.
-func (s Stored) Answer() Answer { return s.answer }
+func (s Stored) Answer() stored.Answer { return s.answer }
 
 // Refused tells that the request may not be submitted.
 type Refused struct{ refusal *outcome.Refusal }
--- a/entry/request/claim/client.go
+++ b/entry/request/claim/client.go
@@ -6,6 +6,7 @@
 
 	"goldcrestshore/core/process/clock"
 	"goldcrestshore/core/request/outcome"
+	"goldcrestshore/core/request/stored"
 )
 
 // askEvery is the pause after which an unanswered Ask is sent again, to the
@@ -76,11 +77,11 @@
 // callers that send the key again if it is small.
 type Finished struct {
 	request uint64
-	answer  Answer
+	answer  stored.Answer
 }
 
 // NewFinished describes an answered request.
-func NewFinished(request uint64, a Answer) Finished { return Finished{request, a} }
+func NewFinished(request uint64, a stored.Answer) Finished { return Finished{request, a} }
 
 // CallerLeft tells that nobody waits for the request any more.
 type CallerLeft struct{ request uint64 }
@@ -141,14 +142,14 @@
 // Deliver gives the caller the answer of an earlier run.
 type Deliver struct {
 	request uint64
-	answer  Answer
+	answer  stored.Answer
 }
 
 // Request returns the number of the request.
 func (d Deliver) Request() uint64 { return d.request }
 
 // Answer returns the stored answer.
-func (d Deliver) Answer() Answer { return d.answer }
+func (d Deliver) Answer() stored.Answer { return d.answer }
 
 // Refuse refuses the request.
 type Refuse struct {
--- a/entry/request/claim/event.go
+++ b/entry/request/claim/event.go
@@ -3,6 +3,7 @@
 import (
 	"goldcrestshore/core/process/clock"
 	"goldcrestshore/core/request/outcome"
+	"goldcrestshore/core/request/stored"
 )
 
 // Event is an input of Owner.Handle.
@@ -52,13 +53,13 @@
 	key    Key
 	grant  Grant
 	state  State
-	answer Answer
+	answer stored.Answer
 }
 
 // NewReport returns a report. State is NotRun only if the agent refused the
 // claim and will not run it later, Done with the answer (status 0 if it is too
 // large to be stored), or Unknown.
-func NewReport(k Key, g Grant, s State, a Answer) Report { return Report{k, g, s, a} }
+func NewReport(k Key, g Grant, s State, a stored.Answer) Report { return Report{k, g, s, a} }
 
 // Key returns the claimed key.
 func (r Report) Key() Key { return r.key }
@@ -70,7 +71,7 @@
 func (r Report) State() State { return r.state }
 
 // Answer returns the answer when the state is Done.
-func (r Report) Answer() Answer { return r.answer }
+func (r Report) Answer() stored.Answer { return r.answer }
 
 // Withdraw asks for the refusal of a sending whose grant the agent refused and
 // that is not tried again. Another sending of the key may have been granted
@@ -112,12 +113,12 @@
 	incarnation uint64
 	state       State
 	kept        bool
-	answer      Answer
+	answer      stored.Answer
 }
 
 // NewAgentState returns what the agent in the given incarnation knows of a
 // claim; kept tells that answer holds the stored answer.
-func NewAgentState(q Query, incarnation uint64, s State, kept bool, a Answer) AgentState {
+func NewAgentState(q Query, incarnation uint64, s State, kept bool, a stored.Answer) AgentState {
 	return AgentState{q.key, q.grant, true, incarnation, s, kept, a}
 }
 
--- a/entry/request/claim/index.go
+++ b/entry/request/claim/index.go
@@ -5,7 +5,9 @@
 	"maps"
 	"slices"
 
+	"goldcrestshore/core/connection/frame"
 	"goldcrestshore/core/process/clock"
+	"goldcrestshore/core/request/stored"
 )
 
 const (
@@ -38,7 +40,7 @@
 	pending  bool // not durable yet; grant is not set
 	state    State
 	kept     bool
-	answer   Answer
+	answer   stored.Answer
 	at       clock.Millis
 	orphan   bool         // the entry that held the grant does not follow it any more
 	queryAt  clock.Millis // when the agent may be asked again; 0 before the first query
@@ -58,7 +60,7 @@
 
 // settle records what became of a claim. A state that is final stays, except
 // that an answer may follow an Unknown. It reports whether the state changed.
-func (x *index) settle(k Key, g Grant, s State, kept bool, a Answer) bool {
+func (x *index) settle(k Key, g Grant, s State, kept bool, a stored.Answer) bool {
 	r := x.live[k]
 	if r == nil || r.pending || r.grant != g {
 		return false
@@ -67,16 +69,16 @@
 		return false
 	}
 	r.state = s
-	r.kept = s == Done && kept && a.storable()
+	r.kept = s == Done && kept && storable(a)
 	if r.kept {
 		r.answer = a
-		x.answerBytes += a.size()
+		x.answerBytes += a.Size()
 	}
 	return true
 }
 
 // storable tells whether an answer is present and small enough for the log.
-func (a Answer) storable() bool { return a.status != 0 && a.size() <= maxAnswerBytes }
+func storable(a stored.Answer) bool { return a.Status() != 0 && a.Size() <= maxAnswerBytes }
 
 // orphan notes that the entry that held a grant lost contact with the agent, so
 // that the agent is asked at once when the key is sent again.
@@ -136,7 +138,7 @@
 // forgetAnswer keeps only that the key may have run.
 func (x *index) forgetAnswer(k Key, r *record) {
 	if r.kept {
-		x.answerBytes -= r.answer.size()
+		x.answerBytes -= r.answer.Size()
 	}
 	x.ran[k] = uint32(r.at / clock.Second)
 	delete(x.live, k)
@@ -157,7 +159,7 @@
 // apply adds a batch that is in the log.
 func (x *index) apply(shard int, b *batch) {
 	for _, o := range b.outcomes {
-		answer := Answer{o.status, fieldsOf(o.header), o.body}
+		answer := stored.New(o.status, fieldsOf(o.header), o.body)
 		x.settle(Key(o.key), Grant{shard, o.position, o.index}, State(o.state), o.kept, answer)
 	}
 	for i, c := range b.claims {
@@ -201,12 +203,12 @@
 			grant:    Grant{shard, o.position, o.index},
 			state:    State(o.state),
 			kept:     o.kept,
-			answer:   Answer{o.status, fieldsOf(o.header), o.body},
+			answer:   stored.New(o.status, fieldsOf(o.header), o.body),
 			at:       clock.Millis(l.atMs),
 		}
 		x.live[Key(l.claim.key)] = r
 		if r.kept {
-			x.answerBytes += r.answer.size()
+			x.answerBytes += r.answer.Size()
 		}
 	}
 	for b := s.ran; len(b) >= ranBytes; b = b[ranBytes:] {
@@ -221,10 +223,10 @@
 func recordOfOutcome(k Key, r *record) outcomeRecord {
 	o := outcomeRecord{key: k[:], position: r.grant.position, index: r.grant.index, state: int(r.state), kept: r.kept}
 	if r.kept {
-		o.status = r.answer.status
-		o.body = r.answer.body
-		for _, f := range r.answer.header {
-			o.header = append(o.header, storedField(f))
+		o.status = r.answer.Status()
+		o.body = r.answer.Body()
+		for _, f := range r.answer.Header() {
+			o.header = append(o.header, storedField{f.Name(), f.Value()})
 		}
 	}
 	return o
@@ -259,10 +261,10 @@
 	return true
 }
 
-func fieldsOf(stored []storedField) []Field {
-	var fields []Field
-	for _, f := range stored {
-		fields = append(fields, Field(f))
+func fieldsOf(kept []storedField) []frame.Field {
+	var fields []frame.Field
+	for _, f := range kept {
+		fields = append(fields, frame.NewField(f.name, f.value))
 	}
 	return fields
 }
--- a/entry/request/claim/log.go
+++ b/entry/request/claim/log.go
@@ -371,7 +371,7 @@
 
 func recordOfReport(r Report) outcomeRecord {
 	x := &record{grant: r.grant, state: r.state, answer: r.answer}
-	x.kept = r.state == Done && r.answer.storable()
+	x.kept = r.state == Done && storable(r.answer)
 	return recordOfOutcome(r.key, x)
 }
 
--- a/entry/request/claim/owner.go
+++ b/entry/request/claim/owner.go
@@ -6,6 +6,7 @@
 
 	"goldcrestshore/core/process/clock"
 	"goldcrestshore/core/request/outcome"
+	"goldcrestshore/core/request/stored"
 )
 
 // Kind is the kind of the log's objects in the platform's object API.
@@ -347,7 +348,7 @@
 	if o.phase != phaseReady {
 		return
 	}
-	if o.index.settle(e.key, e.grant, NotRun, false, Answer{}) {
+	if o.index.settle(e.key, e.grant, NotRun, false, stored.Answer{}) {
 		o.queueReport(now, Report{key: e.key, grant: e.grant, state: NotRun})
 		o.release(now, e.key)
 	}
--- a/entry/request/claim/owner_test.go
+++ b/entry/request/claim/owner_test.go
@@ -6,6 +6,7 @@
 	"goldcrestshore/core/process/check"
 	"goldcrestshore/core/process/clock"
 	"goldcrestshore/core/request/outcome"
+	"goldcrestshore/core/request/stored"
 )
 
 // store is a platform that answers at once.
@@ -85,9 +86,9 @@
 	s, o, k := newStore(), NewOwner(3, 1), keyIn(3)
 	g := only[Granted](t, run(s, o, 1000, ask(1, k)))
 	check.Equal(t, "actions for a second sending", len(run(s, o, 1010, ask(2, k))), 0)
-	out := run(s, o, 1020, NewReport(k, g.grant, Done, NewAnswer(200, nil, []byte("x"))))
-	check.Equal(t, "answer", string(only[Stored](t, out).answer.body), "x")
-	check.Equal(t, "answer again", string(only[Stored](t, run(s, o, 1030, ask(3, k))).answer.body), "x")
+	out := run(s, o, 1020, NewReport(k, g.grant, Done, stored.New(200, nil, []byte("x"))))
+	check.Equal(t, "answer", string(only[Stored](t, out).answer.Body()), "x")
+	check.Equal(t, "answer again", string(only[Stored](t, run(s, o, 1030, ask(3, k))).answer.Body()), "x")
 }
 
 // TestMismatch guards against one key that is used for two requests.
@@ -107,7 +108,7 @@
 	s, paused, next, k := newStore(), NewOwner(3, 1), NewOwner(3, 2), keyIn(3)
 	run(s, paused, 1000, Open{})
 	g := only[Granted](t, run(s, next, 5000, ask(1, k)))
-	run(s, next, 5010, NewReport(k, g.grant, Done, NewAnswer(200, nil, []byte("x"))))
+	run(s, next, 5010, NewReport(k, g.grant, Done, stored.New(200, nil, []byte("x"))))
 	out := run(s, paused, 9000, ask(2, k))
 	check.Equal(t, "replies of the paused owner", len(out), 0)
 	out = run(s, paused, 9400, Tick{})
@@ -118,12 +119,12 @@
 func TestClose(t *testing.T) {
 	s, o, k := newStore(), NewOwner(3, 1), keyIn(3)
 	g := only[Granted](t, run(s, o, 1000, ask(1, k)))
-	run(s, o, 1200, NewReport(k, g.grant, Done, NewAnswer(200, nil, []byte("x"))))
+	run(s, o, 1200, NewReport(k, g.grant, Done, stored.New(200, nil, []byte("x"))))
 	run(s, o, 1400, Close{})
 	run(s, o, 1600, Close{})
 	check.Equal(t, "ready", o.Ready(), false)
 	next := NewOwner(3, 2)
-	check.Equal(t, "answer", string(only[Stored](t, run(s, next, 1700, ask(2, k))).answer.body), "x")
+	check.Equal(t, "answer", string(only[Stored](t, run(s, next, 1700, ask(2, k))).answer.Body()), "x")
 }
 
 // TestSnapshot guards against claims and answers that are lost, or a log that
@@ -139,7 +140,7 @@
 			keys = append(keys, k)
 			now += 100
 			g := only[Granted](t, run(s, o, now, ask(uint64(len(keys)), k)))
-			run(s, o, now, NewReport(k, g.grant, Done, NewAnswer(200, nil, []byte("x"))))
+			run(s, o, now, NewReport(k, g.grant, Done, stored.New(200, nil, []byte("x"))))
 		}
 		run(s, o, now+20*clock.Second, Close{})
 		run(s, o, now+21*clock.Second, Close{})
@@ -161,14 +162,14 @@
 func TestSweep(t *testing.T) {
 	s, o, k := newStore(), NewOwner(3, 1), keyIn(3)
 	g := only[Granted](t, run(s, o, 1000, ask(1, k)))
-	run(s, o, 1100, NewReport(k, g.grant, Unknown, Answer{}))
+	run(s, o, 1100, NewReport(k, g.grant, Unknown, stored.Answer{}))
 	check.Equal(t, "queries at once", len(run(s, o, 2000, Tick{})), 0)
 	out := run(s, o, 7000, Tick{})
 	check.Equal(t, "queries of an orphan", len(out), 1)
 	q := out[0].(Query)
 	check.Equal(t, "queries soon after", len(run(s, o, 9000, Tick{})), 0)
-	run(s, o, 9100, NewAgentState(q, 5, Done, true, NewAnswer(200, nil, []byte("x"))))
-	check.Equal(t, "answer", string(only[Stored](t, run(s, o, 9200, ask(2, k))).answer.body), "x")
+	run(s, o, 9100, NewAgentState(q, 5, Done, true, stored.New(200, nil, []byte("x"))))
+	check.Equal(t, "answer", string(only[Stored](t, run(s, o, 9200, ask(2, k))).answer.Body()), "x")
 }
 
 // TestUnreached guards against a claim that stays open for ever because its
--- a/entry/request/claim/session_test.go
+++ b/entry/request/claim/session_test.go
@@ -10,6 +10,7 @@
 
 	"goldcrestshore/core/process/check"
 	"goldcrestshore/core/process/clock"
+	"goldcrestshore/core/request/stored"
 )
 
 var update = flag.Bool("update", false, "rewrite the golden files")
@@ -118,7 +119,7 @@
 	if s.agent[q.grant.String()] == "" {
 		state = Never
 	}
-	answer := NewAnswer(200, nil, []byte("reserved"))
+	answer := stored.New(200, nil, []byte("reserved"))
 	s.own(name, NewAgentState(q, 7, state, state == Done, answer))
 }
 
@@ -149,7 +150,7 @@
 	case AgentLost:
 		return fmt.Sprintf("agent lost with request %d", x.request)
 	case Finished:
-		return fmt.Sprintf("answer to request %d: %s", x.request, x.answer.body)
+		return fmt.Sprintf("answer to request %d: %s", x.request, x.answer.Body())
 	case SendAsk:
 		return "send ask"
 	case SendReport:
@@ -159,7 +160,7 @@
 	case Submit:
 		return fmt.Sprintf("submit request %d to %s under claim %s", x.request, x.upstream.name, x.grant)
 	case Deliver:
-		return fmt.Sprintf("deliver to request %d: %s", x.request, x.answer.body)
+		return fmt.Sprintf("deliver to request %d: %s", x.request, x.answer.Body())
 	case Refuse:
 		return fmt.Sprintf("refuse request %d: %s %s, retry after %d ms", x.request, x.refusal.Code(), x.refusal.Outcome(), x.refusal.RetryAfterMs())
 	}
@@ -173,7 +174,7 @@
 	case Ask:
 		return fmt.Sprintf("ask %d/%d for %s", x.ref.entry, x.ref.sequence, x.upstream.name)
 	case Report:
-		return fmt.Sprintf("report on %s: %s %s", x.grant, x.state, x.answer.body)
+		return fmt.Sprintf("report on %s: %s %s", x.grant, x.state, x.answer.Body())
 	case Withdraw:
 		return fmt.Sprintf("withdraw %d/%d of %s: %s", x.ref.entry, x.ref.sequence, x.grant, x.code)
 	case AgentState:
@@ -189,7 +190,7 @@
 	case Granted:
 		return fmt.Sprintf("granted %s on %s", x.grant, x.upstream.name)
 	case Stored:
-		return fmt.Sprintf("stored answer %s", x.answer.body)
+		return fmt.Sprintf("stored answer %s", x.answer.Body())
 	case Refused:
 		return fmt.Sprintf("refused %s %s", x.refusal.Code(), x.refusal.Outcome())
 	case Query:
@@ -220,7 +221,7 @@
 	check.Equal(s.t, "session", s.text.String(), string(want))
 }
 
-var reserved = NewAnswer(200, nil, []byte("reserved"))
+var reserved = stored.New(200, nil, []byte("reserved"))
 
 // TestSessions guards the whole exchange of each case against a change that
 // nobody intended.
--- a/entry/request/dispatch/claimed.go
+++ b/entry/request/dispatch/claimed.go
@@ -7,9 +7,9 @@
 
 	"goldcrestshore/core/connection/frame"
 	"goldcrestshore/core/request/outcome"
+	"goldcrestshore/core/request/stored"
 	"goldcrestshore/entry/process/claims"
 	"goldcrestshore/entry/request/caller"
-	"goldcrestshore/entry/request/claim"
 	"goldcrestshore/entry/request/retry"
 	"goldcrestshore/entry/request/schedule"
 )
@@ -111,7 +111,7 @@
 	if err := copyAnswer(ctx, e, captured, c.turn.Answering); err != nil {
 		return err
 	}
-	c.call.Finished(captured.stored())
+	c.call.Finished(captured.answered())
 	return nil
 }
 
@@ -145,12 +145,8 @@
 }
 
 // deliver gives the caller the answer of an earlier sending.
-func (c *claimed) deliver(a claim.Answer) error {
-	var header []frame.Field
-	for _, f := range a.Header() {
-		header = append(header, frame.NewField(f.Name(), f.Value()))
-	}
-	c.answer.Head(a.Status(), header)
+func (c *claimed) deliver(a stored.Answer) error {
+	c.answer.Head(a.Status(), a.Header())
 	if err := c.answer.Write(a.Body()); err != nil {
 		return errors.Wrap(err, "write to caller")
 	}
@@ -181,14 +177,10 @@
 	return c.Answer.Write(p)
 }
 
-// stored returns what was kept; its status is 0 if the answer was too large.
-func (c *capture) stored() claim.Answer {
+// answered returns what was kept; its status is 0 if the answer was too large.
+func (c *capture) answered() stored.Answer {
 	if c.large {
-		return claim.Answer{}
-	}
-	var header []claim.Field
-	for _, f := range c.header {
-		header = append(header, claim.NewField(f.Name(), f.Value()))
+		return stored.Answer{}
 	}
-	return claim.NewAnswer(c.status, header, c.body)
+	return stored.New(c.status, c.header, c.body)
 }
--- a/measure/once/agent.go
+++ b/measure/once/agent.go
@@ -9,6 +9,7 @@
 	agentsuspect "goldcrestshore/agent/request/suspect"
 	"goldcrestshore/core/process/clock"
 	"goldcrestshore/core/request/outcome"
+	"goldcrestshore/core/request/stored"
 	"goldcrestshore/entry/request/claim"
 	"goldcrestshore/entry/request/suspect"
 )
@@ -186,7 +187,7 @@
 		a.holds--
 		a.gate.Handle(a.engine.now, agentsuspect.NewLeft(j.print))
 		body := fmt.Sprintf("%s#%d", j.body, number)
-		a.tableEvent(j, agentclaim.NewFinished(j.claimKey, agentclaim.NewAnswer(200, nil, []byte(body))))
+		a.tableEvent(j, agentclaim.NewFinished(j.claimKey, stored.New(200, nil, []byte(body))))
 		a.settle(h, verdict{failure: answered, answer: body})
 	})
 }
@@ -248,7 +249,7 @@
 // query answers a claimQuery frame.
 func (a *agent) query(q claim.Query) claim.AgentState {
 	told := a.table.Handle(a.engine.now, agentclaim.NewAsked(q.Grant().String())).(agentclaim.Told)
-	answer := claim.NewAnswer(told.Answer().Status(), nil, told.Answer().Body())
+	answer := stored.New(told.Answer().Status(), nil, told.Answer().Body())
 	return claim.NewAgentState(q, a.number, claim.ParseState(string(told.State())), told.Answer().Status() != 0, answer)
 }
 
--- a/measure/once/entry.go
+++ b/measure/once/entry.go
@@ -8,6 +8,7 @@
 	"goldcrestshore/core/process/rendezvous"
 	"goldcrestshore/core/request/fingerprint"
 	"goldcrestshore/core/request/outcome"
+	"goldcrestshore/core/request/stored"
 	"goldcrestshore/entry/request/claim"
 	"goldcrestshore/entry/request/retry"
 	"goldcrestshore/entry/request/suspect"
@@ -231,7 +232,7 @@
 	if v.failure == answered {
 		e.suspectActions(e.tracker.Handle(e.engine.now, suspect.NewCompleted(id)))
 		if w.call.key != "" {
-			e.clientEvent(claim.NewFinished(w.number, claim.NewAnswer(200, nil, []byte(v.answer))))
+			e.clientEvent(claim.NewFinished(w.number, stored.New(200, nil, []byte(v.answer))))
 		}
 		e.deliver(w, v.answer)
 		return
--- a/measure/once/rate.go
+++ b/measure/once/rate.go
@@ -7,6 +7,7 @@
 	"strconv"
 
 	"goldcrestshore/core/process/clock"
+	"goldcrestshore/core/request/stored"
 	"goldcrestshore/entry/request/claim"
 )
 
@@ -170,6 +171,6 @@
 		return
 	}
 	r.waits = append(r.waits, r.engine.now-r.asked[a.Ref()])
-	answer := claim.NewAnswer(200, nil, make([]byte, answerBytes))
+	answer := stored.New(200, nil, make([]byte, answerBytes))
 	r.engine.after(answerTime, func() { r.event(a.Key().Shard(), claim.NewReport(a.Key(), g.Grant(), claim.Done, answer)) })
 }
