Wire the decisions on requests that crash upstreams

Cause: the suspect decisions of entry and agent were tested on their own, but no process asked them, so a request that crashes its upstream could be sent again without end.

Change: the agent notices a crash of its upstream by a broken answer followed by a refused connection or by another incarnation, and reports the fingerprints in flight to all entries (frame 24, crash) before the failed answers end. Its gate refuses these requests and runs one suspect at a time. The entry asks its tracker before each sending, keyed or not, marks suspects, cancels what is quarantined and shares verdicts with other entries at once and every 2 s.

--- a/agent/connection/entry/server.go
+++ b/agent/connection/entry/server.go
@@ -53,9 +53,10 @@
 	// MaxStreamBytes bounds the answer bytes that all requests together hold.
 	MaxStreamBytes int64
 
-	table  *table
-	claims *claims
-	ctx    context.Context
+	table   *table
+	claims  *claims
+	crashes crashes
+	ctx     context.Context
 }
 
 // Run expires abandoned requests until ctx is done.
@@ -89,6 +90,7 @@
 	c.Interval = heartbeatInterval
 	c.OnUnknownKind = func(err error) { s.Log.Error(event.PeerUnknownKind, err, nil) }
 	s.Log.Emit(event.PeerConnected, event.Fields{"peer": c.Peer().Instance()})
+	defer s.watchCrashes(c)()
 	err := c.Run(ctx)
 	if ctx.Err() == nil {
 		peer.LogEnd(s.Log, err, c.Peer().Instance())
--- a/agent/process/server/server.go
+++ b/agent/process/server/server.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"goldcrestshore/agent/connection/entry"
+	"goldcrestshore/agent/process/suspects"
 	"goldcrestshore/agent/request/admission"
 	"goldcrestshore/agent/request/upstream"
 	"goldcrestshore/core/connection/frame"
@@ -52,6 +53,7 @@
 	platform *platform.Client
 	views    *relay.Client
 	gate     *gate
+	suspects *suspects.Watch
 	entries  *entry.Server
 	self     peer.Identity
 }
@@ -101,12 +103,20 @@
 	s.gate = newGate(s.Service, s.clock)
 	s.gate.state = s.state
 	s.gate.refusal = s.misdirected
-	s.gate.load = client.Load
+	s.suspects = &suspects.Watch{
+		Clock: s.clock, Log: s.Log, Gate: s.gate, Upstream: client, Load: client.Load,
+		Reports: func() bool { return s.state().reports },
+		Refused: suspects.RefusedAt(s.Upstream),
+		// entries exists before the first request.
+		Report:      func(m *frame.Crash) { s.entries.ReportCrash(m) },
+		Incarnation: s.self.Incarnation(),
+	}
+	s.gate.load = s.suspects.Observe
 	s.entries = &entry.Server{
 		Clock:          s.clock,
 		Log:            s.Log,
-		Gate:           s.gate,
-		Upstream:       client,
+		Gate:           s.suspects,
+		Upstream:       s.suspects,
 		Heartbeat:      s.heartbeat,
 		Incarnation:    s.self.Incarnation(),
 		MaxStreamBytes: s.MaxStreamBytes,
--- a/core/connection/frame/accessors.go
+++ b/core/connection/frame/accessors.go
@@ -131,7 +131,7 @@
 
 // NewTerms returns a Terms with the given fields.
 func NewTerms(deadlineMs int64, priority int, idempotent bool, stream bool, claimKey string) Terms {
-	return Terms{deadlineMs, priority, idempotent, stream, claimKey}
+	return Terms{deadlineMs: deadlineMs, priority: priority, idempotent: idempotent, stream: stream, claimKey: claimKey}
 }
 
 // DeadlineMs returns the time left in milliseconds when the frame was sent.
@@ -149,6 +149,16 @@
 // ClaimKey returns the key of the durable claim, empty for unkeyed calls.
 func (t Terms) ClaimKey() string { return t.claimKey }
 
+// WithSuspect returns the terms of a call that was running on an upstream when
+// it crashed.
+func (t Terms) WithSuspect() Terms {
+	t.suspect = true
+	return t
+}
+
+// Suspect tells that the call was running on an upstream when it crashed.
+func (t Terms) Suspect() bool { return t.suspect }
+
 // NewSize returns a Size with the given fields.
 func NewSize(promptTokens int, maxTokens int) Size {
 	return Size{promptTokens, maxTokens}
@@ -353,15 +363,39 @@
 func (s Share) Held() int { return s.held }
 
 // NewSuspect returns a Suspect with the given fields.
-func NewSuspect(fingerprint uint64, crashes int, expiresMs int64) Suspect {
-	return Suspect{fingerprint, crashes, expiresMs}
+func NewSuspect(fingerprint uint64, crashes, cleared []uint64, quarantined bool, remainingMs int64) Suspect {
+	return Suspect{fingerprint, crashes, cleared, quarantined, remainingMs}
 }
 
 // Fingerprint returns the hash over customer and body.
 func (s Suspect) Fingerprint() uint64 { return s.fingerprint }
 
-// Crashes returns how many upstreams crashed while running the request.
-func (s Suspect) Crashes() int { return s.crashes }
+// Crashes returns the crashes during which the request was running.
+func (s Suspect) Crashes() []uint64 { return s.crashes }
+
+// Cleared returns the crashes that a later completed run excuses.
+func (s Suspect) Cleared() []uint64 { return s.cleared }
+
+// Quarantined tells whether the request may not run any more.
+func (s Suspect) Quarantined() bool { return s.quarantined }
+
+// RemainingMs returns the time left until the verdict expires in milliseconds.
+func (s Suspect) RemainingMs() int64 { return s.remainingMs }
+
+// WithSuspect returns the request as a suspect.
+func (s *Submit) WithSuspect() *Submit {
+	marked := *s
+	marked.terms = s.terms.WithSuspect()
+	return &marked
+}
+
+// NewCrash returns a Crash with the given fields.
+func NewCrash(incarnation uint64, fingerprints []uint64) *Crash {
+	return &Crash{incarnation, fingerprints}
+}
+
+// Incarnation returns a number that tells the crashes of one upstream apart.
+func (c *Crash) Incarnation() uint64 { return c.incarnation }
 
-// ExpiresMs returns the time left until the verdict lapses, in milliseconds.
-func (s Suspect) ExpiresMs() int64 { return s.expiresMs }
+// Fingerprints returns the requests that were running on the upstream.
+func (c *Crash) Fingerprints() []uint64 { return c.fingerprints }
--- a/core/connection/frame/kind.go
+++ b/core/connection/frame/kind.go
@@ -30,6 +30,7 @@
 	kindSubscribe = 20
 	kindVersion   = 21
 	kindShares    = 22
+	kindCrash     = 24
 )
 
 // Cancel asks the agent to stop a request whose caller has left.
@@ -59,6 +60,7 @@
 func (*Subscribe) frameKind() byte  { return kindSubscribe }
 func (*Version) frameKind() byte    { return kindVersion }
 func (*Shares) frameKind() byte     { return kindShares }
+func (*Crash) frameKind() byte      { return kindCrash }
 
 func decode(kind byte, body []byte) (Message, error) {
 	switch kind {
@@ -106,6 +108,8 @@
 		return unmarshal[Version](body)
 	case kindShares:
 		return unmarshal[Shares](body)
+	case kindCrash:
+		return unmarshal[Crash](body)
 	}
 	return nil, errors.Wrapf(ErrUnknownKind, "kind %d", kind)
 }
--- a/core/connection/frame/messages.go
+++ b/core/connection/frame/messages.go
@@ -78,6 +78,7 @@
 	idempotent bool
 	stream     bool
 	claimKey   string
+	suspect    bool
 }
 
 // Size estimates the upstream memory that a call needs.
@@ -187,10 +188,19 @@
 	held     int
 }
 
-// Suspect is a request fingerprint with the upstreams it was running on when
-// they crashed.
+// Suspect is what an entry knows about a request that was running on upstreams
+// when they crashed. Crashes are named by hashes that all entries derive alike.
 type Suspect struct {
 	fingerprint uint64
-	crashes     int
-	expiresMs   int64
+	crashes     []uint64
+	cleared     []uint64
+	quarantined bool
+	remainingMs int64
+}
+
+// Crash tells every connected entry that the agent's upstream died and which
+// requests were running on it.
+type Crash struct {
+	incarnation  uint64
+	fingerprints []uint64
 }
--- a/core/connection/frame/messages_gen.go
+++ b/core/connection/frame/messages_gen.go
@@ -556,6 +556,83 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *Crash) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "incarnation"
+	o = append(o, 0x82, 0xab, 0x69, 0x6e, 0x63, 0x61, 0x72, 0x6e, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendUint64(o, z.incarnation)
+	// string "fingerprints"
+	o = append(o, 0xac, 0x66, 0x69, 0x6e, 0x67, 0x65, 0x72, 0x70, 0x72, 0x69, 0x6e, 0x74, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.fingerprints)))
+	for za0001 := range z.fingerprints {
+		o = msgp.AppendUint64(o, z.fingerprints[za0001])
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Crash) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "incarnation":
+			z.incarnation, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "incarnation")
+				return
+			}
+		case "fingerprints":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "fingerprints")
+				return
+			}
+			if cap(z.fingerprints) >= int(zb0002) {
+				z.fingerprints = (z.fingerprints)[:zb0002]
+			} else {
+				z.fingerprints = make([]uint64, zb0002)
+			}
+			for za0001 := range z.fingerprints {
+				z.fingerprints[za0001], bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "fingerprints", za0001)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Crash) Msgsize() (s int) {
+	s = 1 + 12 + msgp.Uint64Size + 13 + msgp.ArrayHeaderSize + (len(z.fingerprints) * (msgp.Uint64Size))
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z Credit) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -1447,16 +1524,11 @@
 	o = append(o, 0xa8, 0x73, 0x75, 0x73, 0x70, 0x65, 0x63, 0x74, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.suspects)))
 	for za0002 := range z.suspects {
-		// map header, size 3
-		// string "fingerprint"
-		o = append(o, 0x83, 0xab, 0x66, 0x69, 0x6e, 0x67, 0x65, 0x72, 0x70, 0x72, 0x69, 0x6e, 0x74)
-		o = msgp.AppendUint64(o, z.suspects[za0002].fingerprint)
-		// string "crashes"
-		o = append(o, 0xa7, 0x63, 0x72, 0x61, 0x73, 0x68, 0x65, 0x73)
-		o = msgp.AppendInt(o, z.suspects[za0002].crashes)
-		// string "expiresMs"
-		o = append(o, 0xa9, 0x65, 0x78, 0x70, 0x69, 0x72, 0x65, 0x73, 0x4d, 0x73)
-		o = msgp.AppendInt64(o, z.suspects[za0002].expiresMs)
+		o, err = z.suspects[za0002].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "suspects", za0002)
+			return
+		}
 	}
 	return
 }
@@ -1546,46 +1618,11 @@
 				z.suspects = make([]Suspect, zb0004)
 			}
 			for za0002 := range z.suspects {
-				var zb0005 uint32
-				zb0005, bts, err = msgp.ReadMapHeaderBytes(bts)
+				bts, err = z.suspects[za0002].UnmarshalMsg(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "suspects", za0002)
 					return
 				}
-				for zb0005 > 0 {
-					zb0005--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "suspects", za0002)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "fingerprint":
-						z.suspects[za0002].fingerprint, bts, err = msgp.ReadUint64Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "suspects", za0002, "fingerprint")
-							return
-						}
-					case "crashes":
-						z.suspects[za0002].crashes, bts, err = msgp.ReadIntBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "suspects", za0002, "crashes")
-							return
-						}
-					case "expiresMs":
-						z.suspects[za0002].expiresMs, bts, err = msgp.ReadInt64Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "suspects", za0002, "expiresMs")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "suspects", za0002)
-							return
-						}
-					}
-				}
 			}
 		default:
 			bts, err = msgp.Skip(bts)
@@ -1605,7 +1642,10 @@
 	for za0001 := range z.customers {
 		s += 1 + 9 + msgp.StringPrefixSize + len(z.customers[za0001].customer) + 9 + msgp.Int64Size + 5 + msgp.IntSize
 	}
-	s += 9 + msgp.ArrayHeaderSize + (len(z.suspects) * (31 + msgp.Uint64Size + msgp.IntSize + msgp.Int64Size))
+	s += 9 + msgp.ArrayHeaderSize
+	for za0002 := range z.suspects {
+		s += z.suspects[za0002].Msgsize()
+	}
 	return
 }
 
@@ -1881,18 +1921,30 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z Suspect) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Suspect) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 5
 	// string "fingerprint"
-	o = append(o, 0x83, 0xab, 0x66, 0x69, 0x6e, 0x67, 0x65, 0x72, 0x70, 0x72, 0x69, 0x6e, 0x74)
+	o = append(o, 0x85, 0xab, 0x66, 0x69, 0x6e, 0x67, 0x65, 0x72, 0x70, 0x72, 0x69, 0x6e, 0x74)
 	o = msgp.AppendUint64(o, z.fingerprint)
 	// string "crashes"
 	o = append(o, 0xa7, 0x63, 0x72, 0x61, 0x73, 0x68, 0x65, 0x73)
-	o = msgp.AppendInt(o, z.crashes)
-	// string "expiresMs"
-	o = append(o, 0xa9, 0x65, 0x78, 0x70, 0x69, 0x72, 0x65, 0x73, 0x4d, 0x73)
-	o = msgp.AppendInt64(o, z.expiresMs)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.crashes)))
+	for za0001 := range z.crashes {
+		o = msgp.AppendUint64(o, z.crashes[za0001])
+	}
+	// string "cleared"
+	o = append(o, 0xa7, 0x63, 0x6c, 0x65, 0x61, 0x72, 0x65, 0x64)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.cleared)))
+	for za0002 := range z.cleared {
+		o = msgp.AppendUint64(o, z.cleared[za0002])
+	}
+	// string "quarantined"
+	o = append(o, 0xab, 0x71, 0x75, 0x61, 0x72, 0x61, 0x6e, 0x74, 0x69, 0x6e, 0x65, 0x64)
+	o = msgp.AppendBool(o, z.quarantined)
+	// string "remainingMs"
+	o = append(o, 0xab, 0x72, 0x65, 0x6d, 0x61, 0x69, 0x6e, 0x69, 0x6e, 0x67, 0x4d, 0x73)
+	o = msgp.AppendInt64(o, z.remainingMs)
 	return
 }
 
@@ -1921,15 +1973,53 @@
 				return
 			}
 		case "crashes":
-			z.crashes, bts, err = msgp.ReadIntBytes(bts)
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "crashes")
 				return
 			}
-		case "expiresMs":
-			z.expiresMs, bts, err = msgp.ReadInt64Bytes(bts)
+			if cap(z.crashes) >= int(zb0002) {
+				z.crashes = (z.crashes)[:zb0002]
+			} else {
+				z.crashes = make([]uint64, zb0002)
+			}
+			for za0001 := range z.crashes {
+				z.crashes[za0001], bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "crashes", za0001)
+					return
+				}
+			}
+		case "cleared":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "expiresMs")
+				err = msgp.WrapError(err, "cleared")
+				return
+			}
+			if cap(z.cleared) >= int(zb0003) {
+				z.cleared = (z.cleared)[:zb0003]
+			} else {
+				z.cleared = make([]uint64, zb0003)
+			}
+			for za0002 := range z.cleared {
+				z.cleared[za0002], bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "cleared", za0002)
+					return
+				}
+			}
+		case "quarantined":
+			z.quarantined, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "quarantined")
+				return
+			}
+		case "remainingMs":
+			z.remainingMs, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "remainingMs")
 				return
 			}
 		default:
@@ -1945,17 +2035,17 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z Suspect) Msgsize() (s int) {
-	s = 1 + 12 + msgp.Uint64Size + 8 + msgp.IntSize + 10 + msgp.Int64Size
+func (z *Suspect) Msgsize() (s int) {
+	s = 1 + 12 + msgp.Uint64Size + 8 + msgp.ArrayHeaderSize + (len(z.crashes) * (msgp.Uint64Size)) + 8 + msgp.ArrayHeaderSize + (len(z.cleared) * (msgp.Uint64Size)) + 12 + msgp.BoolSize + 12 + msgp.Int64Size
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Terms) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 6
 	// string "deadlineMs"
-	o = append(o, 0x85, 0xaa, 0x64, 0x65, 0x61, 0x64, 0x6c, 0x69, 0x6e, 0x65, 0x4d, 0x73)
+	o = append(o, 0x86, 0xaa, 0x64, 0x65, 0x61, 0x64, 0x6c, 0x69, 0x6e, 0x65, 0x4d, 0x73)
 	o = msgp.AppendInt64(o, z.deadlineMs)
 	// string "priority"
 	o = append(o, 0xa8, 0x70, 0x72, 0x69, 0x6f, 0x72, 0x69, 0x74, 0x79)
@@ -1969,6 +2059,9 @@
 	// string "claimKey"
 	o = append(o, 0xa8, 0x63, 0x6c, 0x61, 0x69, 0x6d, 0x4b, 0x65, 0x79)
 	o = msgp.AppendString(o, z.claimKey)
+	// string "suspect"
+	o = append(o, 0xa7, 0x73, 0x75, 0x73, 0x70, 0x65, 0x63, 0x74)
+	o = msgp.AppendBool(o, z.suspect)
 	return
 }
 
@@ -2020,6 +2113,12 @@
 				err = msgp.WrapError(err, "claimKey")
 				return
 			}
+		case "suspect":
+			z.suspect, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "suspect")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2034,7 +2133,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Terms) Msgsize() (s int) {
-	s = 1 + 11 + msgp.Int64Size + 9 + msgp.IntSize + 11 + msgp.BoolSize + 7 + msgp.BoolSize + 9 + msgp.StringPrefixSize + len(z.claimKey)
+	s = 1 + 11 + msgp.Int64Size + 9 + msgp.IntSize + 11 + msgp.BoolSize + 7 + msgp.BoolSize + 9 + msgp.StringPrefixSize + len(z.claimKey) + 8 + msgp.BoolSize
 	return
 }
 
--- a/entry/connection/agent/link.go
+++ b/entry/connection/agent/link.go
@@ -45,6 +45,9 @@
 	OnHeartbeat func(link *Link, beat *frame.Heartbeat)
 	// OnChange is told when the link gains or loses its connection.
 	OnChange func(link *Link, connected bool)
+	// OnCrash is told of crashes of the agent's upstream; it may be nil and must
+	// not block.
+	OnCrash func(upstream string, m *frame.Crash)
 
 	mu          sync.Mutex
 	conn        *peer.Conn
@@ -232,6 +235,10 @@
 		l.answered(id, state)
 		return
 	}
+	if crash, ok := m.(*frame.Crash); ok {
+		l.crashed(crash)
+		return
+	}
 	e := l.exchange(id)
 	if e == nil {
 		l.stray(id)
--- a/entry/connection/agent/pool.go
+++ b/entry/connection/agent/pool.go
@@ -30,6 +30,8 @@
 	View func() *relay.Snapshot
 	// Dial connects to an agent; nil dials TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// OnCrash is told of crashes of upstreams; nil ignores them.
+	OnCrash func(upstream string, m *frame.Crash)
 	// Random seeds the jitter of each link; nil uses the global source.
 	Random *rand.Rand
 
@@ -101,6 +103,7 @@
 		Heartbeat:   func() *frame.Heartbeat { return frame.NewHeartbeat(p.View().Version(), frame.Load{}) },
 		OnHeartbeat: func(_ *Link, beat *frame.Heartbeat) { l.setLoad(beat.Load()) },
 		OnChange:    func(*Link, bool) {},
+		OnCrash:     p.OnCrash,
 	}
 	p.links[i.Name()] = l
 	go l.Run(running)
--- a/entry/process/claims/peers.go
+++ b/entry/process/claims/peers.go
@@ -142,6 +142,9 @@
 
 // handleAsk takes what another entry sends to an owner here.
 func (s *Service) handleAsk(id frame.ID, m frame.Message) {
+	if s.shared(m) {
+		return
+	}
 	key, e, err := ownerEvent(id, m, s.Clock.Now())
 	if err != nil {
 		s.stray(id)
@@ -152,6 +155,9 @@
 
 // handleReply takes an owner's reply.
 func (s *Service) handleReply(id frame.ID, m frame.Message) {
+	if s.shared(m) {
+		return
+	}
 	reply, ok := m.(*frame.ClaimReply)
 	if !ok || id.Incarnation() != s.Self.Incarnation() {
 		s.stray(id)
--- a/entry/process/claims/service.go
+++ b/entry/process/claims/service.go
@@ -54,6 +54,8 @@
 	View     func() *relay.Snapshot
 	// Query asks the agent of an upstream about a claim.
 	Query func(ctx context.Context, upstream, claimKey string) (*frame.ClaimState, error)
+	// OnShares receives what other entries share; nil ignores it.
+	OnShares func(*frame.Shares)
 
 	start    sync.Once
 	inbox    *ring.Ring[input]
@@ -181,6 +183,8 @@
 		delete(s.waiting, in.request)
 	case asker:
 		s.asker(in)
+	case broadcast:
+		s.broadcast(in)
 	}
 }
 
--- /dev/null
+++ b/entry/process/claims/shares.go
@@ -0,0 +1,38 @@
+package claims
+
+import (
+	"goldcrestshore/core/connection/frame"
+	"goldcrestshore/entry/request/claim"
+)
+
+// broadcast is a frame for every connected entry.
+type broadcast struct{ message *frame.Shares }
+
+func (broadcast) input() {}
+
+// Broadcast sends m to every connected entry. It does not wait: what finds no
+// room is lost, and the sender repeats it.
+func (s *Service) Broadcast(m *frame.Shares) {
+	s.prepare()
+	_ = s.inbox.Offer(broadcast{m})
+}
+
+// broadcast offers a frame to the connections of both directions. Two entries
+// that each hold a shard get it twice, which does no harm.
+func (s *Service) broadcast(b broadcast) {
+	for _, d := range s.peers {
+		d.out.offer(claim.Ref{}, b.message)
+	}
+	for _, out := range s.askers {
+		out.offer(claim.Ref{}, b.message)
+	}
+}
+
+// shared takes a Shares frame and reports whether m is one.
+func (s *Service) shared(m frame.Message) bool {
+	shares, ok := m.(*frame.Shares)
+	if ok && s.OnShares != nil {
+		s.OnShares(shares)
+	}
+	return ok
+}
--- a/entry/process/server/server.go
+++ b/entry/process/server/server.go
@@ -27,6 +27,7 @@
 	"goldcrestshore/entry/connection/agent"
 	"goldcrestshore/entry/process/burn"
 	"goldcrestshore/entry/process/claims"
+	"goldcrestshore/entry/process/suspects"
 	"goldcrestshore/entry/request/caller"
 	"goldcrestshore/entry/request/dispatch"
 )
@@ -52,6 +53,7 @@
 	pool     *agent.Pool
 	burn     *burn.Recorder
 	claims   *claims.Service
+	suspects *suspects.Service
 	callers  *caller.Server
 }
 
@@ -73,6 +75,7 @@
 	group.Go(func() error { s.register(stopping); return nil })
 	group.Go(func() error { s.burn.Run(running); return nil })
 	group.Go(func() error { return s.claims.Run(running) })
+	group.Go(func() error { s.suspects.Run(running); return nil })
 	group.Go(func() error {
 		return metric.Serve(running, s.Settings.Admin(), map[string]http.Handler{"/metrics": s.Metrics.Handler()})
 	})
@@ -143,12 +146,14 @@
 		Platform: s.platform, Clock: s.clock, Log: s.Log, Self: s.self, Key: s.Settings.Key(),
 		View: s.views.Current, Query: s.pool.Query,
 	}
+	s.suspects = &suspects.Service{Clock: s.clock, Log: s.Log, View: s.views.Current, Broadcast: s.claims.Broadcast}
+	s.claims.OnShares, s.pool.OnCrash = s.suspects.Received, s.suspects.Crashed
 	s.callers = &caller.Server{
 		Recorder:       s.burn,
 		Clock:          s.clock,
 		Log:            s.Log,
 		View:           s.views.Current,
-		Dispatcher:     &dispatch.Dispatcher{Pool: s.pool, Clock: s.clock, Log: s.Log, Incarnation: s.self.Incarnation(), Claims: s.claims},
+		Dispatcher:     &dispatch.Dispatcher{Pool: s.pool, Clock: s.clock, Log: s.Log, Incarnation: s.self.Incarnation(), Claims: s.claims, Suspects: s.suspects},
 		Listen:         s.Callers,
 		MaxConnections: s.MaxConnections,
 		MaxRequests:    s.MaxRequests,
--- a/entry/request/dispatch/claimed.go
+++ b/entry/request/dispatch/claimed.go
@@ -9,6 +9,7 @@
 	"goldcrestshore/core/request/outcome"
 	"goldcrestshore/entry/connection/agent"
 	"goldcrestshore/entry/process/claims"
+	"goldcrestshore/entry/process/suspects"
 	"goldcrestshore/entry/request/caller"
 	"goldcrestshore/entry/request/claim"
 	"goldcrestshore/entry/request/retry"
@@ -32,6 +33,7 @@
 	answer  *caller.Answer
 	call    *claims.Call
 	link    *agent.Link
+	sending *suspects.Sending // nil without a check of suspects
 	state   retry.Request
 }
 
@@ -45,6 +47,7 @@
 	call := d.Claims.Open(r.Customer().Name(), r.Key(), q.Method(), q.Path(), q.Body(), r.Deadline())
 	defer call.Close()
 	c := &claimed{Dispatcher: d, request: r, answer: a, call: call, state: retry.NewRequest(false)}
+	defer c.endSending(false)
 	tried := map[string]bool{}
 	step, err := c.begin(ctx, available, tried)
 	for err == nil {
@@ -82,21 +85,27 @@
 	if c.link == nil {
 		return c.call.GaveUp(ctx, outcome.Refuse(outcome.NoUpstream, outcome.NotRun, 1000))
 	}
+	// The owner turns the refusal of this sending into one that is true for the key.
+	if err := c.check(ctx, tried); err != nil {
+		return c.call.GaveUp(ctx, outcome.As(err))
+	}
 	return c.call.Ask(ctx, c.link.Name, c.link.Incarnation())
 }
 
 // submitOnce submits the request under a grant and reports the answer.
 func (c *claimed) submitOnce(ctx context.Context, grant string) error {
 	id := frame.NewID(c.Incarnation, c.sequence.Add(1))
-	e, err := c.link.Submit(id, c.submit(c.request, grant))
+	ctx = c.sendingContext(ctx)
+	e, err := c.link.Submit(id, marked(c.submit(c.request, grant), c.sending != nil && c.sending.Suspect()))
 	if err != nil {
 		return &attemptError{retry.LostBeforeSubmit, outcome.NoUpstream, 0}
 	}
 	defer e.Close()
 	captured := &capture{Answer: c.answer}
 	if err := copyAnswer(ctx, e, captured); err != nil {
-		return err
+		return quarantined(c.sending, err)
 	}
+	c.endSending(true)
 	c.call.Finished(captured.stored())
 	return nil
 }
--- a/entry/request/dispatch/dispatch.go
+++ b/entry/request/dispatch/dispatch.go
@@ -16,6 +16,7 @@
 	"goldcrestshore/core/version/relay"
 	"goldcrestshore/entry/connection/agent"
 	"goldcrestshore/entry/process/claims"
+	"goldcrestshore/entry/process/suspects"
 	"goldcrestshore/entry/request/caller"
 	"goldcrestshore/entry/request/retry"
 )
@@ -29,6 +30,8 @@
 	Incarnation uint64
 	// Claims makes requests with a key run at most once; nil refuses them.
 	Claims *claims.Service
+	// Suspects keeps requests from crashing upstreams; nil lets all run.
+	Suspects *suspects.Service
 
 	sequence atomic.Uint64
 	mu       sync.Mutex
@@ -53,8 +56,7 @@
 		if l == nil {
 			return noUpstream(state)
 		}
-		tried[l.Name] = true
-		err := d.attempt(ctx, l, r, a)
+		l, err := d.checkedAttempt(ctx, l, r, a, state, tried)
 		if err == nil || ctx.Err() != nil {
 			return err
 		}
@@ -100,9 +102,9 @@
 
 // attempt runs the request once. Its error is an attemptError unless the caller
 // has left or the deadline has passed.
-func (d *Dispatcher) attempt(ctx context.Context, l *agent.Link, r *caller.Request, a *caller.Answer) error {
+func (d *Dispatcher) attempt(ctx context.Context, l *agent.Link, r *caller.Request, a *caller.Answer, suspect bool) error {
 	id := frame.NewID(d.Incarnation, d.sequence.Add(1))
-	e, err := l.Submit(id, d.submit(r, ""))
+	e, err := l.Submit(id, marked(d.submit(r, ""), suspect))
 	if err != nil {
 		return &attemptError{retry.LostBeforeSubmit, outcome.NoUpstream, 0}
 	}
