--- a/entry/connection/agent/pool.go
+++ b/entry/connection/agent/pool.go
@@ -41,6 +41,8 @@
 	View func() *relay.Snapshot
 	// Dial connects to an agent; nil dials TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// OnCrash is told of crashes of upstreams; nil ignores them.
+	OnCrash func(upstream string, m *frame.Crash)
 	// Random seeds the jitter of each link; nil uses the global source.
 	Random *rand.Rand
 
@@ -109,6 +111,7 @@
 				p.Router.Lost(i.Name())
 			}
 		},
+		OnCrash: p.OnCrash,
 	}
 	p.links[i.Name()] = l
 	go l.Run(running)
--- a/entry/request/dispatch/claimed.go
+++ b/entry/request/dispatch/claimed.go
@@ -9,6 +9,7 @@
 	"goldcrestshore/core/request/outcome"
 	"goldcrestshore/core/request/stored"
 	"goldcrestshore/entry/process/claims"
+	"goldcrestshore/entry/process/suspects"
 	"goldcrestshore/entry/request/caller"
 	"goldcrestshore/entry/request/retry"
 	"goldcrestshore/entry/request/schedule"
@@ -33,6 +34,9 @@
 	call    *claims.Call
 	turn    *schedule.Turn
 	state   retry.Request
+
+	upstream string            // where the next submit goes
+	sending  *suspects.Sending // nil without a check of suspects
 }
 
 // dispatchClaimed runs a keyed request at most once over all entries. If its
@@ -47,6 +51,7 @@
 	c := &claimed{Dispatcher: d, request: r, answer: a, call: call, state: retry.NewRequest(false)}
 	complete := false
 	defer func() {
+		c.endSending(complete)
 		if c.turn != nil {
 			c.turn.Close(complete)
 		}
@@ -86,14 +91,18 @@
 	return c.ask(ctx)
 }
 
-// ask claims the key for the upstream of the turn. Upstreams without a
-// connection are passed over.
+// ask claims the key for the upstream of the turn, or for the only one that the
+// check of suspects allows. Upstreams without a connection are passed over.
 func (c *claimed) ask(ctx context.Context) (claims.Step, error) {
 	for {
-		if l := c.Pool.Link(c.turn.Upstream()); l != nil && l.Connected() {
+		// The owner turns a refusal of this sending into one that is true for the key.
+		if err := c.check(ctx); err != nil {
+			return c.call.GaveUp(ctx, outcome.As(err))
+		}
+		if l := c.Pool.Link(c.upstream); l != nil && l.Connected() {
 			return c.call.Ask(ctx, l.Name, l.Incarnation())
 		}
-		c.Scheduler.Lost(c.turn.Upstream())
+		c.Scheduler.Lost(c.upstream)
 		if err := c.turn.Again(ctx, false); err != nil {
 			return c.call.GaveUp(ctx, outcome.As(deadlineRefusal(err, outcome.NotRun)))
 		}
@@ -102,14 +111,10 @@
 
 // submitOnce submits the request under a grant and reports the answer.
 func (c *claimed) submitOnce(ctx context.Context, grant string) error {
-	e, err := c.send(c.turn, c.submit(c.request, grant))
-	if err != nil {
-		return err
-	}
-	defer e.Close()
 	captured := &capture{Answer: c.answer}
-	if err := copyAnswer(ctx, e, captured, c.turn.Answering); err != nil {
-		return err
+	m := marked(c.submit(c.request, grant), c.sending != nil && c.sending.Suspect())
+	if err := c.attempt(c.sendingContext(ctx), c.upstream, m, captured, c.turn.Answering); err != nil {
+		return quarantined(c.sending, err)
 	}
 	c.call.Finished(captured.answered())
 	return nil
--- a/entry/request/dispatch/dispatch.go
+++ b/entry/request/dispatch/dispatch.go
@@ -6,6 +6,7 @@
 	"context"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -17,6 +18,7 @@
 	"goldcrestshore/core/version/text"
 	"goldcrestshore/entry/connection/agent"
 	"goldcrestshore/entry/process/claims"
+	"goldcrestshore/entry/process/suspects"
 	"goldcrestshore/entry/request/caller"
 	"goldcrestshore/entry/request/customer"
 	"goldcrestshore/entry/request/retry"
@@ -24,6 +26,10 @@
 	"goldcrestshore/entry/request/schedule"
 )
 
+// restartPause is short against the objective for the first token and long
+// against the time in which a supervisor starts a process again.
+const restartPause = 100 * clock.Millis(1)
+
 // Dispatcher runs requests on agents. Exported fields are set before use.
 type Dispatcher struct {
 	Pool *agent.Pool
@@ -35,6 +41,8 @@
 	Incarnation uint64
 	// Claims makes requests with a key run at most once; nil refuses them.
 	Claims *claims.Service
+	// Suspects keeps requests that crash upstreams apart; nil checks nothing.
+	Suspects *suspects.Service
 
 	sequence atomic.Uint64
 	mu       sync.Mutex
@@ -88,8 +96,7 @@
 func (d *Dispatcher) run(ctx context.Context, r *caller.Request, a *caller.Answer, turn *schedule.Turn) error {
 	state := retry.NewRequest(r.Idempotent())
 	for {
-		upstream := turn.Upstream()
-		err := d.attempt(ctx, turn, r, a)
+		upstream, err := d.checkedAttempt(ctx, turn, r, a, state)
 		if err == nil || ctx.Err() != nil {
 			return err
 		}
@@ -106,12 +113,24 @@
 				d.Log.Error(event.RequestRetried, err, event.Fields{"upstream": upstream})
 			}
 		}
+		if failed.code == outcome.NoUpstream {
+			pause(ctx)
+		}
 		if err := turn.Again(ctx, failed.ran()); err != nil {
 			return d.stopped(err, state)
 		}
 	}
 }
 
+// pause lets an upstream that refuses connections restart before the next
+// attempt, which may have no other upstream.
+func pause(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(restartPause.Duration()):
+	}
+}
+
 // stopped refuses a request that gets no further upstream.
 func (d *Dispatcher) stopped(err error, state retry.Request) error {
 	result := outcome.NotRun
@@ -139,28 +158,28 @@
 	return d.budget.Handle(e)
 }
 
-// attempt runs the request once. Its error is an attemptError unless the caller
-// has left or the deadline has passed.
-func (d *Dispatcher) attempt(ctx context.Context, turn *schedule.Turn, r *caller.Request, a *caller.Answer) error {
-	e, err := d.send(turn, d.submit(r, ""))
+// attempt runs the request once on an upstream. Its error is an attemptError
+// unless the caller has left or the deadline has passed.
+func (d *Dispatcher) attempt(ctx context.Context, upstream string, m *frame.Submit, a answer, answering func()) error {
+	e, err := d.send(upstream, m)
 	if err != nil {
 		return err
 	}
 	defer e.Close()
-	return copyAnswer(ctx, e, a, turn.Answering)
+	return copyAnswer(ctx, e, a, answering)
 }
 
-// send submits m to the upstream of a turn. Its error is an attemptError for a
-// request that has not left this process.
-func (d *Dispatcher) send(turn *schedule.Turn, m *frame.Submit) (*agent.Exchange, error) {
+// send submits m to an upstream. Its error is an attemptError for a request that
+// has not left this process.
+func (d *Dispatcher) send(upstream string, m *frame.Submit) (*agent.Exchange, error) {
 	id := frame.NewID(d.Incarnation, d.sequence.Add(1))
-	l := d.Pool.Link(turn.Upstream())
+	l := d.Pool.Link(upstream)
 	if l != nil {
 		if e, err := l.Submit(id, m); err == nil {
 			return e, nil
 		}
 	}
-	d.Scheduler.Lost(turn.Upstream())
+	d.Scheduler.Lost(upstream)
 	return nil, &attemptError{retry.LostBeforeSubmit, outcome.NoUpstream, 0}
 }
 
