--- /dev/null
+++ b/entry/process/suspects/suspects_test.go
@@ -0,0 +1,85 @@
+package suspects
+
+import (
+	"context"
+	"errors"
+	"io"
+	"testing"
+
+	"goldcrestshore/core/connection/frame"
+	"goldcrestshore/core/connection/platform"
+	"goldcrestshore/core/process/check"
+	"goldcrestshore/core/process/clock"
+	"goldcrestshore/core/process/event"
+	"goldcrestshore/core/request/outcome"
+	"goldcrestshore/core/version/mark"
+	"goldcrestshore/core/version/relay"
+)
+
+// newTestService returns the service of an entry with three upstreams.
+func newTestService(t *testing.T, c *clock.Clock) *Service {
+	t.Helper()
+	log, err := event.NewLog(io.Discard, "error", "entry", "entry-1")
+	check.NoError(t, "NewLog", err)
+	var list []platform.Instance
+	for _, name := range []string{"a", "b", "c"} {
+		list = append(list, platform.NewInstance(name, platform.RoleAgent, "bilbao", name).WithUpstream("u", "redactor"))
+	}
+	view := relay.NewSnapshot(1, nil, mark.Set{}, list)
+	return &Service{Clock: c, Log: log, View: func() *relay.Snapshot { return view }}
+}
+
+// codeOf returns the code of a refusal, empty for none.
+func codeOf(err error) outcome.Code {
+	var r *outcome.Refusal
+	if errors.As(err, &r) {
+		return r.Code()
+	}
+	return ""
+}
+
+// Guards against a suspect that goes back to the upstream it crashed, and
+// against a sending that goes on after its quarantine.
+func TestSecondCrashCancels(t *testing.T) {
+	s := newTestService(t, clock.NewManual(clock.Hour))
+	s.Crashed("a", frame.NewCrash(1, []uint64{7}))
+	sending, err := s.Begin(t.Context(), 7, "redactor", "a")
+	check.NoError(t, "suspect", err)
+	check.Equal(t, "suspect", sending.Suspect(), true)
+	check.Equal(t, "goes back", sending.Upstream() == "a", false)
+	s.Crashed(sending.Upstream(), frame.NewCrash(1, []uint64{7}))
+	check.Equal(t, "cancelled", sending.Quarantined(), true)
+	sending.End(false)
+	_, err = s.Begin(t.Context(), 7, "redactor", "a")
+	check.Equal(t, "sent again", codeOf(err), outcome.Quarantined)
+	other, err := s.Begin(t.Context(), 8, "redactor", "a")
+	check.NoError(t, "another request", err)
+	check.Equal(t, "another request is suspect", other.Suspect(), false)
+}
+
+// Guards against an entry that lets a request run which another has quarantined,
+// and against verdicts that two entries send each other without end.
+func TestVerdictsReachAnotherEntry(t *testing.T) {
+	c := clock.NewManual(clock.Hour)
+	first, second := newTestService(t, c), newTestService(t, c)
+	frames := 0
+	first.Broadcast = func(m *frame.Shares) { frames++; second.Received(m) }
+	second.Broadcast = func(m *frame.Shares) { frames++; first.Received(m) }
+	first.Crashed("a", frame.NewCrash(1, []uint64{7}))
+	first.Crashed("b", frame.NewCrash(1, []uint64{7}))
+	_, err := second.Begin(t.Context(), 7, "redactor", "c")
+	check.Equal(t, "at the other entry", codeOf(err), outcome.Quarantined)
+	check.Equal(t, "frames", frames, 4)
+}
+
+// Guards against a caller that waits for another suspect after it has left.
+func TestWaitEndsWithTheCaller(t *testing.T) {
+	s := newTestService(t, clock.NewManual(clock.Hour))
+	s.Crashed("a", frame.NewCrash(1, []uint64{7}))
+	_, err := s.Begin(t.Context(), 7, "redactor", "b")
+	check.NoError(t, "first copy", err)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err = s.Begin(ctx, 7, "redactor", "b")
+	check.Equal(t, "second copy", codeOf(err), outcome.Overloaded)
+}
