Let session tests end with frames on their way

Cause: TestInnocentRunsAgain failed in 1 of about 74 runs with "blocked goroutines remain"; the record of the session was right, but a frame was still delayed by the modelled latency when the test's virtual time stopped.

Change: a session waits for twice the latency after its record is taken, and closes its connections when a check fails.

Conclusion: the checks are unchanged; only the end of the harness waits.

--- a/measure/session/harness_test.go
+++ b/measure/session/harness_test.go
@@ -122,10 +122,14 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		s := newSession(t, ctx, upstreams)
+		defer s.closeAll()
 		steps(s)
 		cancel()
 		synctest.Wait()
 		got = s.text()
+		// Frames on their way arrive; time stops when this function returns.
+		time.Sleep(2 * latency)
+		synctest.Wait()
 	})
 	return got
 }
@@ -244,6 +248,15 @@
 	s.conns = nil
 }
 
+// closeAll ends the writes that wait for a reader which has stopped.
+func (s *session) closeAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.conns {
+		_ = c.Close()
+	}
+}
+
 // silence drops everything that is sent on the present connections, which stay
 // open.
 func (s *session) silence() {
