Hold customers' limits over all entries

Cause: each entry applied a customer's limit by itself, so a customer with two entries had twice its limit. Change: entries send their customers' use to each other each second over the connections that claims and verdicts use; the queue takes it as before in virtual time.

--- a/core/connection/frame/accessors.go
+++ b/core/connection/frame/accessors.go
@@ -338,10 +338,13 @@
 func (v *Version) Value() []byte { return v.value }
 
 // NewShares returns a Shares with the given fields.
-func NewShares(customers []Share, suspects []Suspect) *Shares {
-	return &Shares{customers, suspects}
+func NewShares(entry string, customers []Share, suspects []Suspect) *Shares {
+	return &Shares{entry, customers, suspects}
 }
 
+// Entry returns the name of the sending instance.
+func (s *Shares) Entry() string { return s.entry }
+
 // Customers returns the rates measured at the sending entry.
 func (s *Shares) Customers() []Share { return s.customers }
 
--- a/core/connection/frame/messages.go
+++ b/core/connection/frame/messages.go
@@ -177,6 +177,7 @@
 
 // Shares tells other entries a customer's use and the suspects seen here.
 type Shares struct {
+	entry     string
 	customers []Share
 	suspects  []Suspect
 }
--- a/core/connection/frame/messages_gen.go
+++ b/core/connection/frame/messages_gen.go
@@ -1504,9 +1504,12 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Shares) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
+	// map header, size 3
+	// string "entry"
+	o = append(o, 0x83, 0xa5, 0x65, 0x6e, 0x74, 0x72, 0x79)
+	o = msgp.AppendString(o, z.entry)
 	// string "customers"
-	o = append(o, 0x82, 0xa9, 0x63, 0x75, 0x73, 0x74, 0x6f, 0x6d, 0x65, 0x72, 0x73)
+	o = append(o, 0xa9, 0x63, 0x75, 0x73, 0x74, 0x6f, 0x6d, 0x65, 0x72, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.customers)))
 	for za0001 := range z.customers {
 		// map header, size 3
@@ -1551,6 +1554,12 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "entry":
+			z.entry, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "entry")
+				return
+			}
 		case "customers":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -1638,7 +1647,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Shares) Msgsize() (s int) {
-	s = 1 + 10 + msgp.ArrayHeaderSize
+	s = 1 + 6 + msgp.StringPrefixSize + len(z.entry) + 10 + msgp.ArrayHeaderSize
 	for za0001 := range z.customers {
 		s += 1 + 9 + msgp.StringPrefixSize + len(z.customers[za0001].customer) + 9 + msgp.Int64Size + 5 + msgp.IntSize
 	}
--- a/entry/process/server/server.go
+++ b/entry/process/server/server.go
@@ -80,6 +80,7 @@
 	group.Go(func() error { s.burn.Run(running); return nil })
 	group.Go(func() error { return s.claims.Run(running) })
 	group.Go(func() error { s.suspects.Run(running); return nil })
+	group.Go(func() error { s.shareLimits(running); return nil })
 	group.Go(func() error {
 		return metric.Serve(running, s.Settings.Admin(), map[string]http.Handler{"/metrics": s.Metrics.Handler()})
 	})
@@ -155,7 +156,7 @@
 		View: s.views.Current, Query: s.pool.Query,
 	}
 	s.suspects = &suspects.Service{Clock: s.clock, Log: s.Log, View: s.views.Current, Broadcast: s.claims.Broadcast}
-	s.claims.OnShares, s.pool.OnCrash = s.suspects.Received, s.suspects.Crashed
+	s.claims.OnShares, s.pool.OnCrash = s.shared, s.suspects.Crashed
 	s.callers = &caller.Server{
 		Recorder:       s.burn,
 		Clock:          s.clock,
--- /dev/null
+++ b/entry/process/server/shares.go
@@ -0,0 +1,38 @@
+package server
+
+import (
+	"context"
+	"time"
+
+	"goldcrestshore/core/connection/frame"
+	"goldcrestshore/core/process/clock"
+)
+
+// shareInterval is how often entries tell each other what their customers use;
+// package customer forgets another entry's shares after a few of them.
+const shareInterval = 1 * clock.Second
+
+// shareLimits tells the other entries what the customers use here, so that
+// limits hold over all entries, until ctx is done.
+func (s *Server) shareLimits(ctx context.Context) {
+	ticker := time.NewTicker(shareInterval.Duration())
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if shares := s.scheduler.Shares(); len(shares) > 0 {
+			s.claims.Broadcast(frame.NewShares(s.Settings.Instance(), shares, nil))
+		}
+	}
+}
+
+// shared takes what another entry tells.
+func (s *Server) shared(m *frame.Shares) {
+	if m.Entry() != "" {
+		s.scheduler.Merge(m.Entry(), m.Customers())
+	}
+	s.suspects.Received(m)
+}
--- a/entry/process/suspects/convert.go
+++ b/entry/process/suspects/convert.go
@@ -14,7 +14,7 @@
 	for _, v := range verdicts {
 		all = append(all, frame.NewSuspect(uint64(v.Fingerprint()), numbers[uint64](v.Crashes()), numbers[uint64](v.Cleared()), v.Quarantined(), int64(v.Remaining())))
 	}
-	return frame.NewShares(nil, all)
+	return frame.NewShares("", nil, all)
 }
 
 func verdictsOf(m *frame.Shares) []suspect.Verdict {
