Resume event streams only for idempotent requests and the same incarnation

Cause: found by reading: after an engine's crash the agent's resume could give the crashing request to the new process, and a keyed request's broken stream was sent to its engine again. Change: a resume names the incarnation, and an engine of another one answers 409; non-idempotent requests are not resumed.

--- a/agent/request/upstream/client.go
+++ b/agent/request/upstream/client.go
@@ -103,7 +103,7 @@
 // Run performs the call of m as request id and copies the answer. A streamed
 // answer that breaks off is resumed where the engine still holds it.
 func (c *Client) Run(ctx context.Context, id string, m *frame.Submit, answer Answer) error {
-	response, err := c.send(ctx, id, m, 0)
+	response, err := c.send(ctx, id, m, resumption{})
 	if err != nil {
 		return err
 	}
@@ -115,8 +115,16 @@
 	return c.copyEvents(ctx, id, m, answer, response)
 }
 
-func (c *Client) send(ctx context.Context, id string, m *frame.Submit, resumeAt int) (*http.Response, error) {
-	request, err := c.newRequest(ctx, id, m, resumeAt)
+// resumption tells where an event stream is taken up again. An engine of
+// another incarnation refuses it, so that a request that has crashed the engine
+// is not given to the next one.
+type resumption struct {
+	events      int
+	incarnation string
+}
+
+func (c *Client) send(ctx context.Context, id string, m *frame.Submit, r resumption) (*http.Response, error) {
+	request, err := c.newRequest(ctx, id, m, r)
 	if err != nil {
 		return nil, errors.Wrapf(ErrNotStarted, "build request: %v", err)
 	}
@@ -131,7 +139,7 @@
 	return response, nil
 }
 
-func (c *Client) newRequest(ctx context.Context, id string, m *frame.Submit, resumeAt int) (*http.Request, error) {
+func (c *Client) newRequest(ctx context.Context, id string, m *frame.Submit, r resumption) (*http.Request, error) {
 	call := m.Call()
 	url := "http://" + c.address + call.Path()
 	request, err := http.NewRequestWithContext(ctx, call.Method(), url, bytes.NewReader(call.Body()))
@@ -143,8 +151,9 @@
 	}
 	request.Header.Set(requestIDHeader, id)
 	request.Header.Set(priorityHeader, strconv.Itoa(m.Terms().Priority()))
-	if resumeAt > 0 {
-		request.Header.Set(resumeHeader, strconv.Itoa(resumeAt))
+	if r.events > 0 {
+		request.Header.Set(resumeHeader, strconv.Itoa(r.events))
+		request.Header.Set(incarnationHeader, r.incarnation)
 	}
 	if !m.Terms().Idempotent() {
 		request.GetBody = nil
--- a/agent/request/upstream/events.go
+++ b/agent/request/upstream/events.go
@@ -47,10 +47,10 @@
 		if !errors.Is(err, ErrBroken) || ctx.Err() != nil {
 			return err
 		}
-		if attempt == maxResumes || incarnation == "" || copied == 0 {
+		if attempt == maxResumes || incarnation == "" || copied == 0 || !m.Terms().Idempotent() {
 			return err
 		}
-		next, sendErr := c.send(ctx, id, m, copied)
+		next, sendErr := c.send(ctx, id, m, resumption{copied, incarnation})
 		if sendErr != nil {
 			return errors.Wrapf(ErrBroken, "resume at %d: %v", copied, sendErr)
 		}
--- a/agent/request/upstream/upstream_test.go
+++ b/agent/request/upstream/upstream_test.go
@@ -103,6 +103,7 @@
 					return
 				}
 				check.Equal(t, "resume offset", q.Header.Get(resumeHeader), "1")
+				check.Equal(t, "incarnation that is resumed", q.Header.Get(incarnationHeader), "1")
 				w.Header().Set(incarnationHeader, c.second)
 				_, _ = io.WriteString(w, "data: 2\n\ndata: [DONE]\n\n")
 			})
@@ -162,3 +163,18 @@
 		check.Equal(t, "status", r.status, http.StatusInternalServerError)
 	}
 }
+
+// Guards against a non-idempotent request that runs a second time because its
+// stream is taken up again.
+func TestNonIdempotentStreamIsNotResumed(t *testing.T) {
+	var calls atomic.Int32
+	address := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		calls.Add(1)
+		w.Header().Set(contentTypeHeader, eventStreamType)
+		w.Header().Set(incarnationHeader, "1")
+		_, _ = io.WriteString(w, "data: 1\n\n")
+	})
+	_, err := run(t, address, call("POST", false))
+	check.Is(t, "Run", err, ErrBroken)
+	check.Equal(t, "calls", calls.Load(), 1)
+}
--- a/standin/process/engine/engine_test.go
+++ b/standin/process/engine/engine_test.go
@@ -115,6 +115,11 @@
 	check.Equal(t, "bytes from the offset on", strings.HasSuffix(streamed, resumed), true)
 	check.Equal(t, "resumed text", text(t, resumed), want[3*answer.TokenBytes:])
 
+	response, err := r.post(t, "/v1/chat/completions", chatOf(prompt, 5, true), "X-Resume-Offset", "3", incarnationHeader, "0")
+	check.NoError(t, "resume of another incarnation", err)
+	check.Equal(t, "status", response.StatusCode, http.StatusConflict)
+	check.NoError(t, "close", response.Body.Close())
+
 	for _, malformed := range []string{"{", `{"messages":[]}`, chatOf(prompt, -1, true)} {
 		response, err := r.post(t, "/v1/chat/completions", malformed)
 		check.NoError(t, "malformed", err)
--- a/standin/process/engine/run.go
+++ b/standin/process/engine/run.go
@@ -37,6 +37,10 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if c.resume > 0 && !e.holds(r.Header.Get(incarnationHeader)) {
+		http.Error(w, "stream of another incarnation", http.StatusConflict)
+		return
+	}
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
 	u := e.admit(c, cancel)
@@ -55,6 +59,14 @@
 	}
 }
 
+// holds tells whether a stream of an incarnation can be resumed here. A caller
+// that names none takes what it gets.
+func (e *Engine) holds(incarnation string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return incarnation == "" || incarnation == strconv.FormatUint(e.state.incarnation, 10)
+}
+
 // admit holds the request; nil when the engine fails from it.
 func (e *Engine) admit(c *chat, cancel context.CancelFunc) *run {
 	e.mu.Lock()
