--- a/agent/process/server/server.go
+++ b/agent/process/server/server.go
@@ -33,8 +33,6 @@
 	// leaveNotice is how long a stopping agent keeps refusing new work, so that
 	// every entry has heard that it leaves before connections close.
 	leaveNotice = 1 * time.Second
-	// deregisterTimeout bounds the last platform call of a stopping agent.
-	deregisterTimeout = 2 * time.Second
 )
 
 // Server is the agent process. Exported fields are set before Run.
@@ -183,18 +181,17 @@
 func (s *Server) register(ctx context.Context) {
 	i := platform.NewInstance(s.Settings.Instance(), platform.RoleAgent, s.Settings.DataCentre(), s.Settings.Advertise()).
 		WithUpstream(s.Upstream, s.Service)
-	platform.Announce(ctx, s.platform, i, func(err error) { s.Log.Error(event.PlatformFailed, err, nil) })
+	platform.Announce(ctx, s.platform, i, s.platformFailed)
 }
 
+// platformFailed logs a failed platform call.
+func (s *Server) platformFailed(err error) { s.Log.Error(event.PlatformFailed, err, nil) }
+
 // drain refuses new work, waits for held requests and leaves the list.
 func (s *Server) drain(ctx context.Context) {
 	s.Log.Emit(event.ProcessStopping, event.Fields{"held": s.entries.Held()})
 	s.gate.leave()
-	deregister, cancel := context.WithTimeout(ctx, deregisterTimeout)
-	defer cancel()
-	if err := s.platform.Deregister(deregister, s.Settings.Instance()); err != nil {
-		s.Log.Error(event.PlatformFailed, err, nil)
-	}
+	platform.Depart(ctx, s.platform, s.Settings.Instance(), s.platformFailed)
 	notice := time.After(leaveNotice)
 	for s.entries.Held() > 0 && ctx.Err() == nil {
 		time.Sleep(drainPoll)
--- a/entry/process/server/server.go
+++ b/entry/process/server/server.go
@@ -10,7 +10,6 @@
 	"os/signal"
 	"slices"
 	"syscall"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
@@ -34,9 +33,6 @@
 	"goldcrestshore/entry/request/schedule"
 )
 
-// deregisterTimeout bounds the last platform call of a stopping entry.
-const deregisterTimeout = 2 * time.Second
-
 // Server is the entry process. Exported fields are set before Run.
 type Server struct {
 	Settings *settings.Common
@@ -88,7 +84,7 @@
 		<-stopping.Done()
 		s.Log.Emit(event.ProcessStopping, event.Fields{"held": s.callers.Open()})
 		s.callers.Stop()
-		s.deregister(running)
+		platform.Depart(running, s.platform, s.Settings.Instance(), s.platformFailed)
 		return nil
 	})
 	group.Go(func() error {
@@ -122,17 +118,11 @@
 // register announces the entry to the platform and tries again until it works.
 func (s *Server) register(ctx context.Context) {
 	i := platform.NewInstance(s.Settings.Instance(), platform.RoleEntry, s.Settings.DataCentre(), s.Settings.Advertise())
-	platform.Announce(ctx, s.platform, i, func(err error) { s.Log.Error(event.PlatformFailed, err, nil) })
+	platform.Announce(ctx, s.platform, i, s.platformFailed)
 }
 
-// deregister takes the entry off the list, so that its duties move.
-func (s *Server) deregister(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, deregisterTimeout)
-	defer cancel()
-	if err := s.platform.Deregister(ctx, s.Settings.Instance()); err != nil {
-		s.Log.Error(event.PlatformFailed, err, nil)
-	}
-}
+// platformFailed logs a failed platform call.
+func (s *Server) platformFailed(err error) { s.Log.Error(event.PlatformFailed, err, nil) }
 
 func (s *Server) build() {
 	s.self = peer.NewIdentity(platform.RoleEntry, s.Settings.Instance(), s.Settings.DataCentre())
