Use the field's words in names and comments

Cause: some types and comments spoke of what processes hear, are told or vouch for. Change: reported, announced, connected; comments reworded; no behaviour. Measured: make test passes. Conclusion: kept.

--- a/agent/process/suspects/suspects.go
+++ b/agent/process/suspects/suspects.go
@@ -1,7 +1,7 @@
 // Package suspects runs the agent's decision on requests that crash the
 // upstream. It stands before admission and before the upstream, notices crashes
 // and reports them, with the requests in flight, before any of these requests
-// is told to have failed.
+// is reported to have failed.
 package suspects
 
 import (
@@ -210,7 +210,7 @@
 }
 
 // probe reports whether a crash explains the broken answer of a request, and
-// returns what is to be told of it.
+// returns the report of it.
 func (w *Watch) probe(ctx context.Context, id string) (found bool, m *frame.Crash) {
 	if w.lost(id) {
 		return true, nil
--- a/agent/request/admission/admission.go
+++ b/agent/request/admission/admission.go
@@ -23,15 +23,15 @@
 
 // held is one admitted request.
 type held struct {
-	tokens     int64
-	prompt     int
-	admittedAt clock.Millis
-	order      uint64
-	epoch      uint64
-	observed   bool // the first token says how warm the upstream is
-	vouched    bool // a report younger than the request said warm
-	slow       bool
-	answered   bool
+	tokens       int64
+	prompt       int
+	admittedAt   clock.Millis
+	order        uint64
+	epoch        uint64
+	observed     bool // the first token says how warm the upstream is
+	reportedWarm bool // a report younger than the request said warm
+	slow         bool
+	answered     bool
 }
 
 // Admission is the decision for one upstream. It is not safe for concurrent use.
@@ -233,7 +233,7 @@
 	}
 	n := 0
 	for _, h := range a.held {
-		if h.order > a.proven && !h.vouched {
+		if h.order > a.proven && !h.reportedWarm {
 			n++
 		}
 	}
@@ -341,7 +341,7 @@
 		if h.admittedAt <= now-reportLag {
 			settled++
 			tokens += h.tokens
-			h.vouched = h.vouched || !h.observed && !e.cold
+			h.reportedWarm = h.reportedWarm || !h.observed && !e.cold
 		}
 	}
 	a.orphans.report(now, e.held-settled, e.heldTokens-tokens)
--- a/core/process/event/event.go
+++ b/core/process/event/event.go
@@ -16,7 +16,7 @@
 	text   string
 }
 
-// Number returns the number that stands in logs and refusals.
+// Number returns the number used in logs and refusals.
 func (e Event) Number() int { return e.number }
 
 // Level returns the severity.
@@ -33,7 +33,7 @@
 	entry *logrus.Entry
 }
 
-// NewLog returns a log that writes to w; role and instance stand in each line.
+// NewLog returns a log that writes to w; each line carries the role and the instance.
 func NewLog(w io.Writer, level, role, instance string) (*Log, error) {
 	l, err := logrus.ParseLevel(level)
 	if err != nil {
--- a/core/process/status/status.go
+++ b/core/process/status/status.go
@@ -63,7 +63,7 @@
 // Load returns the state of an agent's upstream.
 func (p Process) Load() Load { return p.load }
 
-// Load is what an agent's upstream holds and can bear.
+// Load is what an agent's upstream holds and can take.
 type Load struct {
 	service string
 	held    int
--- a/core/request/outcome/outcome.go
+++ b/core/request/outcome/outcome.go
@@ -8,7 +8,7 @@
 // Outcome tells a caller whether a refused request can have run.
 type Outcome string
 
-// Outcomes, as they stand in the Goldcrest-Outcome header.
+// Outcomes, as sent in the Goldcrest-Outcome header.
 const (
 	NotRun  Outcome = "not-run" // no upstream can have started the request
 	Unknown Outcome = "unknown" // an upstream may have run the request
--- a/core/version/adopt/adopt.go
+++ b/core/version/adopt/adopt.go
@@ -31,8 +31,8 @@
 	Value   []byte
 }
 
-// Told is a version that a relay says it has in force.
-type Told struct {
+// Reported is a version that a relay says it has in force.
+type Reported struct {
 	At      clock.Millis
 	Relay   string
 	Version uint64
@@ -49,7 +49,7 @@
 }
 
 func (Offer) event()          {}
-func (Told) event()           {}
+func (Reported) event()       {}
 func (PlatformFailed) event() {}
 func (Tick) event()           {}
 
@@ -105,8 +105,8 @@
 	switch e := e.(type) {
 	case Offer:
 		return a.offer(e)
-	case Told:
-		a.hear(e.Relay, e.Version)
+	case Reported:
+		a.note(e.Relay, e.Version)
 		return a.confirm(e.At)
 	case PlatformFailed:
 		a.fail(e.At)
@@ -122,7 +122,7 @@
 		a.platformTold, a.failing = true, false
 		a.known = max(a.known, o.Version)
 	} else {
-		a.hear(o.Relay, o.Version)
+		a.note(o.Relay, o.Version)
 	}
 	return append(a.take(o), a.confirm(o.At)...)
 }
@@ -142,8 +142,8 @@
 	return []Action{Adopt{o.Version, parsed}}
 }
 
-// hear counts a relay towards readiness once it has a version to tell.
-func (a *Adopter) hear(relay string, version uint64) {
+// note counts a relay towards readiness once it has reported a version.
+func (a *Adopter) note(relay string, version uint64) {
 	if version == 0 {
 		return
 	}
--- a/core/version/adopt/adopt_test.go
+++ b/core/version/adopt/adopt_test.go
@@ -45,12 +45,12 @@
 		var a Adopter
 		assertActions(t, "first", a.Step(Offer{0, "r1", 5, valid(5)}), "adopt 5")
 		assertActions(t, "same relay again", a.Step(Offer{0, "r1", 5, valid(5)}))
-		assertActions(t, "second", a.Step(Told{0, "r2", 5}), "ready")
+		assertActions(t, "second", a.Step(Reported{0, "r2", 5}), "ready")
 	})
 	t.Run("second relay knows a higher version", func(t *testing.T) {
 		var a Adopter
 		a.Step(Offer{0, "r1", 5, valid(5)})
-		assertActions(t, "told", a.Step(Told{0, "r2", 6}))
+		assertActions(t, "told", a.Step(Reported{0, "r2", 6}))
 		check.Equal(t, "behind", a.Behind(), true)
 		assertActions(t, "offer", a.Step(Offer{0, "r2", 6, valid(6)}), "adopt 6", "ready")
 	})
@@ -69,8 +69,8 @@
 	})
 	t.Run("relays without a configuration", func(t *testing.T) {
 		var a Adopter
-		a.Step(Told{0, "r1", 0})
-		assertActions(t, "told", a.Step(Told{0, "r2", 0}))
+		a.Step(Reported{0, "r1", 0})
+		assertActions(t, "told", a.Step(Reported{0, "r2", 0}))
 	})
 }
 
--- a/core/version/relay/client.go
+++ b/core/version/relay/client.go
@@ -73,13 +73,13 @@
 	changed chan struct{}
 
 	// Owned by the main loop.
-	ctx        context.Context
-	group      *errgroup.Group
-	reading    tasks
-	reporting  tasks
-	listening  map[string]*subscription
-	heardAt    clock.Millis // when a subscription last stood
-	nextReview clock.Millis
+	ctx         context.Context
+	group       *errgroup.Group
+	reading     tasks
+	reporting   tasks
+	listening   map[string]*subscription
+	connectedAt clock.Millis // when a subscription last stood
+	nextReview  clock.Millis
 }
 
 // limits keep the reads of the platform within the parts of three duties.
@@ -102,8 +102,8 @@
 	value   []byte
 }
 
-// told is the configuration version that a relay has in force.
-type told struct {
+// reported is the configuration version that a relay has in force.
+type reported struct {
 	relay   string
 	version uint64
 }
@@ -143,7 +143,7 @@
 type audienceChanged struct{}
 
 func (offered) input()         {}
-func (told) input()            {}
+func (reported) input()        {}
 func (marked) input()          {}
 func (listed) input()          {}
 func (pushed) input()          {}
@@ -207,7 +207,7 @@
 			l.Observe(c.Scope)
 		}
 	}
-	c.heardAt = c.Clock.Now()
+	c.connectedAt = c.Clock.Now()
 	c.audience.start(c.put)
 	group.Go(func() error { return c.decide(ctx) })
 	group.Go(func() error { return c.source().first(ctx) })
@@ -238,8 +238,8 @@
 	switch in := in.(type) {
 	case offered:
 		c.step(adopt.Offer{At: c.Clock.Now(), Relay: in.relay, Version: in.version, Value: in.value}, in.value)
-	case told:
-		c.step(adopt.Told{At: c.Clock.Now(), Relay: in.relay, Version: in.version}, nil)
+	case reported:
+		c.step(adopt.Reported{At: c.Clock.Now(), Relay: in.relay, Version: in.version}, nil)
 	case marked:
 		if next, changed := c.Current().withMarks(in); changed {
 			c.publish(next)
@@ -301,14 +301,14 @@
 }
 
 // reviewSources reads the platform while this process is a source, is
-// subscribed to although the list makes it a leaf, or hears nobody who does.
+// subscribed to although the list makes it a leaf, or is connected to no process that does.
 func (c *Client) reviewSources(now clock.Millis, list []platform.Instance) {
 	own := c.planner.part(list)
 	served := c.audience.size() > 0
-	if c.hears(own) {
-		c.heardAt = now
+	if c.connected(own) {
+		c.connectedAt = now
 	}
-	alone := now-c.heardAt >= aloneAfter
+	alone := now-c.connectedAt >= aloneAfter
 	reads := own == sourcePart || (own == leafPart && served)
 	h := holdersOf(list)
 	if alone && !reads {
@@ -355,10 +355,10 @@
 	return &source{platform: c.Platform, clock: c.Clock, limits: c.limits, put: c.put}
 }
 
-// hears tells whether a subscription stands. One of a relay counts only if the
+// connected tells whether a subscription is up. One of a relay counts only if the
 // other end reads the platform: with lists that differ, two relays may each
 // take the other for a source.
-func (c *Client) hears(own part) bool {
+func (c *Client) connected(own part) bool {
 	for _, s := range c.listening {
 		if s.connected.Load() && (own != relayPart || s.fed.Load()) {
 			return true
--- a/core/version/relay/subscription.go
+++ b/core/version/relay/subscription.go
@@ -43,7 +43,7 @@
 	}
 	defer conn.Close()
 	conn.Handle = s.handle
-	conn.OnHeartbeat = func(b *frame.Heartbeat) { c.put(told{s.target.name, b.ConfigVersion()}) }
+	conn.OnHeartbeat = func(b *frame.Heartbeat) { c.put(reported{s.target.name, b.ConfigVersion()}) }
 	conn.Heartbeat = func() *frame.Heartbeat { return c.heartbeat() }
 	go s.ask(conn)
 	s.connected.Store(true)
--- a/core/version/text/decode.go
+++ b/core/version/text/decode.go
@@ -131,7 +131,7 @@
 	return n, err == nil
 }
 
-// name decodes a string that can stand in a URL path, a log line and a mark.
+// name decodes a string that is valid in a URL path, a log line and a mark.
 func (d *decoder) name(to *place) func(*hujson.Value) {
 	return func(v *hujson.Value) {
 		d.text(to)(v)
--- a/core/version/text/text.go
+++ b/core/version/text/text.go
@@ -105,7 +105,7 @@
 // Name returns the name.
 func (d *DataCentre) Name() string { return d.name }
 
-// Region returns the region that it stands in.
+// Region returns the region of the data centre.
 func (d *DataCentre) Region() string { return d.region }
 
 // Service is one service and its limits.
--- a/entry/process/claims/service.go
+++ b/entry/process/claims/service.go
@@ -120,7 +120,7 @@
 		s.done = make(chan struct{})
 		s.queries = make(chan struct{}, maxQueries)
 		// One entry may hold all shards, whose owners pace their writes. The limit
-		// stops calls that repeat for a reason nobody foresaw.
+		// stops calls that repeat without end.
 		s.limit = limiter.New(limiter.Claims, 1)
 	})
 }
--- a/entry/process/suspects/suspects.go
+++ b/entry/process/suspects/suspects.go
@@ -50,16 +50,16 @@
 	tracker  *suspect.Tracker
 	sequence uint64
 	sendings map[uint64]*Sending
-	// told is what was last announced of each fingerprint.
-	told map[suspect.Fingerprint]told
+	// announced is what was last sent to other entries of each fingerprint.
+	announced map[suspect.Fingerprint]announced
 	// crashedOn holds the upstreams that crashed with a fingerprint.
 	crashedOn map[suspect.Fingerprint][]string
 	// avoided holds the end of the time for which suspects avoid an upstream.
 	avoided map[string]clock.Millis
 }
 
-// told is the size of a verdict; its parts only grow.
-type told struct {
+// announced is the size of a verdict; its parts only grow.
+type announced struct {
 	crashes, cleared int
 	quarantined      bool
 }
@@ -139,7 +139,7 @@
 	}
 	s.tracker = suspect.New()
 	s.sendings = map[uint64]*Sending{}
-	s.told = map[suspect.Fingerprint]told{}
+	s.announced = map[suspect.Fingerprint]announced{}
 	s.crashedOn = map[suspect.Fingerprint][]string{}
 	s.avoided = map[string]clock.Millis{}
 }
@@ -271,12 +271,12 @@
 	all := s.tracker.Verdicts(s.Clock.Now())
 	s.forget(all)
 	for _, v := range all {
-		now := told{len(v.Crashes()), len(v.Cleared()), v.Quarantined()}
-		before := s.told[v.Fingerprint()]
+		now := announced{len(v.Crashes()), len(v.Cleared()), v.Quarantined()}
+		before := s.announced[v.Fingerprint()]
 		if now == before {
 			continue
 		}
-		s.told[v.Fingerprint()] = now
+		s.announced[v.Fingerprint()] = now
 		changed = append(changed, v)
 		if now.quarantined && !before.quarantined {
 			excluded++
@@ -292,9 +292,9 @@
 	for _, v := range all {
 		kept[v.Fingerprint()] = true
 	}
-	for f := range s.told {
+	for f := range s.announced {
 		if !kept[f] {
-			delete(s.told, f)
+			delete(s.announced, f)
 		}
 	}
 	for f := range s.crashedOn {
