Add readiness, request and upstream metrics; allow a short lag of versions

Cause: a balancer could not ask an entry whether it takes work, the metrics told only platform calls, and an agent refused a request whose entry had adopted a new configuration a moment earlier, at every change.

--- a/agent/connection/entry/server.go
+++ b/agent/connection/entry/server.go
@@ -83,6 +83,15 @@
 // Held returns the number of requests that are not finished.
 func (s *Server) Held() int { return s.table.len() }
 
+// HeldBytes returns the answer bytes that entries have not acknowledged.
+func (s *Server) HeldBytes() int {
+	held := 0
+	for _, r := range s.table.all() {
+		held += r.answer.Held()
+	}
+	return held
+}
+
 // Serve runs one connection until it ends.
 func (s *Server) Serve(ctx context.Context, c *peer.Conn) {
 	c.Handle = func(id frame.ID, m frame.Message) { s.handle(c, id, m) }
--- /dev/null
+++ b/agent/process/server/gauges.go
@@ -0,0 +1,35 @@
+package server
+
+import (
+	"context"
+	"time"
+)
+
+// gaugeInterval matches how often metrics are passed on.
+const gaugeInterval = time.Second
+
+// observe keeps the gauges of the upstream and of held answers until ctx is
+// done. Requests above the limit count as violations; the counter stays 0.
+func (s *Server) observe(ctx context.Context) {
+	scope := s.Metrics.Scope()
+	held, limit := scope.Gauge("upstream_held"), scope.Gauge("upstream_limit")
+	reserved, streams := scope.Gauge("upstream_reserved_bytes"), scope.Gauge("stream_bytes")
+	violations := scope.Counter("over_limit_violations")
+	ticker := time.NewTicker(gaugeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		o := s.gate.report().Occupancy()
+		held.Update(float64(o.Held()))
+		limit.Update(float64(o.Limit()))
+		reserved.Update(float64(o.ReservedBytes()))
+		streams.Update(float64(s.entries.HeldBytes()))
+		if o.ReservedBytes() > o.BudgetBytes() && o.BudgetBytes() > 0 {
+			violations.Inc(1)
+		}
+	}
+}
--- a/agent/process/server/server.go
+++ b/agent/process/server/server.go
@@ -51,6 +51,7 @@
 	platform *platform.Client
 	views    *relay.Client
 	gate     *gate
+	lag      lag
 	suspects *suspects.Watch
 	entries  *entry.Server
 	self     peer.Identity
@@ -71,6 +72,7 @@
 	group.Go(func() error { return s.views.Run(running) })
 	group.Go(func() error { s.entries.Run(running); return nil })
 	group.Go(func() error { s.gate.Run(running); return nil })
+	group.Go(func() error { s.observe(running); return nil })
 	group.Go(func() error { return s.serveEntries(running, listener) })
 	group.Go(func() error { return s.serveAdmin(running) })
 	group.Go(func() error {
@@ -143,10 +145,10 @@
 }
 
 // misdirected refuses work for another service, and work that an entry sent by
-// a configuration that is not in force here yet.
+// a configuration that should long be in force here.
 func (s *Server) misdirected(m *frame.Submit) *outcome.Refusal {
 	v := s.views.Current()
-	if !v.Ready() || v.Text() == nil || v.Version() < m.ConfigVersion() {
+	if !v.Ready() || v.Text() == nil || s.lag.tooLong(s.clock.Now(), v.Version(), m.ConfigVersion()) {
 		return outcome.Refuse(outcome.ConfigUnconfirmed, outcome.NotRun, 0)
 	}
 	if m.Service() != s.Service {
@@ -174,7 +176,15 @@
 }
 
 func (s *Server) serveAdmin(ctx context.Context) error {
-	return metric.Serve(ctx, s.Settings.Admin(), map[string]http.Handler{"/metrics": s.Metrics.Handler()})
+	return metric.Serve(ctx, s.Settings.Admin(), map[string]http.Handler{
+		"/metrics": s.Metrics.Handler(),
+		"/ready":   metric.Ready(s.ready),
+	})
+}
+
+// ready tells whether the agent takes new work.
+func (s *Server) ready() bool {
+	return s.views.Current().Ready() && !s.heartbeat().Load().Condition().Leaving()
 }
 
 // register announces the agent to the platform and tries again until it works.
--- a/entry/process/server/server.go
+++ b/entry/process/server/server.go
@@ -78,7 +78,10 @@
 	group.Go(func() error { s.suspects.Run(running); return nil })
 	group.Go(func() error { s.shareLimits(running); return nil })
 	group.Go(func() error {
-		return metric.Serve(running, s.Settings.Admin(), map[string]http.Handler{"/metrics": s.Metrics.Handler()})
+		return metric.Serve(running, s.Settings.Admin(), map[string]http.Handler{
+			"/metrics": s.Metrics.Handler(),
+			"/ready":   metric.Ready(s.callers.Ready),
+		})
 	})
 	group.Go(func() error {
 		<-stopping.Done()
@@ -148,6 +151,7 @@
 	s.suspects = &suspects.Service{Clock: s.clock, Log: s.Log, View: s.views.Current, Broadcast: s.claims.Broadcast}
 	s.claims.OnShares, s.pool.OnCrash = s.shared, s.suspects.Crashed
 	s.callers = &caller.Server{
+		Scope:          s.Metrics.Scope(),
 		Recorder:       s.burn,
 		Clock:          s.clock,
 		Log:            s.Log,
--- a/entry/request/caller/server.go
+++ b/entry/request/caller/server.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
 	"github.com/zeromicro/go-zero/core/logx"
 	"github.com/zeromicro/go-zero/core/proc"
 	"github.com/zeromicro/go-zero/core/service"
@@ -45,6 +46,8 @@
 	Log        *event.Log
 	View       func() *relay.Snapshot
 	Dispatcher Dispatcher
+	// Scope takes the counters of requests; nil counts nothing.
+	Scope tally.Scope
 	// Listen is the address for callers, ip:port.
 	Listen string
 	// MaxConnections bounds open connections; further ones are closed at once.
@@ -65,6 +68,9 @@
 // Stop refuses new requests from now on.
 func (s *Server) Stop() { s.stopping.Store(true) }
 
+// Ready tells whether the server takes new requests.
+func (s *Server) Ready() bool { return s.View().Ready() && !s.stopping.Load() }
+
 // Open returns the number of requests in progress.
 func (s *Server) Open() int64 { return s.held.Load() }
 
@@ -175,13 +181,16 @@
 	}
 	switch {
 	case err == nil:
+		s.count("requests_answered", "")
 		return
 	case q.Context().Err() != nil:
+		s.count("requests_left", "")
 		s.Log.Error(event.CallerLeft, err, nil)
 	case !a.Started():
 		s.refuse(w, err)
 		return
 	default:
+		s.count("answers_aborted", "")
 		s.Log.Error(event.AnswerAborted, err, event.Fields{"service": r.Service().Name(), "written": a.Written()})
 	}
 	// Ends the connection without the terminator of the body, so that the
@@ -190,10 +199,23 @@
 }
 
 func (s *Server) refuse(w http.ResponseWriter, err error) {
+	s.count("requests_refused", outcome.As(err).Code())
 	s.Log.Error(event.RequestRefused, err, nil)
 	writeRefusal(w, err)
 }
 
+// count adds one to a counter, which carries the code of a refusal.
+func (s *Server) count(name string, code outcome.Code) {
+	if s.Scope == nil {
+		return
+	}
+	scope := s.Scope
+	if code != "" {
+		scope = scope.Tagged(map[string]string{"code": string(code)})
+	}
+	scope.Counter(name).Inc(1)
+}
+
 // router passes every method and path to one handler: services are found in
 // the configuration, which changes while the server runs.
 type router struct{ handler http.Handler }
