--- a/Makefile
+++ b/Makefile
@@ -34,9 +34,11 @@
 demo: build
 	@SEED=$(SEED) scripts/demo.sh
 
-# Real processes under kills, pauses, cut and silent connections, and planned stops.
-measure-once-processes: build
+# Real processes under kills, pauses, cut and silent connections, and planned
+# stops; then fault schedules in virtual time.
+measure-once: build
 	@SEED=$(SEED) scripts/once.sh
+	@bin/goldcrest-measure once -seed $(SEED)
 
 # Virtual-time measurements over the decision packages; each ends with a line "result …".
 measure-%: build
