Refuse to start without service, upstream or callers

Cause: an agent without its upstream's address started and failed later. Change: settings.Require. Measured: goldcrest-agent without -service ends with: "service": setting is missing.

--- a/agent/cmd/goldcrest-agent/main.go
+++ b/agent/cmd/goldcrest-agent/main.go
@@ -36,6 +36,12 @@
 	if err := common.Check(); err != nil {
 		return err
 	}
+	if err := settings.Require("service", *service); err != nil {
+		return err
+	}
+	if err := settings.Require("upstream", *upstream); err != nil {
+		return err
+	}
 	log, err := event.NewLog(os.Stderr, common.LogLevel(), "agent", common.Instance())
 	if err != nil {
 		return err
--- a/core/process/settings/common.go
+++ b/core/process/settings/common.go
@@ -16,6 +16,14 @@
 // counts for more than the processor time of collecting a few megabytes.
 const gcPercent = 25
 
+// Require returns ErrMissing for an empty value.
+func Require(name, value string) error {
+	if value == "" {
+		return errors.Wrapf(ErrMissing, "%q", name)
+	}
+	return nil
+}
+
 // Common are the settings that every daemon has.
 type Common struct {
 	instance    string
@@ -54,8 +62,8 @@
 		{"key", c.key}, {"listen", c.listen},
 	}
 	for _, r := range required {
-		if r.value == "" {
-			return errors.Wrapf(ErrMissing, "%q", r.name)
+		if err := Require(r.name, r.value); err != nil {
+			return err
 		}
 	}
 	debug.SetGCPercent(gcPercent)
--- a/core/process/settings/settings_test.go
+++ b/core/process/settings/settings_test.go
@@ -37,3 +37,12 @@
 		check.Is(t, "Parse", err, ErrSyntax)
 	})
 }
+
+func TestMissingSettings(t *testing.T) {
+	fs := flag.NewFlagSet("test", flag.ContinueOnError)
+	common := DefineCommon(fs)
+	check.NoError(t, "Parse", Parse(fs, []string{"-instance", "a"}))
+	check.Is(t, "Check", common.Check(), ErrMissing)
+	check.Is(t, "Require", Require("service", ""), ErrMissing)
+	check.NoError(t, "Require", Require("service", "s"))
+}
--- a/entry/cmd/goldcrest-entry/main.go
+++ b/entry/cmd/goldcrest-entry/main.go
@@ -33,6 +33,9 @@
 	if err := common.Check(); err != nil {
 		return err
 	}
+	if err := settings.Require("callers", *callers); err != nil {
+		return err
+	}
 	log, err := event.NewLog(os.Stderr, common.LogLevel(), "entry", common.Instance())
 	if err != nil {
 		return err
