Wait for a condition by one function in the scripts

Cause: two scripts had the same loop, three a shorter one that went on in silence; a port above 32768 was taken by an outgoing connection in one run. Change: wait_for in scripts/fleet.sh, and a line on ports.

--- a/scripts/config.sh
+++ b/scripts/config.sh
@@ -160,7 +160,7 @@
 next_port
 UPSTREAM=$ADDRESS
 start service bin/goldcrest-standin service -listen "$UPSTREAM"
-for _ in $(seq 50); do curl -sf "http://$PLATFORM/calls" >/dev/null && break; sleep 0.1; done
+wait_for curl -sf "http://$PLATFORM/calls"
 change 0 first
 for _ in $(seq "$AGENTS"); do new_agent; done
 for i in $(seq "$ENTRY_COUNT"); do
--- a/scripts/control.sh
+++ b/scripts/control.sh
@@ -53,7 +53,7 @@
 	next_port
 	UPSTREAM=$ADDRESS
 	start service bin/goldcrest-standin service -listen "$UPSTREAM"
-	for _ in $(seq 50); do curl -sf "http://$PLATFORM/calls" >/dev/null && break; sleep 0.1; done
+	wait_for curl -sf "http://$PLATFORM/calls"
 	change 0
 	entries=$((size / 10))
 	for i in $(seq $((size - entries))); do start_agent "${CENTRES[$((i % 3))]}" "$i" registro "$UPSTREAM"; done
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -26,14 +26,6 @@
 start_entry bilbao 0
 start_entry pamplona 0
 
-wait_for() {
-	for _ in $(seq 100); do
-		"$@" >/dev/null 2>&1 && return 0
-		sleep 0.1
-	done
-	fail "timed out waiting for: $*"
-}
-
 wait_for curl -sf "http://$PLATFORM/calls"
 # apply records the version in force beside the file, so a copy is used.
 cp scripts/testdata/demo.jsonc "$RUN_DIR/"
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -1,7 +1,8 @@
 # Functions that start goldcrestshore and its stand-ins as separate processes on
 # loopback and end them by process id. Sourced by the other scripts.
 #
-# BASE_PORT is the first of the ports used; RUN_DIR takes logs and settings.
+# BASE_PORT is the first of the ports used; it stays below 32768, where Linux takes
+# ports for outgoing connections. RUN_DIR takes logs and settings.
 
 BASE_PORT=${BASE_PORT:-21000}
 RUN_DIR=${RUN_DIR:-run}
@@ -35,6 +36,16 @@
 	wait 2>/dev/null
 }
 
+# wait_for COMMAND...: repeats a command for 15 s until it succeeds.
+wait_for() {
+	for _ in $(seq 150); do
+		"$@" >/dev/null 2>&1 && return 0
+		sleep 0.1
+	done
+	echo "timed out waiting for: $*" >&2
+	exit 1
+}
+
 start_platform() { start platform bin/goldcrest-standin platform -listen "$PLATFORM" -listLagMs "${LIST_LAG_MS:-500}" "$@"; }
 
 # start_engine DATACENTRE INDEX SERVICE [FLAGS]: a model engine with its agent.
--- a/scripts/once.sh
+++ b/scripts/once.sh
@@ -27,13 +27,6 @@
 DAEMONS=(agent-{redactor,registro}-{bilbao,oviedo,pamplona}-0 entry-{bilbao,oviedo,pamplona}-0)
 AGENTS=(agent-{redactor,registro}-{bilbao,oviedo,pamplona}-0)
 
-wait_for() {
-	for _ in $(seq 150); do
-		"$@" >/dev/null 2>&1 && return 0
-		sleep 0.1
-	done
-	fail "timed out waiting for: $*"
-}
 wait_for curl -sf "http://$PLATFORM/calls"
 cp scripts/testdata/demo.jsonc "$RUN_DIR/"
 bin/goldcrestctl apply -platform "$PLATFORM" "$RUN_DIR/demo.jsonc" || fail "the text was not applied"
--- a/scripts/suspects.sh
+++ b/scripts/suspects.sh
@@ -22,7 +22,7 @@
 	curl -s -m 10 "http://$1/v1/chat/completions" -H 'Authorization: Bearer key-of-auctions' \
 		-d "{\"model\":\"redactor\",\"messages\":[{\"role\":\"user\",\"content\":\"$2\"}],\"max_tokens\":4}"
 }
-for _ in $(seq 50); do curl -sf "http://$PLATFORM/calls" >/dev/null && break; sleep 0.1; done
+wait_for curl -sf "http://$PLATFORM/calls"
 cp scripts/testdata/demo.jsonc "$RUN_DIR/"
 "${CTL[@]}" apply "$RUN_DIR/demo.jsonc" >/dev/null || exit 1
 for entry in ${ENTRIES//,/ }; do
