Bound the memory of all request bodies together

Cause: 2,048 requests with bodies of 4 MiB each may fill 8 GB of an entry. Change: bodies share maxBodyBytes, 64 MiB unless set; one of unknown length takes 4 MiB until it has been read. Above it a request is refused as not run.

--- a/entry/cmd/goldcrest-entry/main.go
+++ b/entry/cmd/goldcrest-entry/main.go
@@ -26,6 +26,7 @@
 	common := settings.DefineCommon(fs)
 	callers := fs.String("callers", "", "address for callers, ip:port")
 	connections := fs.Int64("maxConnections", 4096, "callers' connections")
+	bodies := fs.Int64("maxBodyBytes", 64<<20, "bytes of all callers' request bodies together")
 	requests := fs.Int64("maxRequests", 2048, "callers' requests in progress")
 	if err := settings.Parse(fs, args); err != nil {
 		return err
@@ -45,6 +46,7 @@
 		Callers:        *callers,
 		MaxConnections: *connections,
 		MaxRequests:    *requests,
+		MaxBodies:      *bodies,
 		Log:            log,
 		Metrics:        metric.New("entry", common.Instance()),
 	}
--- a/entry/process/server/server.go
+++ b/entry/process/server/server.go
@@ -41,8 +41,10 @@
 	// MaxConnections and MaxRequests bound callers' connections and requests.
 	MaxConnections int64
 	MaxRequests    int64
-	Log            *event.Log
-	Metrics        *metric.Registry
+	// MaxBodies bounds the bytes of all request bodies together.
+	MaxBodies int64
+	Log       *event.Log
+	Metrics   *metric.Registry
 
 	self      peer.Identity
 	clock     *clock.Clock
@@ -160,6 +162,7 @@
 		Listen:         s.Callers,
 		MaxConnections: s.MaxConnections,
 		MaxRequests:    s.MaxRequests,
+		MaxBodies:      s.MaxBodies,
 	}
 }
 
--- a/entry/request/caller/request.go
+++ b/entry/request/caller/request.go
@@ -3,11 +3,9 @@
 
 import (
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -63,6 +61,7 @@
 	deadline clock.Millis
 	end      clock.Millis
 	version  uint64
+	release  func() // gives the memory of the body back
 }
 
 // Customer returns the authenticated customer.
@@ -100,7 +99,7 @@
 
 // parse authenticates and routes q; every refusal is made before any upstream
 // has heard of the request.
-func parse(w http.ResponseWriter, q *http.Request, v *relay.Snapshot, now clock.Millis) (*Request, error) {
+func parse(w http.ResponseWriter, q *http.Request, v *relay.Snapshot, b *bodies, now clock.Millis) (*Request, error) {
 	if !v.Ready() || v.Text() == nil {
 		return nil, outcome.Refuse(outcome.NotReady, outcome.NotRun, int64(clock.Second))
 	}
@@ -116,17 +115,18 @@
 	if len(key) > maxKeyBytes {
 		return nil, refuse(outcome.BadRequest)
 	}
-	body, err := readBody(w, q)
+	body, release, err := b.read(w, q)
 	if err != nil {
 		return nil, err
 	}
-	r := &Request{customer: customer, key: key, deadline: deadline, end: end, version: v.Version()}
+	r := &Request{customer: customer, key: key, deadline: deadline, end: end, version: v.Version(), release: release}
 	if q.URL.Path == chatPath && q.Method == http.MethodPost {
 		err = r.routeChat(v.Text(), body)
 	} else {
 		err = r.routePlain(v.Text(), q)
 	}
 	if err != nil {
+		release()
 		return nil, err
 	}
 	r.once = r.once || key != ""
@@ -147,17 +147,6 @@
 	return deadline, deadline, nil
 }
 
-func readBody(w http.ResponseWriter, q *http.Request) ([]byte, error) {
-	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout.Duration()))
-	body, err := io.ReadAll(http.MaxBytesReader(w, q.Body, MaxBodyBytes))
-	_ = control.SetReadDeadline(time.Time{})
-	if err != nil {
-		return nil, errors.Wrapf(refuse(outcome.BadRequest), "read body: %v", err)
-	}
-	return body, nil
-}
-
 // chatBody has the fields of a chat request that routing needs.
 type chatBody struct {
 	Model               string          `json:"model"`
--- a/entry/request/caller/server.go
+++ b/entry/request/caller/server.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -52,14 +53,18 @@
 	Listen string
 	// MaxConnections bounds open connections; further ones are closed at once.
 	MaxConnections int64
-	// MaxRequests bounds the requests in progress, each with a body of MaxBodyBytes
-	// at most.
+	// MaxRequests bounds the requests in progress.
 	MaxRequests int64
+	// MaxBodies bounds the bytes of the request bodies of all callers together, at
+	// least MaxBodyBytes.
+	MaxBodies int64
 	// Recorder counts kept and missed objectives; nil counts nothing.
 	Recorder Recorder
 	// OnListen receives the address once connections are accepted; it may be nil.
 	OnListen func(net.Addr)
 
+	once     sync.Once
+	bodies   *bodies
 	stopping atomic.Bool
 	open     atomic.Int64
 	held     atomic.Int64
@@ -156,14 +161,20 @@
 		s.refuse(w, outcome.Refuse(outcome.Overloaded, outcome.NotRun, int64(clock.Second)))
 		return
 	}
-	r, err := parse(w, q, s.View(), s.Clock.Now())
+	r, err := parse(w, q, s.View(), s.bodyMemory(), s.Clock.Now())
 	if err != nil {
 		s.refuse(w, err)
 		return
 	}
+	defer r.release()
 	s.answer(w, q, r)
 }
 
+func (s *Server) bodyMemory() *bodies {
+	s.once.Do(func() { s.bodies = newBodies(s.MaxBodies) })
+	return s.bodies
+}
+
 func (s *Server) answer(w http.ResponseWriter, q *http.Request, r *Request) {
 	began := s.Clock.Now()
 	ctx, cancel := context.WithTimeout(q.Context(), (r.End() - began).Duration())
--- a/entry/request/caller/server_test.go
+++ b/entry/request/caller/server_test.go
@@ -52,7 +52,7 @@
 	check.NoError(t, "NewLog", err)
 	s := sampleSnapshot(t)
 	return &Server{Clock: clock.System(), Log: log, View: func() *relay.Snapshot { return s }, Dispatcher: d,
-		Listen: "127.0.0.1:0", MaxConnections: 100, MaxRequests: 100}
+		Listen: "127.0.0.1:0", MaxConnections: 100, MaxRequests: 100, MaxBodies: 2 * MaxBodyBytes}
 }
 
 // listen runs the real HTTP server of the library on a free port.
@@ -278,3 +278,31 @@
 		})
 	}
 }
+
+// Guards against bodies that are sent slowly, or are large, and together fill
+// the process's memory.
+func TestBodyMemoryIsBounded(t *testing.T) {
+	b := newBodies(MaxBodyBytes)
+	read := func(length int64, body string) (func(), error) {
+		q := httptest.NewRequest("POST", "/x", strings.NewReader(body))
+		q.ContentLength = length
+		_, release, err := b.read(httptest.NewRecorder(), q)
+		return release, err
+	}
+	first, err := read(-1, "abc")
+	check.NoError(t, "body of unknown length", err)
+	_, err = read(-1, "abc")
+	check.Equal(t, "second while the first is held", outcome.As(err).Code(), outcome.Overloaded)
+	known, err := read(3, "abc")
+	check.NoError(t, "short body beside it", err)
+	first()
+	known()
+	again, err := read(-1, "abc")
+	check.NoError(t, "after both were released", err)
+	again()
+	_, err = read(MaxBodyBytes+1, "abc")
+	check.Equal(t, "oversized", outcome.As(err).Code(), outcome.BadRequest)
+	if !b.free.TryAcquire(MaxBodyBytes) {
+		t.Error("memory: got some still taken, want all free")
+	}
+}
