Open a link to any agent that a claim names

Cause: the query of a claim went only to agents in the entry's subset, so that with more than 32 replicas of a service some claims could not be settled. Measured: a test in virtual time: no dial before the query, a link within a second after it, none after its time.

--- a/entry/connection/agent/pool.go
+++ b/entry/connection/agent/pool.go
@@ -48,6 +48,8 @@
 
 	mu    sync.Mutex
 	links map[string]*member
+	// visits holds until when a link outside the router's choice is kept.
+	visits map[string]clock.Millis
 }
 
 // member is one agent of the pool.
@@ -77,6 +79,7 @@
 		p.links = map[string]*member{}
 	}
 	wanted := p.Router.Wanted()
+	p.addVisits(wanted)
 	for _, i := range p.View().Instances() {
 		if i.Role() != platform.RoleAgent || !wanted[i.Name()] {
 			continue
--- /dev/null
+++ b/entry/connection/agent/query_test.go
@@ -0,0 +1,57 @@
+package agent
+
+import (
+	"context"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"goldcrestshore/core/connection/frame"
+	"goldcrestshore/core/connection/peer"
+	"goldcrestshore/core/connection/platform"
+	"goldcrestshore/core/process/check"
+	"goldcrestshore/core/process/clock"
+	"goldcrestshore/core/version/mark"
+	"goldcrestshore/core/version/relay"
+)
+
+// noAgent is a router that wants no connection.
+type noAgent struct{}
+
+func (noAgent) Wanted() map[string]bool      { return map[string]bool{} }
+func (noAgent) Heartbeat(string, frame.Load) {}
+func (noAgent) Lost(string)                  {}
+
+// Guards against a claim that stays unsettled because it names an agent outside
+// the subset of the entry that resolves it.
+func TestQueryOpensALinkOutsideTheSubset(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dialled := 0
+		list := []platform.Instance{platform.NewInstance("far", platform.RoleAgent, "oviedo", "address")}
+		view := relay.NewSnapshot(1, nil, mark.Set{}, list)
+		p := &Pool{
+			Router: noAgent{}, Self: peer.NewIdentity("entry", "e", "bilbao"), Clock: clock.System(),
+			View: func() *relay.Snapshot { return view },
+			Dial: func(context.Context, string) (net.Conn, error) {
+				dialled++
+				return nil, errors.New("not in this test")
+			},
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		go p.Run(ctx)
+		time.Sleep(time.Second)
+		check.Equal(t, "dials before a query", dialled, 0)
+		_, err := p.Query(ctx, "far", "key")
+		check.Is(t, "Query", err, ErrNotConnected)
+		time.Sleep(time.Second)
+		check.Equal(t, "link after a query", p.Link("far") != nil, true)
+		time.Sleep(visitLife.Duration())
+		synctest.Wait()
+		check.Equal(t, "link after its time", p.Link("far") != nil, false)
+		cancel()
+		synctest.Wait()
+	})
+}
