--- a/core/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package core holds what the goldcrestshore programs share.
-package core
--- a/standin/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package standin is the root of its module.
-package standin
