Capture small answers by one type and for claimed requests alone

Cause: entry and agent each had the same capture of a small answer with a limit of its own, beside two more of the claim packages; the agent copied the answer of every request, although only claimed ones are kept; and one loop still copied header lines to their own type. Change: stored.Capture and stored.MaxBytes serve all; the agent captures claimed requests only; the loop is gone.

--- a/agent/connection/entry/claims.go
+++ b/agent/connection/entry/claims.go
@@ -13,10 +13,6 @@
 	"goldcrestshore/core/request/stored"
 )
 
-// maxCapturedBytes is the largest answer kept for an owner that asks; the claim
-// log stores no larger one.
-const maxCapturedBytes = 4 << 10
-
 // claims guards the claim table of this incarnation, which the connections of
 // all entries share.
 type claims struct {
@@ -66,7 +62,7 @@
 	case err != nil:
 		c.handle(now, claim.NewFailed(key))
 	default:
-		c.handle(now, claim.NewFinished(key, captured.answer()))
+		c.handle(now, claim.NewFinished(key, captured.kept.Answer()))
 	}
 }
 
@@ -74,49 +70,33 @@
 func (s *Server) claimQuery(c *peer.Conn, id frame.ID, m *frame.ClaimQuery) {
 	told := s.claims.handle(s.Clock.Now(), claim.NewAsked(m.ClaimKey())).(claim.Told)
 	a := told.Answer()
-	var header []frame.Field
-	for _, f := range a.Header() {
-		header = append(header, frame.NewField(f.Name(), f.Value()))
-	}
 	// A lost answer makes the owner ask again.
-	_ = c.Send(id, frame.NewClaimState(string(told.State()), s.Incarnation, a.Status(), header, a.Body()))
+	_ = c.Send(id, frame.NewClaimState(string(told.State()), s.Incarnation, a.Status(), a.Header(), a.Body()))
 }
 
-// capture keeps a small answer while it passes.
+// capture keeps the small answer of a claimed request while it passes.
 type capture struct {
 	upstream.Answer
 	claimed bool
-	head    *frame.AnswerHead
-	body    []byte
-	large   bool
+	kept    stored.Capture
 }
 
 // Head keeps the head and passes it on.
 func (c *capture) Head(h *frame.AnswerHead) {
-	c.head, c.body = h, nil
+	c.kept.Head(h.Status(), h.Header())
 	c.Answer.Head(h)
 }
 
 // Write keeps p if the answer is small and passes it on. A claimed request goes
 // on when its entry has left, as long as its answer can be kept.
 func (c *capture) Write(p []byte) (int, error) {
-	if len(c.body)+len(p) > maxCapturedBytes {
-		c.large, c.body = true, nil
-	}
-	if !c.large {
-		c.body = append(c.body, p...)
+	if !c.claimed {
+		return c.Answer.Write(p)
 	}
+	c.kept.Add(p)
 	n, err := c.Answer.Write(p)
-	if err != nil && c.claimed && !c.large {
+	if err != nil && !c.kept.Large() {
 		return len(p), nil
 	}
 	return n, err
 }
-
-// answer returns what was kept; its status is 0 if the answer was too large.
-func (c *capture) answer() stored.Answer {
-	if c.large || c.head == nil {
-		return stored.Answer{}
-	}
-	return stored.New(c.head.Status(), c.head.Header(), c.body)
-}
--- a/agent/request/claim/claim.go
+++ b/agent/request/claim/claim.go
@@ -21,9 +21,6 @@
 	keep = 15 * clock.Minute
 	// maxClaims bounds the claims remembered.
 	maxClaims = 4096
-	// maxAnswerBytes is the largest answer stored; the claim log has the same
-	// limit.
-	maxAnswerBytes = 4 << 10
 	// maxAnswersBytes bounds all stored answers together.
 	maxAnswersBytes = 1 << 20
 )
--- a/agent/request/claim/table.go
+++ b/agent/request/claim/table.go
@@ -81,7 +81,7 @@
 		return
 	}
 	x.state = s
-	if s == Done && a.Size() <= maxAnswerBytes {
+	if s == Done && a.Size() <= stored.MaxBytes {
 		x.answer = a
 		t.answerBytes += a.Size()
 	}
--- a/agent/request/claim/table_test.go
+++ b/agent/request/claim/table_test.go
@@ -51,7 +51,7 @@
 // TestForgotten guards against "never" for a claim that ran but was forgotten.
 func TestForgotten(t *testing.T) {
 	table := New()
-	body := []byte(strings.Repeat("x", maxAnswerBytes))
+	body := []byte(strings.Repeat("x", stored.MaxBytes))
 	for i := range 3 * maxClaims {
 		key := fmt.Sprintf("1-%d-0", i+1)
 		check.Equal(t, "run", table.Handle(0, NewSubmitted(key)), Action(Run{}))
--- a/entry/request/claim/index.go
+++ b/entry/request/claim/index.go
@@ -18,8 +18,6 @@
 	keepKeysAtLeast = 10 * clock.Minute
 	// keepAnswers is how long an answer is returned to a caller that asks again.
 	keepAnswers = 10 * clock.Minute
-	// maxAnswerBytes is the largest answer that the log stores.
-	maxAnswerBytes = 4 << 10
 	// maxAnswersBytes bounds the stored answers of a shard in memory.
 	maxAnswersBytes = 128 << 10
 	// maxLive bounds the claims that are kept with all their fields.
@@ -78,7 +76,7 @@
 }
 
 // storable tells whether an answer is present and small enough for the log.
-func storable(a stored.Answer) bool { return a.Status() != 0 && a.Size() <= maxAnswerBytes }
+func storable(a stored.Answer) bool { return a.Status() != 0 && a.Size() <= stored.MaxBytes }
 
 // orphan notes that the entry that held a grant lost contact with the agent, so
 // that the agent is asked at once when the key is sent again.
--- a/entry/request/claim/owner.go
+++ b/entry/request/claim/owner.go
@@ -22,7 +22,7 @@
 	// refuses the snapshot.
 	snapshotEvery = slots / 2
 	// maxBatch bounds a batch well below the platform's 1 MB: a claim takes
-	// about 80 bytes and an outcome at most maxAnswerBytes.
+	// about 80 bytes and an outcome at most stored.MaxBytes.
 	maxBatchClaims   = 1000
 	maxBatchOutcomes = 100
 	// maxWaiting bounds the callers that wait in one shard.
--- a/entry/request/dispatch/claimed.go
+++ b/entry/request/dispatch/claimed.go
@@ -15,9 +15,6 @@
 	"goldcrestshore/entry/request/schedule"
 )
 
-// maxCapturedBytes is the largest answer that the claim log stores.
-const maxCapturedBytes = 4 << 10
-
 // answer is what an attempt needs of a caller's answer.
 type answer interface {
 	Head(status int, header []frame.Field)
@@ -116,7 +113,7 @@
 	if err := c.attempt(c.sendingContext(ctx), c.upstream, m, captured, c.turn.Answering); err != nil {
 		return quarantined(c.sending, err)
 	}
-	c.call.Finished(captured.answered())
+	c.call.Finished(captured.kept.Answer())
 	return nil
 }
 
@@ -161,31 +158,17 @@
 // capture keeps a small answer while it passes to the caller.
 type capture struct {
 	*caller.Answer
-	status int
-	header []frame.Field
-	body   []byte
-	large  bool
+	kept stored.Capture
 }
 
 // Head keeps the head and passes it on.
 func (c *capture) Head(status int, header []frame.Field) {
-	c.status, c.header, c.body, c.large = status, header, nil, false
+	c.kept.Head(status, header)
 	c.Answer.Head(status, header)
 }
 
 // Write keeps p if the answer is small and passes it on.
 func (c *capture) Write(p []byte) error {
-	c.large = c.large || len(c.body)+len(p) > maxCapturedBytes
-	if !c.large {
-		c.body = append(c.body, p...)
-	}
+	c.kept.Add(p)
 	return c.Answer.Write(p)
 }
-
-// answered returns what was kept; its status is 0 if the answer was too large.
-func (c *capture) answered() stored.Answer {
-	if c.large {
-		return stored.Answer{}
-	}
-	return stored.New(c.status, c.header, c.body)
-}
