Use one ticker loop and one interruptible wait

Cause: five duties had the same ticker loop and four places the same wait that ends with a context. Change: clock.Every and clock.Sleep.

--- a/agent/connection/entry/server.go
+++ b/agent/connection/entry/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -61,18 +60,11 @@
 
 // Run expires abandoned requests until ctx is done.
 func (s *Server) Run(ctx context.Context) {
-	ticker := time.NewTicker(expiryInterval.Duration())
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	clock.Every(ctx, expiryInterval, func() {
 		for _, id := range s.table.expire(s.Clock.Now()) {
 			s.drop(id)
 		}
-	}
+	})
 }
 
 // Start prepares the server for Serve and Run. Requests run under ctx.
--- a/agent/process/server/gauges.go
+++ b/agent/process/server/gauges.go
@@ -2,11 +2,12 @@
 
 import (
 	"context"
-	"time"
+
+	"goldcrestshore/core/process/clock"
 )
 
 // gaugeInterval matches how often metrics are passed on.
-const gaugeInterval = time.Second
+const gaugeInterval = clock.Second
 
 // observe keeps the gauges of the upstream and of held answers until ctx is
 // done. Requests above the limit count as violations; the counter stays 0.
@@ -15,14 +16,7 @@
 	held, limit := scope.Gauge("upstream_held"), scope.Gauge("upstream_limit")
 	reserved, streams := scope.Gauge("upstream_reserved_bytes"), scope.Gauge("stream_bytes")
 	violations := scope.Counter("over_limit_violations")
-	ticker := time.NewTicker(gaugeInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	clock.Every(ctx, gaugeInterval, func() {
 		o := s.gate.report().Occupancy()
 		held.Update(float64(o.Held()))
 		limit.Update(float64(o.Limit()))
@@ -31,5 +25,5 @@
 		if o.ReservedBytes() > o.BudgetBytes() && o.BudgetBytes() > 0 {
 			violations.Inc(1)
 		}
-	}
+	})
 }
--- a/core/connection/holder/holder.go
+++ b/core/connection/holder/holder.go
@@ -85,7 +85,7 @@
 			return h.Keeper.Step(r)
 		}
 		h.Log.Error(event.PlatformFailed, err, event.Fields{"duty": a.Duty})
-		if !h.pause(ctx) {
+		if !clock.Sleep(ctx, tickInterval) {
 			return nil
 		}
 	}
@@ -122,7 +122,7 @@
 	if !errors.Is(err, platform.ErrConflict) {
 		h.Log.Error(event.PlatformFailed, err, event.Fields{"duty": a.Duty})
 	}
-	h.pause(ctx)
+	clock.Sleep(ctx, tickInterval)
 	return h.Keeper.Step(duty.Unsettled{At: h.Clock.Now(), Duty: a.Duty})
 }
 
@@ -132,15 +132,3 @@
 	}
 	return h.Platform.Update(ctx, platform.KindDuty, a.Duty, a.Version, a.Record.Encode())
 }
-
-// pause reports whether the wait passed before ctx was done.
-func (h *Holder) pause(ctx context.Context) bool {
-	timer := time.NewTimer(tickInterval.Duration())
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/core/connection/platform/announce.go
+++ b/core/connection/platform/announce.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"goldcrestshore/core/process/clock"
 )
@@ -24,10 +23,8 @@
 			return
 		}
 		failed(err)
-		select {
-		case <-ctx.Done():
+		if !clock.Sleep(ctx, wait) {
 			return
-		case <-time.After(wait.Duration()):
 		}
 		wait = min(2*wait, maxAnnounceWait)
 	}
--- a/core/version/relay/source.go
+++ b/core/version/relay/source.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -124,7 +123,7 @@
 			s.pause(ctx, err)
 			continue
 		}
-		sleep(ctx, pollInterval(n)/2+clock.Millis(rand.Int64N(int64(pollInterval(n)))))
+		clock.Sleep(ctx, pollInterval(n)/2+clock.Millis(rand.Int64N(int64(pollInterval(n)))))
 	}
 }
 
@@ -152,7 +151,7 @@
 // wait returns when the limiter allows a read or ctx is done.
 func (s *source) wait(ctx context.Context, limit *limiter.Limiter) {
 	for !limit.Read(s.clock.Now()) {
-		if !sleep(ctx, limitWait) {
+		if !clock.Sleep(ctx, limitWait) {
 			return
 		}
 	}
@@ -165,17 +164,5 @@
 		return
 	}
 	s.put(failed{err})
-	sleep(ctx, retryWait/2+clock.Millis(rand.Int64N(int64(retryWait))))
-}
-
-// sleep reports whether the time passed before ctx was done.
-func sleep(ctx context.Context, d clock.Millis) bool {
-	timer := time.NewTimer(d.Duration())
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
+	clock.Sleep(ctx, retryWait/2+clock.Millis(rand.Int64N(int64(retryWait))))
 }
--- a/entry/process/server/shares.go
+++ b/entry/process/server/shares.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"goldcrestshore/core/connection/frame"
 	"goldcrestshore/core/process/clock"
@@ -15,18 +14,11 @@
 // shareLimits tells the other entries what the customers use here, so that
 // limits hold over all entries, until ctx is done.
 func (s *Server) shareLimits(ctx context.Context) {
-	ticker := time.NewTicker(shareInterval.Duration())
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	clock.Every(ctx, shareInterval, func() {
 		if shares := s.scheduler.Shares(); len(shares) > 0 {
 			s.claims.Broadcast(frame.NewShares(s.Settings.Instance(), shares, nil))
 		}
-	}
+	})
 }
 
 // shared takes what another entry tells.
--- a/entry/process/suspects/suspects.go
+++ b/entry/process/suspects/suspects.go
@@ -23,7 +23,7 @@
 const (
 	// shareInterval is how often all verdicts are repeated for entries that
 	// missed an announcement; a silent connection is replaced after two seconds.
-	shareInterval = 2 * time.Second
+	shareInterval = 2 * clock.Second
 	// maxWait bounds how long a suspect waits for another one on its upstream.
 	maxWait = 2 * clock.Second
 	// waitInterval is the pause between the questions of a waiting request.
@@ -216,16 +216,7 @@
 
 // Run repeats all verdicts to the other entries until ctx is done.
 func (s *Service) Run(ctx context.Context) {
-	ticker := time.NewTicker(shareInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			s.share(s.verdicts())
-		}
-	}
+	clock.Every(ctx, shareInterval, func() { s.share(s.verdicts()) })
 }
 
 func (s *Service) verdicts() []suspect.Verdict {
--- a/entry/request/dispatch/dispatch.go
+++ b/entry/request/dispatch/dispatch.go
@@ -6,7 +6,6 @@
 	"context"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -26,8 +25,9 @@
 	"goldcrestshore/entry/request/schedule"
 )
 
-// restartPause is short against the objective for the first token and long
-// against the time in which a supervisor starts a process again.
+// restartPause lets an upstream that refuses connections restart. It is short
+// against the objective for the first token and long against the time in which
+// a supervisor starts a process again.
 const restartPause = 100 * clock.Millis(1)
 
 // Dispatcher runs requests on agents. Exported fields are set before use.
@@ -114,7 +114,8 @@
 			}
 		}
 		if failed.code == outcome.NoUpstream {
-			pause(ctx)
+			// The next attempt may have no other upstream than this one.
+			clock.Sleep(ctx, restartPause)
 		}
 		if err := turn.Again(ctx, failed.ran()); err != nil {
 			return d.stopped(err, state)
@@ -122,15 +123,6 @@
 	}
 }
 
-// pause lets an upstream that refuses connections restart before the next
-// attempt, which may have no other upstream.
-func pause(ctx context.Context) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(restartPause.Duration()):
-	}
-}
-
 // stopped refuses a request that gets no further upstream.
 func (d *Dispatcher) stopped(err error, state retry.Request) error {
 	result := outcome.NotRun
--- a/entry/request/schedule/schedule.go
+++ b/entry/request/schedule/schedule.go
@@ -7,7 +7,6 @@
 	"context"
 	"math/rand/v2"
 	"sync"
-	"time"
 
 	"goldcrestshore/core/connection/frame"
 	"goldcrestshore/core/connection/platform"
@@ -50,16 +49,9 @@
 
 // Run lets queued requests time out until ctx is done.
 func (s *Scheduler) Run(ctx context.Context) {
-	ticker := time.NewTicker(tickInterval.Duration())
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	clock.Every(ctx, tickInterval, func() {
 		s.change(func(now clock.Millis) { s.apply(now, customer.Tick{}) })
-	}
+	})
 }
 
 // Heartbeat takes an agent's load report.
