Serve the users' platform by a thin path from entries to replicas

Cause: the product reached upstreams through agents and its own object API only; the platform offers replicas that take HTTP from any machine and a store with lists and watches.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
-MODULES := core entry agent ctl standin measure
-PROGRAMS := entry/cmd/goldcrest-entry agent/cmd/goldcrest-agent ctl/cmd/goldcrestctl standin/cmd/goldcrest-standin measure/cmd/goldcrest-measure
+MODULES := core entry agent ctl standin measure platform
+PROGRAMS := entry/cmd/goldcrest-entry agent/cmd/goldcrest-agent ctl/cmd/goldcrestctl standin/cmd/goldcrest-standin measure/cmd/goldcrest-measure platform/cmd/goldcrest-platform
 SEED ?= 1
 export CGO_ENABLED := 1
 
--- a/core/process/event/catalogue.go
+++ b/core/process/event/catalogue.go
@@ -41,6 +41,18 @@
 	PlatformFailed = define(1202, logrus.WarnLevel, "platform call failed")
 )
 
+// Events of an entry's view of the store, 1250-1299.
+var (
+	StoreLost        = define(1250, logrus.WarnLevel, "store does not answer; the view of this kind of object may become outdated")
+	StoreRegained    = define(1251, logrus.InfoLevel, "store answers again; the view of this kind of object is current")
+	StoreHistoryGone = define(1252, logrus.InfoLevel, "store has discarded its history; all objects of the kind are listed again")
+	ObjectSkipped    = define(1253, logrus.WarnLevel, "object of the store cannot be read; it is skipped")
+	UpstreamChanged  = define(1254, logrus.InfoLevel, "entry of an upstream changed")
+	CentreChanged    = define(1255, logrus.InfoLevel, "data centre was taken out of service or back")
+	ProcessSuspended = define(1256, logrus.WarnLevel, "process stood still; the view is read again")
+	SettingsReloaded = define(1257, logrus.InfoLevel, "settings were read again")
+)
+
 // Events of requests at an entry, 1300-1399.
 var (
 	RequestRefused  = define(1300, logrus.DebugLevel, "request refused")
@@ -51,6 +63,14 @@
 	StreamResumed   = define(1305, logrus.InfoLevel, "stream resumed on a new connection")
 	RequestSuspect  = define(1306, logrus.WarnLevel, "request was in flight when its upstream crashed")
 	RequestExcluded = define(1307, logrus.WarnLevel, "request quarantined after crashing upstreams")
+	RequestAnswered = define(1310, logrus.InfoLevel, "request answered")
+	RequestRejected = define(1311, logrus.InfoLevel, "request rejected without being run")
+	RequestFailed   = define(1312, logrus.WarnLevel, "request failed after it was sent to an upstream")
+	RequestResent   = define(1313, logrus.InfoLevel, "request sent again after a failed attempt")
+	RequestResumed  = define(1314, logrus.InfoLevel, "stream continued at another upstream")
+	RequestLeft     = define(1315, logrus.InfoLevel, "caller closed the connection before the answer was complete")
+	UpstreamSkipped = define(1316, logrus.WarnLevel, "upstream failed; it gets no new requests for a while")
+	LinesDropped    = define(1317, logrus.WarnLevel, "log lines were dropped under pressure")
 )
 
 // Events of an agent's upstream, 1400-1499.
@@ -62,6 +82,17 @@
 	OrderFenced     = define(1404, logrus.WarnLevel, "order with a stale fencing token refused")
 )
 
+// Events of expert maps, 1500-1599.
+var (
+	MapProposed  = define(1500, logrus.InfoLevel, "expert map proposed")
+	MapPrepared  = define(1501, logrus.InfoLevel, "all ranks hold the experts of the proposed map")
+	MapActivated = define(1502, logrus.InfoLevel, "all ranks switch to the proposed map")
+	MapAbandoned = define(1503, logrus.WarnLevel, "change of the expert map abandoned")
+	MapRecovered = define(1504, logrus.WarnLevel, "unfinished change of another owner settled")
+	MapOwner     = define(1505, logrus.InfoLevel, "this process became the owner of expert maps")
+	MapOwnerLost = define(1506, logrus.InfoLevel, "this process no longer owns expert maps")
+)
+
 // Events of the stand-ins, 1900-1999.
 var (
 	StandInFailed    = define(1900, logrus.WarnLevel, "modelled upstream failed; it refuses connections until it restarts")
--- /dev/null
+++ b/entry/connection/upstream/conn.go
@@ -0,0 +1,100 @@
+package upstream
+
+import (
+	"bufio"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"golang.org/x/sys/unix"
+
+	"goldcrestshore/core/process/clock"
+)
+
+const (
+	readBufferBytes = 4 << 10
+	// unackedTimeout ends a connection whose peer acknowledges nothing for so
+	// long, also while a request waits for its answer.
+	unackedTimeout = 2 * clock.Second
+	// keepAliveSeconds is the pause between keep-alive probes; with
+	// keepAliveProbes it finds connections that went silent without a reset.
+	keepAliveSeconds = 1
+	keepAliveProbes  = 2
+	// keepAliveMargin is taken off the idle time that an upstream announces, for
+	// the way of a request.
+	keepAliveMargin = 500 * clock.Millis(1)
+)
+
+// conn is one kept connection to an upstream.
+type conn struct {
+	net.Conn
+	reader *bufio.Reader
+	// idleSince is when the last answer on the connection was complete.
+	idleSince clock.Millis
+	// idleLimit is how long the upstream keeps the connection open.
+	idleLimit clock.Millis
+}
+
+func newConn(c net.Conn) *conn {
+	setSocketOptions(c)
+	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBufferBytes), idleLimit: defaultIdle}
+}
+
+// setSocketOptions bounds the time until a silent connection is found. A
+// connection for which they cannot be set is still used.
+func setSocketOptions(c net.Conn) {
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(fd uintptr) {
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout))
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_KEEPALIVE, 1)
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_KEEPIDLE, keepAliveSeconds)
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_KEEPINTVL, keepAliveSeconds)
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_KEEPCNT, keepAliveProbes)
+	})
+}
+
+// quiet tells whether the peer has neither closed the connection nor sent bytes
+// that no request asked for.
+func (c *conn) quiet() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return true
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	open := false
+	var b [1]byte
+	err = raw.Read(func(fd uintptr) bool {
+		_, _, errno := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		open = errno == unix.EAGAIN
+		return true
+	})
+	return err == nil && open
+}
+
+// learnIdle takes the idle time from the Keep-Alive header of an answer.
+func (c *conn) learnIdle(h http.Header) {
+	for part := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
+		value, found := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
+		if !found {
+			continue
+		}
+		seconds, err := strconv.ParseInt(value, 10, 32)
+		if err == nil {
+			c.idleLimit = max(clock.Millis(seconds)*clock.Second-keepAliveMargin, 0)
+		}
+	}
+}
--- /dev/null
+++ b/entry/connection/upstream/pool.go
@@ -0,0 +1,140 @@
+// Package upstream exchanges HTTP/1.1 requests with upstreams on connections
+// that it keeps. Unlike the transport of net/http it never sends a request
+// twice, tells whether a request may have been run, and recognises answers that
+// belong to another request.
+package upstream
+
+import (
+	"context"
+	"net"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+
+	"goldcrestshore/core/process/clock"
+)
+
+// Errors of an exchange, for use with errors.Is.
+var (
+	// ErrNotSent means that the upstream has read nothing of the request.
+	ErrNotSent = errors.New("request was not sent")
+	// ErrBroken means that the connection failed after the request may have
+	// been read; the upstream may have run it.
+	ErrBroken = errors.New("connection to the upstream failed after the request was sent")
+	// ErrMalformed means that the upstream sent bytes that are no answer.
+	ErrMalformed = errors.New("upstream sent a malformed answer")
+)
+
+const (
+	dialTimeout = 400 * clock.Millis(1)
+	// defaultIdle is how long a connection without a Keep-Alive header is kept.
+	defaultIdle = 3 * clock.Second
+	// maxIdle bounds the kept connections to one address.
+	maxIdle = 16
+)
+
+// Pool keeps connections by address. It is safe for use by several goroutines.
+type Pool struct {
+	// Clock is set before use.
+	Clock *clock.Clock
+
+	mu     sync.Mutex
+	idle   map[string][]*conn
+	dialed int64
+}
+
+// Dialed returns the number of connections opened so far.
+func (p *Pool) Dialed() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.dialed
+}
+
+// take returns a kept connection that has been idle for at most maxAge, nil
+// when there is none.
+func (p *Pool) take(address string, maxAge clock.Millis) *conn {
+	for {
+		c := p.pop(address)
+		if c == nil {
+			return nil
+		}
+		age := p.Clock.Now() - c.idleSince
+		if age <= min(c.idleLimit, maxAge) && c.quiet() {
+			return c
+		}
+		_ = c.Close()
+	}
+}
+
+// pop removes the connection that was used last.
+func (p *Pool) pop(address string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[address]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	p.idle[address] = list[:len(list)-1]
+	return c
+}
+
+// put keeps a connection after a complete answer.
+func (p *Pool) put(address string, c *conn) {
+	c.idleSince = p.Clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.idle == nil {
+		p.idle = make(map[string][]*conn)
+	}
+	list := p.idle[address]
+	if len(list) >= maxIdle {
+		_ = list[0].Close()
+		list = list[1:]
+	}
+	p.idle[address] = append(list, c)
+}
+
+// Forget closes the kept connections to an address.
+func (p *Pool) Forget(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idle[address] {
+		_ = c.Close()
+	}
+	delete(p.idle, address)
+}
+
+// Expire closes kept connections that were idle for too long.
+func (p *Pool) Expire() {
+	now := p.Clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, list := range p.idle {
+		kept := list[:0]
+		for _, c := range list {
+			if now-c.idleSince > c.idleLimit {
+				_ = c.Close()
+				continue
+			}
+			kept = append(kept, c)
+		}
+		if len(kept) == 0 {
+			delete(p.idle, address)
+			continue
+		}
+		p.idle[address] = kept
+	}
+}
+
+func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
+	p.mu.Lock()
+	p.dialed++
+	p.mu.Unlock()
+	dialer := net.Dialer{Timeout: dialTimeout.Duration(), KeepAlive: -1}
+	c, err := dialer.DialContext(ctx, "tcp4", address)
+	if err != nil {
+		return nil, errors.Mark(errors.Wrapf(err, "connect to %s", address), ErrNotSent)
+	}
+	return newConn(c), nil
+}
--- /dev/null
+++ b/entry/process/watch/watch.go
@@ -0,0 +1,172 @@
+// Package watch keeps an entry's view in step with the store: it lists each
+// kind of object once and then follows the changes.
+package watch
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+
+	"goldcrestshore/core/process/clock"
+	"goldcrestshore/core/process/event"
+)
+
+// Errors that a Source returns.
+var (
+	// ErrHistoryGone means that changes since the revision are no longer known.
+	ErrHistoryGone = errors.New("store has discarded the history since that revision")
+	// ErrUnavailable means that the store did not answer the call.
+	ErrUnavailable = errors.New("store did not answer")
+)
+
+// Times of the calls.
+const (
+	// watchTime is how long a watch waits for a change; each answered watch
+	// counts as a call.
+	watchTime = 20 * clock.Second
+	// firstPause and longestPause bound the time between failed calls.
+	firstPause   clock.Millis = 100
+	longestPause clock.Millis = 800
+	// pauseSpread keeps entries that fail together from calling together.
+	pauseSpread = 0.5
+	// contactTime is how long after the last answer a view counts as current
+	// while calls fail.
+	contactTime = 1500
+)
+
+// Source is one kind of object in the store.
+type Source interface {
+	// Name identifies the kind in logs.
+	Name() string
+	// List reads all objects, applies them and returns the store's revision.
+	List(ctx context.Context) (int64, error)
+	// Watch waits for changes after a revision, applies them and returns the
+	// revision to go on from.
+	Watch(ctx context.Context, after int64, wait clock.Millis) (int64, error)
+}
+
+// Watcher follows several kinds. Exported fields are set before Run.
+type Watcher struct {
+	Clock   *clock.Clock
+	Log     *event.Log
+	Sources []Source
+
+	mu     sync.Mutex
+	failed []clock.Millis
+	cancel []context.CancelFunc
+	resets atomic.Int64
+}
+
+// Run follows all kinds until ctx is done.
+func (w *Watcher) Run(ctx context.Context) {
+	w.mu.Lock()
+	w.failed = make([]clock.Millis, len(w.Sources))
+	w.cancel = make([]context.CancelFunc, len(w.Sources))
+	for i := range w.failed {
+		w.failed[i] = 1 // no answer yet
+	}
+	w.mu.Unlock()
+	var running sync.WaitGroup
+	for i := range w.Sources {
+		running.Go(func() { w.follow(ctx, i) })
+	}
+	running.Wait()
+}
+
+// Current tells whether every kind has been read and none has been failing for
+// longer than contactTime. A view that is not current may lack newer routes
+// and keys.
+func (w *Watcher) Current(now clock.Millis) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.failed == nil {
+		return false
+	}
+	for _, since := range w.failed {
+		if since > 0 && now-since > contactTime {
+			return false
+		}
+	}
+	return true
+}
+
+// Reset ends the calls in progress and reads everything again, for use after
+// the process stood still.
+func (w *Watcher) Reset() {
+	w.resets.Add(1)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for i, cancel := range w.cancel {
+		if w.failed[i] == 0 {
+			w.failed[i] = 1
+		}
+		if cancel != nil {
+			cancel()
+		}
+	}
+}
+
+// follow lists one kind and then watches it.
+func (w *Watcher) follow(ctx context.Context, i int) {
+	source := w.Sources[i]
+	revision := int64(0)
+	pause := firstPause
+	resets := w.resets.Load()
+	for ctx.Err() == nil {
+		if now := w.resets.Load(); now != resets {
+			resets = now
+			revision = 0
+		}
+		next, err := w.step(ctx, i, source, revision)
+		switch {
+		case err == nil:
+			revision = next
+			pause = firstPause
+			w.answered(i)
+			continue
+		case errors.Is(err, ErrHistoryGone):
+			w.Log.Emit(event.StoreHistoryGone, event.Fields{"kind": source.Name(), "revision": revision})
+			revision = 0
+			continue
+		}
+		w.failing(i, err)
+		spread := 1 + pauseSpread*(rand.Float64()-0.5)
+		if !clock.Sleep(ctx, clock.Millis(float64(pause)*spread)) {
+			return
+		}
+		pause = min(2*pause, longestPause)
+	}
+}
+
+func (w *Watcher) step(ctx context.Context, i int, source Source, revision int64) (int64, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	w.mu.Lock()
+	w.cancel[i] = cancel
+	w.mu.Unlock()
+	if revision == 0 {
+		return source.List(ctx)
+	}
+	return source.Watch(ctx, revision, watchTime)
+}
+
+func (w *Watcher) answered(i int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if since := w.failed[i]; since > 0 {
+		w.Log.Emit(event.StoreRegained, event.Fields{"kind": w.Sources[i].Name()})
+	}
+	w.failed[i] = 0
+}
+
+func (w *Watcher) failing(i int, err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.failed[i] == 0 {
+		w.failed[i] = w.Clock.Now()
+		w.Log.Error(event.StoreLost, err, event.Fields{"kind": w.Sources[i].Name()})
+	}
+}
--- /dev/null
+++ b/entry/request/forward/request.go
@@ -0,0 +1,182 @@
+package forward
+
+import (
+	"hash/fnv"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"goldcrestshore/core/process/clock"
+	"goldcrestshore/entry/connection/upstream"
+	"goldcrestshore/entry/version/config"
+)
+
+// Reasons of refusals by the entry itself.
+const (
+	reasonStarting    = "configurationUnknown"
+	reasonOutdated    = "configurationOutdated"
+	reasonNoRoute     = "noRoute"
+	reasonNoKey       = "unknownKey"
+	reasonHeadTooBig  = "headTooLarge"
+	reasonBodyTooBig  = "bodyTooLarge"
+	reasonBodyBroken  = "bodyIncomplete"
+	reasonDeadline    = "deadlinePassed"
+	reasonRetryBudget = "retryBudget"
+	reasonUpstream    = "upstreamFailed"
+)
+
+// startRetry is when callers of a process that has just started come back.
+const startRetry clock.Millis = 500
+
+// defaultDeadline bounds a request without a deadline on a route without a
+// timeout.
+const defaultDeadline = 30 * clock.Second
+
+// request is one attempt of a caller.
+type request struct {
+	id       string
+	arrived  clock.Millis
+	deadline clock.Millis
+	version  int64
+	route    *config.Route
+	service  string
+	priority int
+	prompt   int
+	// lastEvent is the id of the last event that the caller has.
+	lastEvent string
+	outgoing  upstream.Request
+}
+
+func (r *request) routeName() string {
+	if r.route == nil {
+		return ""
+	}
+	return r.route.Name
+}
+
+// repeatable tells whether more than one upstream may run the request.
+func (r *request) repeatable() bool { return r.route.Repeat != config.Once }
+
+// accept checks a request against the configuration in force and reads it.
+func (s *Server) accept(w http.ResponseWriter, q *http.Request) (*request, *refusal) {
+	r := &request{id: q.Header.Get(s.Headers.RequestID), arrived: s.Clock.Now()}
+	view := s.State.View()
+	cfg := view.Config()
+	if !view.Complete() {
+		return r, &refusal{status: http.StatusServiceUnavailable, reason: reasonStarting, retryAfter: startRetry}
+	}
+	r.version = cfg.Version()
+	target := q.RequestURI
+	if !strings.HasPrefix(target, "/") {
+		target = q.URL.RequestURI()
+	}
+	path, _, _ := strings.Cut(target, "?")
+	r.route = cfg.Match(q.Host, path)
+	if r.route == nil {
+		return r, s.unknown(http.StatusNotFound, reasonNoRoute)
+	}
+	customer := cfg.Customer(q.Header.Get(s.Headers.Key))
+	if customer == nil && cfg.Secured() && !r.route.Anonymous {
+		return r, s.unknown(http.StatusUnauthorized, reasonNoKey)
+	}
+	if headBytes(q) > cfg.Limits().MaxHeaderBytes {
+		return r, &refusal{status: http.StatusRequestHeaderFieldsTooLarge, reason: reasonHeadTooBig}
+	}
+	body, refused := readBody(w, q, cfg.Limits().MaxBodyBytes)
+	if refused != nil {
+		return r, refused
+	}
+	s.fill(r, q, cfg, customer, target, body)
+	return r, nil
+}
+
+// unknown is the answer when the configuration in force does not allow a
+// request. A newer one may, so that an outdated view gives no final answer.
+func (s *Server) unknown(status int, reason string) *refusal {
+	if !s.Current(s.Clock.Now()) {
+		return &refusal{status: http.StatusServiceUnavailable, reason: reasonOutdated, retryAfter: startRetry}
+	}
+	return &refusal{status: status, reason: reason}
+}
+
+// headBytes is about the size of the head of a request.
+func headBytes(q *http.Request) int {
+	n := len(q.Method) + len(q.RequestURI) + len(q.Host)
+	for name, values := range q.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + len(": \r\n")
+		}
+	}
+	return n
+}
+
+func readBody(w http.ResponseWriter, q *http.Request, limit int64) ([]byte, *refusal) {
+	if q.ContentLength > limit {
+		return nil, &refusal{status: http.StatusRequestEntityTooLarge, reason: reasonBodyTooBig}
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, q.Body, limit))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, &refusal{status: http.StatusRequestEntityTooLarge, reason: reasonBodyTooBig}
+	case err != nil:
+		return nil, &refusal{status: http.StatusBadRequest, reason: reasonBodyBroken}
+	}
+	return body, nil
+}
+
+func (s *Server) fill(r *request, q *http.Request, cfg *config.Config, customer *config.Customer, target string, body []byte) {
+	h := s.Headers
+	r.service = r.route.Pick(draw(r.id))
+	r.priority = r.route.Priority
+	r.lastEvent = q.Header.Get(h.LastEvent)
+	r.prompt = promptTokens(q.Header.Get(h.Tokens))
+	r.deadline = r.arrived + deadline(q.Header.Get(h.Deadline), r.route.Timeout)
+	header := upstream.EndToEnd(q.Header)
+	for _, own := range []string{h.Key, h.Customer, h.Target, h.Deadline, "Host", "Expect"} {
+		delete(header, http.CanonicalHeaderKey(own))
+	}
+	if customer != nil {
+		header.Set(h.Customer, customer.Name)
+		if customer.Priority >= 0 {
+			r.priority = customer.Priority
+		}
+	}
+	r.outgoing = upstream.Request{
+		Method: q.Method, Target: target, Host: q.Host, Header: header, Body: body,
+		IDHeader: h.RequestID, ID: r.id,
+	}
+}
+
+// draw maps a request id to [0,1), so that equal ids take the same service.
+func draw(id string) float64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(id)) // a hash never fails
+	return float64(h.Sum64()>>11) / (1 << 53)
+}
+
+// promptTokens is the first of two numbers, 0 when there is none.
+func promptTokens(usage string) int {
+	first, _, _ := strings.Cut(usage, ",")
+	n, err := strconv.Atoi(strings.TrimSpace(first))
+	if err != nil || n < 0 {
+		return 0
+	}
+	return n
+}
+
+// deadline is the time that is left: what the caller waits, and at most the
+// route's timeout.
+func deadline(header string, timeout clock.Millis) clock.Millis {
+	left := defaultDeadline
+	if timeout > 0 {
+		left = timeout
+	}
+	if n, err := strconv.ParseInt(header, 10, 64); err == nil && n > 0 {
+		left = min(left, clock.Millis(n))
+	}
+	return left
+}
--- /dev/null
+++ b/entry/request/forward/server.go
@@ -0,0 +1,205 @@
+// Package forward serves callers' requests by sending each straight to an
+// upstream and passing the answer on.
+package forward
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"goldcrestshore/core/process/clock"
+	"goldcrestshore/core/process/event"
+	"goldcrestshore/entry/connection/upstream"
+	"goldcrestshore/entry/version/fleet"
+)
+
+// Headers are the names of the headers that callers, entry and upstreams use.
+type Headers struct {
+	// RequestID identifies one attempt of a caller; answers repeat it.
+	RequestID string
+	// Deadline is the number of milliseconds that the sender waits.
+	Deadline string
+	// Key identifies the customer; it is not passed on.
+	Key string
+	// Customer tells the upstream who holds the key.
+	Customer string
+	// Target names the upstream that is meant; any other refuses the request.
+	Target string
+	// Signature proves that an answer comes from an upstream.
+	Signature string
+	// NotRun marks an answer of an upstream that did not run the request.
+	NotRun string
+	// LastEvent is the id of the last event that a caller received.
+	LastEvent string
+	// Tokens gives the number of prompt tokens and the most output tokens.
+	Tokens string
+	// Priority ranks the request at the upstream.
+	Priority string
+}
+
+const (
+	// headerBytesCap bounds a head before the configuration is known.
+	headerBytesCap = 64 << 10
+	// stopNotice is how long a stopping server still takes connections, until
+	// the load balancer has noticed.
+	stopNotice = 2500 * clock.Millis(1)
+	// stopMargin is the time left before the process is killed.
+	stopMargin clock.Millis = 400
+	// sweepInterval is how often idle connections are looked at.
+	sweepInterval = clock.Second
+	// idleMargin is added to the configured idle time, for the way of a
+	// request that a caller sends just in time.
+	idleMargin = 2 * clock.Second
+)
+
+// Server accepts callers. Exported fields are set before Run.
+type Server struct {
+	Clock     *clock.Clock
+	Log       *event.Log
+	Headers   Headers
+	State     *fleet.State
+	Scheduler *Scheduler
+	Pool      *upstream.Pool
+	// Current tells whether the view is in step with the store.
+	Current func(now clock.Millis) bool
+	// Counters takes the outcomes of requests; it may be nil.
+	Counters *Counters
+	// Listen is the address for callers, ip:port.
+	Listen string
+	// Grace is the time from the signal to stop until the process is killed.
+	Grace clock.Millis
+
+	stopping atomic.Bool
+	held     atomic.Int64
+	mu       sync.Mutex
+	conns    map[net.Conn]connState
+}
+
+type connState struct {
+	state http.ConnState
+	since clock.Millis
+}
+
+// Ready tells whether the server should get new connections.
+func (s *Server) Ready() bool { return s.State.View().Complete() && !s.stopping.Load() }
+
+// Run serves until ctx is done and every answer is finished.
+func (s *Server) Run(ctx context.Context) error {
+	s.conns = make(map[net.Conn]connState)
+	server := &http.Server{Addr: s.Listen, Handler: s, MaxHeaderBytes: headerBytesCap, ConnState: s.track}
+	failed := make(chan error, 1)
+	go func() { failed <- server.ListenAndServe() }()
+	sweep, endSweep := context.WithCancel(context.Background())
+	defer endSweep()
+	go clock.Every(sweep, sweepInterval, s.closeIdle)
+	select {
+	case err := <-failed:
+		return errors.Wrap(err, "serve callers")
+	case <-ctx.Done():
+	}
+	return s.stop(server)
+}
+
+// stop finishes the requests in progress: first the load balancer learns that
+// the server is not ready, then the server takes no more connections.
+func (s *Server) stop(server *http.Server) error {
+	s.stopping.Store(true)
+	s.Log.Emit(event.ProcessStopping, event.Fields{"held": s.held.Load()})
+	end := time.Now().Add((s.Grace - stopMargin).Duration())
+	time.Sleep(min(stopNotice, s.Grace/2).Duration())
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	err := server.Shutdown(ctx)
+	s.Log.Emit(event.ProcessStopped, event.Fields{"held": s.held.Load()})
+	return errors.Wrap(err, "finish requests")
+}
+
+// track follows the states of callers' connections.
+func (s *Server) track(c net.Conn, state http.ConnState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if state == http.StateClosed || state == http.StateHijacked {
+		delete(s.conns, c)
+		return
+	}
+	s.conns[c] = connState{state, s.Clock.Now()}
+}
+
+// closeIdle closes connections on which no request has come for the time that
+// the configuration in force allows.
+func (s *Server) closeIdle() {
+	s.Pool.Expire()
+	cfg := s.State.View().Config()
+	if cfg == nil {
+		return
+	}
+	now, limits := s.Clock.Now(), cfg.Limits()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c, st := range s.conns {
+		idle := st.state == http.StateIdle && now-st.since > limits.IdleTimeout+idleMargin
+		unread := st.state == http.StateNew && now-st.since > limits.IdleTimeout+limits.HeaderTimeout
+		if idle || unread {
+			_ = c.Close()
+		}
+	}
+}
+
+// ServeHTTP answers one request.
+func (s *Server) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	s.held.Add(1)
+	defer s.held.Add(-1)
+	if s.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	r, refusal := s.accept(w, q)
+	if refusal != nil {
+		s.refuse(w, r, refusal)
+		return
+	}
+	ctx, cancel := context.WithTimeout(q.Context(), (r.deadline - s.Clock.Now()).Duration())
+	defer cancel()
+	s.run(ctx, w, q, r)
+}
+
+// refusal is an answer of the entry itself.
+type refusal struct {
+	status     int
+	reason     string
+	retryAfter clock.Millis
+	fields     event.Fields
+}
+
+func (s *Server) refuse(w http.ResponseWriter, r *request, f *refusal) {
+	fields := event.Fields{"request": r.id, "route": r.routeName(), "status": f.status, "reason": f.reason, "ms": s.Clock.Now() - r.arrived, "config": r.version}
+	for k, v := range f.fields {
+		fields[k] = v
+	}
+	s.Counters.outcome(r.routeName(), f.reason)
+	if f.status == http.StatusServiceUnavailable {
+		fields["retryAfterMs"] = f.retryAfter
+		w.Header().Set("Retry-After", seconds(f.retryAfter))
+	}
+	if f.status == http.StatusBadGateway || f.status == http.StatusGatewayTimeout {
+		s.Log.Emit(event.RequestFailed, fields)
+	} else {
+		s.Log.Emit(event.RequestRejected, fields)
+	}
+	if r.id != "" {
+		w.Header().Set(s.Headers.RequestID, r.id)
+	}
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.WriteHeader(f.status)
+	_, _ = w.Write([]byte(f.reason + "\n")) // the caller may have left; nothing follows
+}
+
+// seconds formats a time as seconds with a fraction.
+func seconds(m clock.Millis) string {
+	return strconv.FormatFloat(float64(m)/float64(clock.Second), 'f', 3, 64)
+}
