Follow the demand for experts with maps that all ranks adopt at one pass

Cause: with the first map the most loaded rank has 3.46 times the mean, and every pass waits for it. Ruled out: counts read by entries: 288 numbers from each of 12 ranks a second cost more than agents beside the ranks, whose reads and orders are free. Change: entry/version/placement plans; entry/process/experts owns the maps by a conditional write and switches by prepare, hold, arm, release; agents carry out orders, repeat unanswered ones with the same expected sequence and refuse an earlier owner; heartbeats by datagrams tell entries what others hold.

--- /dev/null
+++ b/agent/connection/sidecar/sidecar.go
@@ -0,0 +1,153 @@
+// Package sidecar serves entries from beside a rank: heartbeats by datagrams,
+// the calls of an owner of expert maps by TCP frames.
+package sidecar
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"goldcrestshore/agent/process/orders"
+	"goldcrestshore/core/connection/frame"
+	"goldcrestshore/core/process/clock"
+	"goldcrestshore/core/process/event"
+	"goldcrestshore/core/version/group"
+)
+
+const (
+	maxDatagram = 1400
+	// heldTime is how long what an entry holds is believed after its last
+	// heartbeat.
+	heldTime clock.Millis = 1500
+	// callIdle ends the connection of an owner that calls no more.
+	callIdle = 20 * clock.Second
+)
+
+// Server answers entries. Exported fields are set before Run.
+type Server struct {
+	Clock  *clock.Clock
+	Log    *event.Log
+	Orders *orders.Orders
+	// Listen is the address for datagrams and connections, ip:port.
+	Listen string
+
+	mu   sync.Mutex
+	held map[string]holding
+}
+
+// holding is what one entry has said it holds.
+type holding struct {
+	held int
+	at   clock.Millis
+}
+
+// Run serves until ctx is done.
+func (s *Server) Run(ctx context.Context) error {
+	s.held = make(map[string]holding)
+	packets, err := net.ListenPacket("udp4", s.Listen)
+	if err != nil {
+		return errors.Wrap(err, "listen for heartbeats")
+	}
+	listener, err := net.Listen("tcp4", s.Listen)
+	if err != nil {
+		return errors.CombineErrors(errors.Wrap(err, "listen for owners"), packets.Close())
+	}
+	stop := context.AfterFunc(ctx, func() {
+		_ = packets.Close()
+		_ = listener.Close()
+	})
+	defer stop()
+	var running sync.WaitGroup
+	running.Go(func() { s.heartbeats(ctx, packets) })
+	running.Go(func() { s.accept(ctx, listener) })
+	running.Wait()
+	return nil
+}
+
+func (s *Server) heartbeats(ctx context.Context, c net.PacketConn) {
+	buffer := make([]byte, maxDatagram)
+	for ctx.Err() == nil {
+		n, from, err := c.ReadFrom(buffer)
+		if err != nil {
+			continue // ends with ctx
+		}
+		id, m, err := frame.Read(bytes.NewReader(buffer[:n]))
+		holding, ok := m.(*frame.Holding)
+		if err != nil || !ok {
+			s.Log.Emit(event.PeerMalformed, event.Fields{"from": from.String()})
+			continue
+		}
+		reply := s.load(&holding.Holding)
+		out, err := frame.Append(nil, id, &frame.GroupLoad{Load: *reply})
+		if err != nil {
+			s.Log.Error(event.PeerMalformed, err, nil)
+			continue
+		}
+		_, _ = c.WriteTo(out, from) // a lost datagram is followed by another one
+	}
+}
+
+// load notes a heartbeat and sums up what others hold.
+func (s *Server) load(h *group.Holding) *group.Load {
+	term, age := s.Orders.Hear(h.Term)
+	now := s.Clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.held[h.Entry] = holding{h.Held, now}
+	out := &group.Load{Term: term, OwnerAge: int64(age)}
+	for entry, held := range s.held {
+		if now-held.at > heldTime {
+			delete(s.held, entry)
+			continue
+		}
+		out.Entries++
+		if entry != h.Entry {
+			out.Others += held.held
+		}
+	}
+	return out
+}
+
+func (s *Server) accept(ctx context.Context, l net.Listener) {
+	for ctx.Err() == nil {
+		c, err := l.Accept()
+		if err != nil {
+			continue // ends with ctx
+		}
+		go s.owner(ctx, c)
+	}
+}
+
+// owner serves the calls of one connection in turn.
+func (s *Server) owner(ctx context.Context, c net.Conn) {
+	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	defer stop()
+	defer c.Close()
+	reader := bufio.NewReader(c)
+	for {
+		_ = c.SetDeadline(time.Now().Add(callIdle.Duration()))
+		id, m, err := frame.Read(reader)
+		if err != nil {
+			return // the owner has closed the connection or is gone
+		}
+		call, ok := m.(*frame.RankCall)
+		if !ok {
+			s.Log.Emit(event.PeerUnknownKind, event.Fields{"from": c.RemoteAddr().String()})
+			return
+		}
+		reply := s.Orders.Serve(ctx, &call.Call)
+		out, err := frame.Append(nil, id, &frame.RankReply{Reply: *reply})
+		if err != nil {
+			s.Log.Error(event.PeerMalformed, err, nil)
+			return
+		}
+		if _, err := c.Write(out); err != nil {
+			return
+		}
+	}
+}
--- a/core/connection/frame/kind.go
+++ b/core/connection/frame/kind.go
@@ -2,6 +2,8 @@
 
 import (
 	"github.com/cockroachdb/errors"
+
+	"goldcrestshore/core/version/group"
 )
 
 // Kinds of frames. Numbers are part of the protocol and are never reused.
@@ -110,6 +112,14 @@
 		return unmarshal[Shares](body)
 	case kindCrash:
 		return unmarshal[Crash](body)
+	case kindHolding:
+		return unmarshal[Holding](body)
+	case kindLoad:
+		return unmarshal[GroupLoad](body)
+	case kindRankCall:
+		return unmarshal[RankCall](body)
+	case kindRankReply:
+		return unmarshal[RankReply](body)
 	}
 	return nil, errors.Wrapf(ErrUnknownKind, "kind %d", kind)
 }
@@ -128,3 +138,28 @@
 	}
 	return m, nil
 }
+
+// Kinds of messages between entries and the agents of ranks.
+const (
+	kindHolding   = 40
+	kindLoad      = 41
+	kindRankCall  = 42
+	kindRankReply = 43
+)
+
+// Holding is an entry's heartbeat to the agent of a rank.
+type Holding struct{ group.Holding }
+
+// GroupLoad is the answer to Holding.
+type GroupLoad struct{ group.Load }
+
+// RankCall is what the owner of expert maps asks of the agent of a rank.
+type RankCall struct{ group.Call }
+
+// RankReply is the answer to RankCall.
+type RankReply struct{ group.Reply }
+
+func (*Holding) frameKind() byte   { return kindHolding }
+func (*GroupLoad) frameKind() byte { return kindLoad }
+func (*RankCall) frameKind() byte  { return kindRankCall }
+func (*RankReply) frameKind() byte { return kindRankReply }
--- a/core/process/event/catalogue.go
+++ b/core/process/event/catalogue.go
@@ -91,6 +91,10 @@
 	MapRecovered = define(1504, logrus.WarnLevel, "unfinished change of another owner settled")
 	MapOwner     = define(1505, logrus.InfoLevel, "this process became the owner of expert maps")
 	MapOwnerLost = define(1506, logrus.InfoLevel, "this process no longer owns expert maps")
+
+	OrderUnsettled = define(1507, logrus.WarnLevel, "rank did not answer an order; it may still take effect")
+	OrderRefused   = define(1508, logrus.WarnLevel, "rank refused an order")
+	RankUnreached  = define(1509, logrus.InfoLevel, "rank or its agent does not answer")
 )
 
 // Events of the stand-ins, 1900-1999.
--- /dev/null
+++ b/entry/connection/sidecar/beacon.go
@@ -0,0 +1,171 @@
+package sidecar
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+
+	"goldcrestshore/core/connection/frame"
+	"goldcrestshore/core/process/clock"
+	"goldcrestshore/core/process/event"
+	"goldcrestshore/core/version/group"
+)
+
+const (
+	// beaconInterval is the time between two heartbeats to an agent, and so the
+	// age of what is known of other entries' requests.
+	beaconInterval clock.Millis = 120
+	// loadTime is how long an agent's answer is believed.
+	loadTime    clock.Millis = 700
+	maxDatagram              = 1400
+)
+
+// Agent is the process beside an upstream.
+type Agent struct {
+	Upstream string
+	Service  string
+	Address  string
+}
+
+// Beacon tells agents what this entry holds and learns what others hold.
+// Exported fields are set before Run.
+type Beacon struct {
+	Clock *clock.Clock
+	Log   *event.Log
+	// Entry is the name of this entry.
+	Entry string
+	// Listen is the address for answers, ip:port.
+	Listen string
+	// Agents returns the agents to call.
+	Agents func() []Agent
+	// Held returns this entry's requests by upstream.
+	Held func() map[string]int
+	// Term returns the term of this entry's ownership of a service's maps.
+	Term func(service string) int64
+	// OnLoads receives the loads by upstream after each round.
+	OnLoads func(map[string]group.Load)
+
+	mu    sync.Mutex
+	loads map[string]answer
+	// sent maps the sequence of a heartbeat to its upstream.
+	sent     map[uint64]string
+	sequence uint64
+}
+
+type answer struct {
+	load    group.Load
+	service string
+	at      clock.Millis
+}
+
+// Run sends heartbeats until ctx is done.
+func (b *Beacon) Run(ctx context.Context) error {
+	b.loads, b.sent = make(map[string]answer), make(map[uint64]string)
+	c, err := net.ListenPacket("udp4", b.Listen)
+	if err != nil {
+		return errors.Wrap(err, "listen for agents' answers")
+	}
+	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	defer stop()
+	go b.receive(ctx, c)
+	clock.Every(ctx, beaconInterval, func() { b.round(c) })
+	return nil
+}
+
+func (b *Beacon) round(c net.PacketConn) {
+	b.OnLoads(b.fresh())
+	held := b.Held()
+	agents := b.Agents()
+	b.mu.Lock()
+	clear(b.sent)
+	first := b.sequence + 1
+	for _, a := range agents {
+		b.sequence++
+		b.sent[b.sequence] = a.Upstream
+		if old, known := b.loads[a.Upstream]; known {
+			old.service = a.Service
+			b.loads[a.Upstream] = old
+		} else {
+			b.loads[a.Upstream] = answer{service: a.Service, at: -loadTime}
+		}
+	}
+	b.mu.Unlock()
+	for i, a := range agents {
+		b.send(c, a, held[a.Upstream], first+uint64(i))
+	}
+}
+
+func (b *Beacon) send(c net.PacketConn, a Agent, held int, sequence uint64) {
+	m := &frame.Holding{Holding: group.Holding{Entry: b.Entry, Held: held, Term: b.Term(a.Service)}}
+	out, err := frame.Append(nil, frame.NewID(0, sequence), m)
+	if err != nil {
+		b.Log.Error(event.PeerMalformed, err, nil)
+		return
+	}
+	to, err := net.ResolveUDPAddr("udp4", a.Address)
+	if err != nil {
+		b.Log.Error(event.RankUnreached, err, event.Fields{"upstream": a.Upstream})
+		return
+	}
+	_, _ = c.WriteTo(out, to) // a lost datagram is followed by another one
+}
+
+func (b *Beacon) receive(ctx context.Context, c net.PacketConn) {
+	buffer := make([]byte, maxDatagram)
+	for ctx.Err() == nil {
+		n, from, err := c.ReadFrom(buffer)
+		if err != nil {
+			continue // ends with ctx
+		}
+		id, m, err := frame.Read(bytes.NewReader(buffer[:n]))
+		load, ok := m.(*frame.GroupLoad)
+		if err != nil || !ok {
+			b.Log.Emit(event.PeerMalformed, event.Fields{"from": from.String()})
+			continue
+		}
+		b.mu.Lock()
+		if upstream, known := b.sent[id.Sequence()]; known {
+			b.loads[upstream] = answer{load.Load, b.loads[upstream].service, b.Clock.Now()}
+		}
+		b.mu.Unlock()
+	}
+}
+
+// fresh returns the loads that are recent enough to be believed.
+func (b *Beacon) fresh() map[string]group.Load {
+	now := b.Clock.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make(map[string]group.Load, len(b.loads))
+	for upstream, a := range b.loads {
+		if now-a.at <= loadTime {
+			out[upstream] = a.load
+		}
+	}
+	return out
+}
+
+// Owner returns the highest term of an owner of a service's maps, the time
+// since any agent heard that owner, and the number of agents that answer.
+func (b *Beacon) Owner(service string) (term int64, age clock.Millis, agents int) {
+	now := b.Clock.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, a := range b.loads {
+		if a.service != service || now-a.at > loadTime {
+			continue
+		}
+		agents++
+		heard := a.load.OwnerAgeMillis() + now - a.at
+		switch {
+		case a.load.Term > term:
+			term, age = a.load.Term, heard
+		case a.load.Term == term && (agents == 1 || heard < age):
+			age = heard
+		}
+	}
+	return term, age, agents
+}
--- /dev/null
+++ b/entry/connection/sidecar/caller.go
@@ -0,0 +1,103 @@
+// Package sidecar calls the agents beside ranks: heartbeats by datagrams, the
+// calls of an owner of expert maps by TCP frames.
+package sidecar
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"goldcrestshore/core/connection/frame"
+	"goldcrestshore/core/process/clock"
+	"goldcrestshore/core/version/group"
+)
+
+// ErrUnreached means that an agent did not answer; an order may be carried out.
+var ErrUnreached = errors.New("agent did not answer")
+
+const dialTimeout clock.Millis = 300
+
+// Caller keeps a connection to each agent. It is safe for use by several
+// goroutines.
+type Caller struct {
+	mu    sync.Mutex
+	peers map[string]*peer
+}
+
+// peer is the connection to one agent; calls take turns.
+type peer struct {
+	mu       sync.Mutex
+	conn     net.Conn
+	reader   *bufio.Reader
+	sequence uint64
+}
+
+func (c *Caller) peer(address string) *peer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.peers == nil {
+		c.peers = make(map[string]*peer)
+	}
+	p := c.peers[address]
+	if p == nil {
+		p = &peer{}
+		c.peers[address] = p
+	}
+	return p
+}
+
+// Call asks the agent at an address and waits for its answer at most for limit.
+func (c *Caller) Call(ctx context.Context, address string, call *group.Call, limit clock.Millis) (*group.Reply, error) {
+	p := c.peer(address)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	reply, err := p.exchange(ctx, address, call, limit)
+	if err != nil {
+		p.close()
+		return nil, errors.Mark(errors.Wrapf(err, "agent %s", address), ErrUnreached)
+	}
+	return reply, nil
+}
+
+func (p *peer) close() {
+	if p.conn != nil {
+		_ = p.conn.Close()
+		p.conn = nil
+	}
+}
+
+func (p *peer) exchange(ctx context.Context, address string, call *group.Call, limit clock.Millis) (*group.Reply, error) {
+	if p.conn == nil {
+		dialer := net.Dialer{Timeout: dialTimeout.Duration()}
+		conn, err := dialer.DialContext(ctx, "tcp4", address)
+		if err != nil {
+			return nil, err
+		}
+		p.conn, p.reader = conn, bufio.NewReader(conn)
+	}
+	conn := p.conn
+	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	_ = conn.SetDeadline(time.Now().Add(limit.Duration()))
+	p.sequence++
+	out, err := frame.Append(nil, frame.NewID(0, p.sequence), &frame.RankCall{Call: *call})
+	if err != nil {
+		return nil, err
+	}
+	if _, err := conn.Write(out); err != nil {
+		return nil, err
+	}
+	id, m, err := frame.Read(p.reader)
+	if err != nil {
+		return nil, err
+	}
+	reply, ok := m.(*frame.RankReply)
+	if !ok || id.Sequence() != p.sequence {
+		return nil, frame.ErrMalformed
+	}
+	return &reply.Reply, nil
+}
--- /dev/null
+++ b/entry/process/experts/change.go
@@ -0,0 +1,176 @@
+package experts
+
+import (
+	"context"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+
+	"goldcrestshore/core/process/clock"
+	"goldcrestshore/core/process/event"
+	"goldcrestshore/core/version/group"
+	"goldcrestshore/entry/version/config"
+	"goldcrestshore/entry/version/placement"
+)
+
+// ErrRefused means that a rank did not accept an order of a change.
+var ErrRefused = errors.New("rank did not accept an order")
+
+const (
+	// leastGain is the part of the skew that a change must take away, and
+	// gainPerMove what each copied expert must bring on average.
+	leastGain   = 0.05
+	gainPerMove = 0.0015
+	// prepareTime bounds the copying of experts.
+	prepareTime = 8 * clock.Second
+	// preparePause is the time between two looks at the copies.
+	preparePause clock.Millis = 60
+	// armTime is the time that arming all ranks usually takes; the pass at which
+	// they switch lies that far ahead.
+	armTime clock.Millis = 160
+	// leastAhead is the least number of passes to the switch.
+	leastAhead = 2
+	// defaultPass is the length of a pass before it is known.
+	defaultPass clock.Millis = 60
+)
+
+// improve changes the map if another one divides the demand more evenly.
+func (o *Owner) improve(ctx context.Context, ranks []*rank, engine *config.Engine) error {
+	s := &o.state
+	if s.demand.Total() < leastTokens {
+		return nil
+	}
+	shape := placement.Shape{
+		Layers: engine.Layers, Experts: engine.Experts, Ranks: len(ranks),
+		SlotsPerRank: engine.SlotsPerRank, SpareSlots: engine.SpareSlots,
+	}
+	next := placement.Plan(shape, s.current, s.demand.Loads())
+	before, after := placement.Skew(s.current, s.demand.Loads()), placement.Skew(next, s.demand.Loads())
+	moves := s.current.Moves(next)
+	if before-after < max(leastGain, gainPerMove*float64(moves)) {
+		return nil
+	}
+	version := s.version + 1
+	for _, r := range ranks {
+		version = max(version, r.report.Map+1, r.report.Prepared+1)
+	}
+	s.version = version
+	o.Log.Emit(event.MapProposed, event.Fields{"service": o.Service, "version": version, "epoch": s.epoch, "skew": before, "expected": after, "moves": moves, "tokens": s.demand.Total(), "passMs": s.pass})
+	if err := o.change(ctx, ranks, version, next); err != nil {
+		s.known = false
+		return errors.Wrapf(err, "version %d", version)
+	}
+	s.current = next
+	return nil
+}
+
+// change makes all ranks use a map.
+func (o *Owner) change(ctx context.Context, ranks []*rank, version int64, next placement.Map) error {
+	began := o.Clock.Now()
+	order := group.Order{Op: int(group.Prepare), Version: version, Epoch: o.state.epoch, Map: next}
+	if err := o.orderAll(ctx, ranks, order); err != nil {
+		return err
+	}
+	ranks, err := o.awaitPrepared(ctx, version)
+	if err != nil {
+		return err
+	}
+	prepared := o.Clock.Now()
+	step := o.switchStep(ranks)
+	if err := o.order(ctx, ranks[0].Member, group.Order{Op: int(group.Hold), Step: step, Epoch: o.state.epoch}); err != nil {
+		return err
+	}
+	if err := o.orderAll(ctx, ranks, group.Order{Op: int(group.Arm), Version: version, Step: step, Epoch: o.state.epoch}); err != nil {
+		return err // the next cycle settles it while the hold stands
+	}
+	armed := o.Clock.Now()
+	if err := o.order(ctx, ranks[0].Member, group.Order{Op: int(group.Release), Step: step, Epoch: o.state.epoch}); err != nil {
+		return err
+	}
+	o.Log.Emit(event.MapActivated, event.Fields{"service": o.Service, "version": version, "epoch": o.state.epoch, "step": step, "prepareMs": prepared - began, "armMs": armed - prepared})
+	return nil
+}
+
+// switchStep returns a pass that the group begins after all ranks are armed.
+func (o *Owner) switchStep(ranks []*rank) int64 {
+	last := int64(0)
+	for _, r := range ranks {
+		last = max(last, r.report.Step)
+	}
+	pass := o.state.pass
+	if pass <= 0 {
+		pass = defaultPass
+	}
+	return last + max(leastAhead, int64(armTime/pass)+1)
+}
+
+// awaitPrepared waits until all ranks hold the experts of a version.
+func (o *Owner) awaitPrepared(ctx context.Context, version int64) ([]*rank, error) {
+	end := o.Clock.Now() + prepareTime
+	term := o.term.Load()
+	for o.Clock.Now() < end {
+		ranks, whole := o.all(ctx, func(Member) *group.Call { return &group.Call{Term: term} }, callTime)
+		if !whole || ranks[0].report.Epoch != o.state.epoch {
+			return nil, errors.Wrap(ErrRefused, "group changed while experts were copied")
+		}
+		if havePrepared(ranks, version) {
+			o.Log.Emit(event.MapPrepared, event.Fields{"service": o.Service, "version": version})
+			return ranks, nil
+		}
+		if !clock.Sleep(ctx, preparePause) {
+			break
+		}
+	}
+	return nil, errors.Wrap(ErrRefused, "experts were not copied in time")
+}
+
+func havePrepared(ranks []*rank, version int64) bool {
+	for _, r := range ranks {
+		if r.report.Prepared != version {
+			return false
+		}
+	}
+	return true
+}
+
+// order gives an order to one rank through its agent.
+func (o *Owner) order(ctx context.Context, m Member, order group.Order) error {
+	reply, err := o.Ranks.Call(ctx, m, &group.Call{Term: o.term.Load(), HasOrder: true, Order: order}, orderTime)
+	return o.outcome(m, order, reply, err)
+}
+
+// outcome returns nil when an order was accepted.
+func (o *Owner) outcome(m Member, order group.Order, reply *group.Reply, err error) error {
+	what := event.Fields{"upstream": m.Upstream, "op": group.Op(order.Op).String(), "version": order.Version, "step": order.Step, "epoch": order.Epoch}
+	if err != nil {
+		o.Log.Error(event.RankUnreached, err, what)
+		return errors.Wrapf(ErrRefused, "%s: no answer from %s", group.Op(order.Op), m.Upstream)
+	}
+	switch group.Outcome(reply.Outcome) {
+	case group.Accepted:
+		return nil
+	case group.Fenced:
+		o.term.Store(0)
+		return errors.Wrapf(ErrNotOwner, "%s at %s", group.Op(order.Op), m.Upstream)
+	case group.Refused, group.Unknown:
+	}
+	what["outcome"] = reply.Outcome
+	o.Log.Emit(event.OrderRefused, what)
+	return errors.Wrapf(ErrRefused, "%s at %s", group.Op(order.Op), m.Upstream)
+}
+
+// orderAll gives the same order to all ranks at once.
+func (o *Owner) orderAll(ctx context.Context, ranks []*rank, order group.Order) error {
+	failed := make([]error, len(ranks))
+	var running sync.WaitGroup
+	for i, r := range ranks {
+		running.Go(func() { failed[i] = o.order(ctx, r.Member, order) })
+	}
+	running.Wait()
+	for _, err := range failed {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/entry/version/placement/placement.go
@@ -0,0 +1,146 @@
+// Package placement decides which experts each rank of a group holds when the
+// ranks that hold an expert share its tokens evenly. It does no I/O.
+//
+// The planner of the agents (goldcrestshore/agent/version/planner) divides the
+// tokens of an expert unevenly, which needs ranks that accept shares.
+package placement
+
+import (
+	"slices"
+
+	"goldcrestshore/core/process/clock"
+)
+
+// Shape is the size of a group and its model.
+type Shape struct {
+	Layers       int
+	Experts      int
+	Ranks        int
+	SlotsPerRank int
+	// SpareSlots is how many experts of a layer one change may bring to a rank.
+	SpareSlots int
+}
+
+// Map holds the experts by layer and rank.
+type Map [][][]int
+
+// First returns the map with which a group begins: experts in turn.
+func First(s Shape) Map {
+	m := make(Map, s.Layers)
+	for layer := range m {
+		m[layer] = make([][]int, s.Ranks)
+		for e := range s.Experts {
+			m[layer][e%s.Ranks] = append(m[layer][e%s.Ranks], e)
+		}
+	}
+	return m
+}
+
+// Clone returns an independent copy.
+func (m Map) Clone() Map {
+	out := make(Map, len(m))
+	for layer := range m {
+		out[layer] = make([][]int, len(m[layer]))
+		for rank := range m[layer] {
+			out[layer][rank] = slices.Clone(m[layer][rank])
+		}
+	}
+	return out
+}
+
+// Moves returns the number of experts that ranks must copy to go from m to next.
+func (m Map) Moves(next Map) int {
+	n := 0
+	for layer := range next {
+		for rank, experts := range next[layer] {
+			for _, e := range experts {
+				if !slices.Contains(m[layer][rank], e) {
+					n++
+				}
+			}
+		}
+	}
+	return n
+}
+
+// Loads are the expected tokens of each expert by layer.
+type Loads [][]float64
+
+// Skew returns the load of the most loaded rank over the mean, averaged over
+// the layers; 1 is perfectly even.
+func Skew(m Map, loads Loads) float64 {
+	sum := 0.0
+	for layer := range m {
+		sum += layerSkew(m[layer], loads[layer])
+	}
+	return sum / float64(max(len(m), 1))
+}
+
+func layerSkew(ranks [][]int, load []float64) float64 {
+	replicas := countReplicas(ranks, len(load))
+	total, top := 0.0, 0.0
+	for _, experts := range ranks {
+		sum := 0.0
+		for _, e := range experts {
+			sum += load[e] / float64(replicas[e])
+		}
+		total += sum
+		top = max(top, sum)
+	}
+	if total == 0 {
+		return 1
+	}
+	return top * float64(len(ranks)) / total
+}
+
+func countReplicas(ranks [][]int, experts int) []int {
+	replicas := make([]int, experts)
+	for _, list := range ranks {
+		for _, e := range list {
+			replicas[e]++
+		}
+	}
+	return replicas
+}
+
+// Estimator keeps the expected tokens of each expert from counts that arrive
+// in turn.
+type Estimator struct {
+	// HalfLife is the time after which a count has half of its weight.
+	HalfLife clock.Millis
+
+	loads Loads
+	last  clock.Millis
+}
+
+// Add takes the tokens counted since the last call.
+func (e *Estimator) Add(now clock.Millis, counts Loads) {
+	if e.loads == nil {
+		e.loads = make(Loads, len(counts))
+		for layer := range counts {
+			e.loads[layer] = make([]float64, len(counts[layer]))
+		}
+		e.last = now
+	}
+	keep := decay(now-e.last, e.HalfLife)
+	e.last = now
+	for layer := range counts {
+		for i, n := range counts[layer] {
+			e.loads[layer][i] = e.loads[layer][i]*keep + n
+		}
+	}
+}
+
+// Loads returns the present estimate, nil before the first count.
+func (e *Estimator) Loads() Loads { return e.loads }
+
+// Total returns the tokens in the estimate of a layer.
+func (e *Estimator) Total() float64 {
+	total := 0.0
+	if len(e.loads) > 0 {
+		for _, n := range e.loads[0] {
+			total += n
+		}
+	}
+	return total
+}
--- /dev/null
+++ b/entry/version/placement/placement_test.go
@@ -0,0 +1,97 @@
+package placement
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"goldcrestshore/core/process/check"
+	"goldcrestshore/core/process/clock"
+)
+
+var small = Shape{Layers: 4, Experts: 72, Ranks: 12, SlotsPerRank: 8, SpareSlots: 3}
+
+// zipf returns loads whose ranks are shuffled.
+func zipf(r *rand.Rand, s Shape, exponent float64) Loads {
+	loads := make(Loads, s.Layers)
+	for layer := range loads {
+		loads[layer] = make([]float64, s.Experts)
+		for i, e := range r.Perm(s.Experts) {
+			loads[layer][e] = 1000 / math.Pow(float64(i+1), exponent)
+		}
+	}
+	return loads
+}
+
+// checkValid fails the test when ranks could not use next after current.
+func checkValid(t *testing.T, s Shape, current, next Map) {
+	t.Helper()
+	for layer := range next {
+		held := make([]bool, s.Experts)
+		for rank, experts := range next[layer] {
+			check.AtMost(t, "experts of a rank", len(experts), s.SlotsPerRank)
+			fresh := 0
+			for i, e := range experts {
+				held[e] = true
+				if slices.Contains(experts[:i], e) {
+					t.Errorf("layer %d rank %d: got expert %d twice, want once", layer, rank, e)
+				}
+				if !slices.Contains(current[layer][rank], e) {
+					fresh++
+				}
+			}
+			check.AtMost(t, "new experts of a rank", fresh, s.SpareSlots)
+		}
+		check.Equal(t, "an expert without a rank", slices.Contains(held, false), false)
+	}
+}
+
+// Guards against maps that ranks refuse or that lose an expert, and against a
+// plan that leaves the ranks uneven.
+func TestPlanIsValidAndEven(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		shape Shape
+		plans int
+		want  float64
+	}{
+		{"12 ranks", small, 3, 1.15},
+		{"63 ranks", Shape{Layers: 8, Experts: 252, Ranks: 63, SlotsPerRank: 5, SpareSlots: 2}, 6, 1.6},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := rand.New(rand.NewPCG(1, 2))
+			loads := zipf(r, tc.shape, 0.8)
+			current := First(tc.shape)
+			before := Skew(current, loads)
+			for range tc.plans {
+				next := Plan(tc.shape, current, loads)
+				checkValid(t, tc.shape, current, next)
+				current = next
+			}
+			check.AtMost(t, "skew", Skew(current, loads), tc.want)
+			check.AtMost(t, "skew against the first map", Skew(current, loads), before)
+		})
+	}
+}
+
+// Guards against copying experts when nothing has changed.
+func TestSettledMapMovesNothing(t *testing.T) {
+	r := rand.New(rand.NewPCG(3, 4))
+	loads := zipf(r, small, 0.6)
+	current := First(small)
+	for range 8 {
+		current = Plan(small, current, loads)
+	}
+	check.Equal(t, "moves", current.Moves(Plan(small, current, loads)), 0)
+}
+
+// Guards against an estimate that follows old counts after demand has changed.
+func TestEstimatorForgets(t *testing.T) {
+	e := Estimator{HalfLife: 1 * clock.Second}
+	e.Add(0, Loads{{100, 0}})
+	e.Add(4000, Loads{{0, 100}})
+	got := e.Loads()[0]
+	check.AtMost(t, "old load", got[0], 7)
+	check.Equal(t, "new load", got[1], 100.0)
+}
