Change maps sooner and by fewer copies, and notice jumps of demand

Cause: a change took 0.5 to 0.9 s for copies and the estimate mixed the demand before and after a jump, so that most passes ran on an outdated map. Ruled out: noise of the counts; between jumps intervals of 150 ms show a skew of 1.2 to 1.5. Change: at most five copies a rank and change, layers in turn; the estimate starts anew when the counts fit the map 1.4 times worse than before.

--- a/entry/process/experts/change.go
+++ b/entry/process/experts/change.go
@@ -21,13 +21,16 @@
 	// gainPerMove what each copied expert must bring on average.
 	leastGain   = 0.05
 	gainPerMove = 0.0015
+	// maxCopies bounds the experts that a change brings to a rank; the time of a
+	// change follows from it, and fewer serve sooner.
+	maxCopies = 5
 	// prepareTime bounds the copying of experts.
 	prepareTime = 8 * clock.Second
 	// preparePause is the time between two looks at the copies.
-	preparePause clock.Millis = 60
+	preparePause clock.Millis = 40
 	// armTime is the time that arming all ranks usually takes; the pass at which
 	// they switch lies that far ahead.
-	armTime clock.Millis = 160
+	armTime clock.Millis = 60
 	// leastAhead is the least number of passes to the switch.
 	leastAhead = 2
 	// defaultPass is the length of a pass before it is known.
@@ -42,7 +45,7 @@
 	}
 	shape := placement.Shape{
 		Layers: engine.Layers, Experts: engine.Experts, Ranks: len(ranks),
-		SlotsPerRank: engine.SlotsPerRank, SpareSlots: engine.SpareSlots,
+		SlotsPerRank: engine.SlotsPerRank, SpareSlots: engine.SpareSlots, MaxCopies: maxCopies,
 	}
 	next := placement.Plan(shape, s.current, s.demand.Loads())
 	before, after := placement.Skew(s.current, s.demand.Loads()), placement.Skew(next, s.demand.Loads())
--- a/entry/process/experts/owner.go
+++ b/entry/process/experts/owner.go
@@ -28,7 +28,7 @@
 
 const (
 	// cycle is the time between two looks at the ranks.
-	cycle clock.Millis = 250
+	cycle clock.Millis = 150
 	// ownerSilence is how long an owner is not heard before another process
 	// takes over; a stalled change stops the whole group.
 	ownerSilence clock.Millis = 1000
@@ -45,6 +45,12 @@
 	demandHalfLife clock.Millis = 900
 	// leastTokens is the number of choices a layer needs before a plan.
 	leastTokens = 2000
+	// jumpTokens is the number of choices that show a jump in demand.
+	jumpTokens = 40000
+	// leastJump and jumpRatio are the skew, and its ratio to that expected, from
+	// which on a jump is assumed.
+	leastJump = 1.7
+	jumpRatio = 1.4
 )
 
 // Member is a rank of the group.
@@ -275,7 +281,11 @@
 			sum[i/engine.Experts][i%engine.Experts] += float64(max(n-before.counts[i], 0))
 		}
 	}
-	s.demand.Add(now, sum)
+	if jumped(s, sum) {
+		s.demand.Replace(now, sum)
+	} else {
+		s.demand.Add(now, sum)
+	}
 	step := ranks[0].report.Step
 	if step > s.lastStep && s.lastAt > 0 {
 		s.pass = (now - s.lastAt) / clock.Millis(step-s.lastStep)
@@ -283,6 +293,24 @@
 	s.lastStep, s.lastAt = step, now
 }
 
+// jumped tells whether the counts since the last look fit the map in use so
+// much worse than the earlier ones that the demand must have changed.
+func jumped(s *state, sum placement.Loads) bool {
+	if !s.known || s.demand.Loads() == nil || total(sum) < jumpTokens {
+		return false
+	}
+	now, before := placement.Skew(s.current, sum), placement.Skew(s.current, s.demand.Loads())
+	return now > leastJump && now > jumpRatio*before
+}
+
+func total(sum placement.Loads) float64 {
+	out := 0.0
+	for _, n := range sum[0] {
+		out += n
+	}
+	return out
+}
+
 // learnMap takes the map in use from the ranks.
 func (o *Owner) learnMap(ranks []*rank) error {
 	layers := len(ranks[0].reply.Experts)
--- a/entry/version/placement/placement.go
+++ b/entry/version/placement/placement.go
@@ -19,6 +19,9 @@
 	SlotsPerRank int
 	// SpareSlots is how many experts of a layer one change may bring to a rank.
 	SpareSlots int
+	// MaxCopies is how many experts one change may bring to a rank over all
+	// layers, 0 for no bound; a rank copies them one after the other.
+	MaxCopies int
 }
 
 // Map holds the experts by layer and rank.
@@ -131,6 +134,12 @@
 	}
 }
 
+// Replace drops what was counted before, for use after the demand has jumped.
+func (e *Estimator) Replace(now clock.Millis, counts Loads) {
+	e.loads = nil
+	e.Add(now, counts)
+}
+
 // Loads returns the present estimate, nil before the first count.
 func (e *Estimator) Loads() Loads { return e.loads }
 
--- a/entry/version/placement/placement_test.go
+++ b/entry/version/placement/placement_test.go
@@ -57,6 +57,7 @@
 		want  float64
 	}{
 		{"12 ranks", small, 3, 1.15},
+		{"12 ranks, few copies", Shape{Layers: 4, Experts: 72, Ranks: 12, SlotsPerRank: 8, SpareSlots: 3, MaxCopies: 5}, 5, 1.2},
 		{"63 ranks", Shape{Layers: 8, Experts: 252, Ranks: 63, SlotsPerRank: 5, SpareSlots: 2}, 6, 1.6},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/entry/version/placement/search.go
+++ b/entry/version/placement/search.go
@@ -12,7 +12,7 @@
 	maxSteps = 64
 	// leastGain is the relative gain in the cost of a layer that a step must
 	// bring; smaller ones cost more to copy than they save.
-	leastGain = 0.002
+	leastGain = 0.03
 	// smoothing is added to the load of each expert as a part of the mean, since
 	// an expert that was not chosen for a moment is not chosen never.
 	smoothing = 0.05
@@ -29,17 +29,30 @@
 // prepare at once, starting from the map in use.
 func Plan(s Shape, current Map, loads Loads) Map {
 	next := current.Clone()
+	searches := make([]*search, len(next))
+	copies := make([]int, s.Ranks)
 	for layer := range next {
-		p := newSearch(s, current[layer], next[layer], loads[layer])
-		for range maxSteps {
-			if !p.step() {
-				break
-			}
+		searches[layer] = newSearch(s, current[layer], next[layer], loads[layer], copies)
+	}
+	// The layers take turns, since together they may bring only so many experts
+	// to a rank.
+	for range maxSteps {
+		if !stepAll(searches) {
+			break
 		}
 	}
 	return next
 }
 
+// stepAll makes one step in each layer and reports whether any was worth it.
+func stepAll(searches []*search) bool {
+	moved := false
+	for _, p := range searches {
+		moved = p.step() || moved
+	}
+	return moved
+}
+
 // search improves one layer step by step.
 type search struct {
 	shape    Shape
@@ -50,16 +63,18 @@
 	holders  [][]int
 	rankLoad []float64
 	added    []int
-	mean     float64
-	cost     float64
+	// copies counts the experts that come to each rank over all layers.
+	copies []int
+	mean   float64
+	cost   float64
 	// delta holds the change of each rank's load in the step that is tried, and
 	// touched the ranks with an entry.
 	delta   []float64
 	touched []int
 }
 
-func newSearch(s Shape, before, ranks [][]int, load []float64) *search {
-	p := &search{shape: s, before: before, ranks: ranks, delta: make([]float64, len(ranks)), added: make([]int, len(ranks))}
+func newSearch(s Shape, before, ranks [][]int, load []float64, copies []int) *search {
+	p := &search{shape: s, before: before, ranks: ranks, delta: make([]float64, len(ranks)), added: make([]int, len(ranks)), copies: copies}
 	total := 0.0
 	for _, n := range load {
 		total += n
@@ -151,7 +166,10 @@
 
 // mayAdd tells whether a rank can copy an expert in this plan.
 func (p *search) mayAdd(rank, e int) bool {
-	return p.added[rank] < p.shape.SpareSlots || slices.Contains(p.before[rank], e)
+	if slices.Contains(p.before[rank], e) {
+		return true
+	}
+	return p.added[rank] < p.shape.SpareSlots && (p.shape.MaxCopies == 0 || p.copies[rank] < p.shape.MaxCopies)
 }
 
 func (p *search) keep(best *change, c change) {
@@ -222,6 +240,7 @@
 	p.replicas[e]++
 	if !slices.Contains(p.before[rank], e) {
 		p.added[rank]++
+		p.copies[rank]++
 	}
 }
 
@@ -233,6 +252,7 @@
 	p.replicas[e]--
 	if !slices.Contains(p.before[rank], e) {
 		p.added[rank]--
+		p.copies[rank]--
 	}
 }
 
