--- a/entry/version/placement/search.go
+++ b/entry/version/placement/search.go
@@ -12,7 +12,7 @@
 	maxSteps = 64
 	// leastGain is the relative gain in the cost of a layer that a step must
 	// bring; smaller ones cost more to copy than they save.
-	leastGain = 0.03
+	leastGain = 0.25
 	// smoothing is added to the load of each expert as a part of the mean, since
 	// an expert that was not chosen for a moment is not chosen never.
 	smoothing = 0.05
