List all kinds again when a watch goes without an answer

Ruled out: stale lists; the view was right after each list. Change: the watch of the first kind waits for 1.8 s only, and its failure, or a discarded history, makes every kind be listed again.

--- a/entry/process/watch/watch.go
+++ b/entry/process/watch/watch.go
@@ -6,7 +6,6 @@
 	"context"
 	"math/rand/v2"
 	"sync"
-	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 
@@ -24,9 +23,11 @@
 
 // Times of the calls.
 const (
-	// watchTime is how long a watch waits for a change; each answered watch
-	// counts as a call.
-	watchTime = 20 * clock.Second
+	// sentinelTime and watchTime are how long a watch waits for a change; each
+	// answered watch counts as a call. A watch may be lost without an answer, and
+	// then all are: the first source, which waits for less, shows it.
+	sentinelTime = 1800 * clock.Millis(1)
+	watchTime    = 20 * clock.Second
 	// firstPause and longestPause bound the time between failed calls.
 	firstPause   clock.Millis = 100
 	longestPause clock.Millis = 800
@@ -50,14 +51,15 @@
 
 // Watcher follows several kinds. Exported fields are set before Run.
 type Watcher struct {
-	Clock   *clock.Clock
-	Log     *event.Log
+	Clock *clock.Clock
+	Log   *event.Log
+	// Sources are the kinds; the first one shows whether watches are answered.
 	Sources []Source
 
 	mu     sync.Mutex
 	failed []clock.Millis
 	cancel []context.CancelFunc
-	resets atomic.Int64
+	relist []bool
 }
 
 // Run follows all kinds until ctx is done.
@@ -65,6 +67,7 @@
 	w.mu.Lock()
 	w.failed = make([]clock.Millis, len(w.Sources))
 	w.cancel = make([]context.CancelFunc, len(w.Sources))
+	w.relist = make([]bool, len(w.Sources))
 	for i := range w.failed {
 		w.failed[i] = 1 // no answer yet
 	}
@@ -96,28 +99,52 @@
 // Reset ends the calls in progress and reads everything again, for use after
 // the process stood still.
 func (w *Watcher) Reset() {
-	w.resets.Add(1)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for i, cancel := range w.cancel {
+	for i := range w.cancel {
 		if w.failed[i] == 0 {
 			w.failed[i] = 1
 		}
-		if cancel != nil {
-			cancel()
+		w.restart(i)
+	}
+}
+
+// suspectOthers lists the other kinds again: what one watch has missed, those
+// that still wait may have missed as well.
+func (w *Watcher) suspectOthers(own int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for i := range w.cancel {
+		if i != own {
+			w.restart(i)
 		}
 	}
 }
 
+// restart makes a kind be listed again. The mutex is held.
+func (w *Watcher) restart(i int) {
+	w.relist[i] = true
+	if w.cancel[i] != nil {
+		w.cancel[i]()
+	}
+}
+
+// takeRelist tells once that a kind is to be listed again.
+func (w *Watcher) takeRelist(i int) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	due := w.relist[i]
+	w.relist[i] = false
+	return due
+}
+
 // follow lists one kind and then watches it.
 func (w *Watcher) follow(ctx context.Context, i int) {
 	source := w.Sources[i]
 	revision := int64(0)
 	pause := firstPause
-	resets := w.resets.Load()
 	for ctx.Err() == nil {
-		if now := w.resets.Load(); now != resets {
-			resets = now
+		if w.takeRelist(i) {
 			revision = 0
 		}
 		next, err := w.step(ctx, i, source, revision)
@@ -130,9 +157,17 @@
 		case errors.Is(err, ErrHistoryGone):
 			w.Log.Emit(event.StoreHistoryGone, event.Fields{"kind": source.Name(), "revision": revision})
 			revision = 0
+			w.suspectOthers(i)
 			continue
 		}
+		if w.relisting(i) {
+			continue // ended on purpose
+		}
 		w.failing(i, err)
+		if ctx.Err() == nil && i == 0 {
+			revision = 0
+			w.suspectOthers(i)
+		}
 		spread := 1 + pauseSpread*(rand.Float64()-0.5)
 		if !clock.Sleep(ctx, clock.Millis(float64(pause)*spread)) {
 			return
@@ -141,6 +176,13 @@
 	}
 }
 
+// relisting tells whether a kind is to be listed again.
+func (w *Watcher) relisting(i int) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.relist[i]
+}
+
 func (w *Watcher) step(ctx context.Context, i int, source Source, revision int64) (int64, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -150,6 +192,9 @@
 	if revision == 0 {
 		return source.List(ctx)
 	}
+	if i == 0 {
+		return source.Watch(ctx, revision, sentinelTime)
+	}
 	return source.Watch(ctx, revision, watchTime)
 }
 
