Judge an order without an answer by the rank's state

Cause: when a copy of an order was refused after another one had no answer, a moved sequence counted as acceptance; the barrier of a restarted agent moves it too, so an owner released the hold while one rank was not armed. Ruled out: late orders themselves; the expected sequence had made them void. Change: the state decides, and the owner reads all ranks once more before it releases the hold; calls of an agent wait no longer than their context. Retry-After is spread over 16 times also when nothing has completed, where all callers got the same.

--- a/agent/process/orders/orders.go
+++ b/agent/process/orders/orders.go
@@ -52,9 +52,9 @@
 	Log   *event.Log
 	Rank  Rank
 
-	// mu is held while an order is carried out, so that orders of a later owner
+	// turn is held while an order is carried out, so that orders of a later owner
 	// follow those of an earlier one.
-	mu sync.Mutex
+	turn turn
 
 	termMu sync.Mutex
 	term   int64
@@ -82,8 +82,10 @@
 
 // Serve answers a call of an owner.
 func (s *Orders) Serve(ctx context.Context, c *group.Call) *group.Reply {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	if !s.turn.take(ctx) {
+		return &group.Reply{Outcome: int(group.Refused), Failure: ctx.Err().Error()}
+	}
+	defer s.turn.give()
 	if s.fenced(c.Term) {
 		return &group.Reply{Outcome: int(group.Fenced)}
 	}
@@ -137,7 +139,7 @@
 		case errors.Is(err, ErrRefused) && unanswered == 0:
 			return group.Refused
 		case errors.Is(err, ErrRefused):
-			return s.afterTwin(ctx, before)
+			return s.afterTwin(ctx, before, o)
 		}
 		unanswered++
 		if !clock.Sleep(ctx, retryPause) {
@@ -155,25 +157,45 @@
 }
 
 // afterTwin tells the outcome when a copy was refused after another one got no
-// answer: if the sequence has moved, that other one was accepted.
-func (s *Orders) afterTwin(ctx context.Context, before group.Report) group.Outcome {
+// answer. A sequence that has moved does not tell which order moved it, so the
+// state decides; every copy is void then.
+func (s *Orders) afterTwin(ctx context.Context, before group.Report, o group.Order) group.Outcome {
 	now, err := s.Rank.Report(ctx)
 	switch {
 	case err != nil:
 		return group.Unknown
 	case now.Epoch != before.Epoch || now.Born != before.Born:
 		return group.Refused
-	case now.Sequence > before.Sequence:
+	case now.Sequence > before.Sequence && holds(now, o):
 		return group.Accepted
 	}
 	return group.Refused
 }
 
+// holds tells whether a rank is in the state that an order asks for.
+func holds(r group.Report, o group.Order) bool {
+	switch group.Op(o.Op) {
+	case group.Prepare:
+		return true // a copy under way does not show; the owner waits for its end
+	case group.Arm:
+		return r.Map == o.Version || (r.ArmedVersion == o.Version && r.ArmedStep == o.Step)
+	case group.Disarm:
+		return r.ArmedVersion != o.Version
+	case group.Hold:
+		return r.HeldStep == o.Step
+	case group.Release:
+		return r.HeldStep != o.Step
+	}
+	return false
+}
+
 // Barrier makes orders void that an earlier process beside this rank may have
 // sent without an answer: it moves the rank's sequence on.
 func (s *Orders) Barrier(ctx context.Context) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	if !s.turn.take(ctx) {
+		return ctx.Err()
+	}
+	defer s.turn.give()
 	r, err := s.Rank.Report(ctx)
 	if err != nil {
 		return errors.Wrap(err, "report")
--- a/core/process/check/check.go
+++ b/core/process/check/check.go
@@ -31,7 +31,7 @@
 }
 
 // AtMost fails the test when got is greater than want.
-func AtMost[T int | int64 | uint64 | float64](t testing.TB, what string, got, want T) {
+func AtMost[T ~int | ~int64 | ~uint64 | ~float64](t testing.TB, what string, got, want T) {
 	t.Helper()
 	if got > want {
 		t.Errorf("%s: got %v, want at most %v", what, got, want)
--- a/entry/connection/sidecar/caller.go
+++ b/entry/connection/sidecar/caller.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"net"
 	"sync"
 	"time"
@@ -58,7 +59,7 @@
 	reply, err := p.exchange(ctx, address, call, limit)
 	if err != nil {
 		p.close()
-		return nil, errors.Mark(errors.Wrapf(err, "agent %s", address), ErrUnreached)
+		return nil, fmt.Errorf("%w: %s: %w", ErrUnreached, address, err)
 	}
 	return reply, nil
 }
--- a/entry/connection/upstream/exchange.go
+++ b/entry/connection/upstream/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -75,7 +76,7 @@
 	case err == io.EOF:
 		a.finish()
 	case err != nil:
-		err = errors.Mark(err, ErrBroken)
+		err = fmt.Errorf("%w: %w", ErrBroken, err)
 	}
 	return n, err
 }
@@ -140,9 +141,9 @@
 	n, err := c.Write(r.encode())
 	if err != nil {
 		if n == 0 {
-			return nil, errors.Mark(err, ErrNotSent)
+			return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 		}
-		return nil, errors.Mark(err, ErrBroken)
+		return nil, fmt.Errorf("%w: %w", ErrBroken, err)
 	}
 	a, err := readAnswer(c, r)
 	if err != nil {
@@ -157,11 +158,11 @@
 func readAnswer(c *conn, r *Request) (*Answer, error) {
 	for range maxStrayAnswers {
 		if _, err := c.reader.Peek(1); err != nil {
-			return nil, errors.Mark(err, ErrBroken)
+			return nil, fmt.Errorf("%w: %w", ErrBroken, err)
 		}
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
 		if err != nil {
-			return nil, errors.Mark(errors.Mark(err, ErrMalformed), ErrBroken)
+			return nil, fmt.Errorf("%w: %w: %w", ErrBroken, ErrMalformed, err)
 		}
 		if resp.StatusCode < 200 {
 			continue
@@ -173,7 +174,7 @@
 			break
 		}
 	}
-	return nil, errors.Mark(errors.Mark(errors.New("answer belongs to another request"), ErrMalformed), ErrBroken)
+	return nil, fmt.Errorf("%w: %w: answer belongs to another request", ErrBroken, ErrMalformed)
 }
 
 func newAnswer(resp *http.Response) *Answer {
--- a/entry/connection/upstream/pool.go
+++ b/entry/connection/upstream/pool.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync"
 
@@ -134,7 +135,7 @@
 	dialer := net.Dialer{Timeout: dialTimeout.Duration(), KeepAlive: -1}
 	c, err := dialer.DialContext(ctx, "tcp4", address)
 	if err != nil {
-		return nil, errors.Mark(errors.Wrapf(err, "connect to %s", address), ErrNotSent)
+		return nil, fmt.Errorf("%w: connect to %s: %w", ErrNotSent, address, err)
 	}
 	return newConn(c), nil
 }
--- /dev/null
+++ b/entry/connection/upstream/upstream_test.go
@@ -0,0 +1,170 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+
+	"goldcrestshore/core/process/check"
+	"goldcrestshore/core/process/clock"
+)
+
+// peer serves each connection with the replies of a script, one for each
+// request; an empty reply closes the connection.
+type peer struct {
+	listener net.Listener
+	accepted chan int
+}
+
+func serve(t *testing.T, connections ...[]string) *peer {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	check.NoError(t, "Listen", err)
+	p := &peer{l, make(chan int, len(connections)+1)}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for i, replies := range connections {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			p.accepted <- i
+			go answer(c, replies)
+		}
+	}()
+	return p
+}
+
+func answer(c net.Conn, replies []string) {
+	r := bufio.NewReader(c)
+	for _, reply := range replies {
+		q, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, q.Body)
+		if reply == "" {
+			break
+		}
+		_, _ = io.WriteString(c, reply)
+	}
+	_ = c.Close()
+}
+
+func reply(id, body string) string {
+	return "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nContent-Length: " + string(rune('0'+len(body))) + "\r\n\r\n" + body
+}
+
+func request(id string) *Request {
+	return &Request{Method: http.MethodPost, Target: "/a?b=c", Host: "h.example", Header: http.Header{}, IDHeader: "Request-Id", ID: id, MaxIdle: clock.Minute, HeadTimeout: 5 * clock.Second}
+}
+
+func exchange(p *Pool, address, id string) (string, error) {
+	a, err := p.Exchange(context.Background(), address, request(id))
+	if err != nil {
+		return "", err
+	}
+	body, err := io.ReadAll(a)
+	a.Close()
+	return string(body), err
+}
+
+// Guards against answers that reach another request, are passed on in part, or
+// are taken for whole.
+func TestAnswers(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n"
+	for _, tc := range []struct {
+		name, reply, body string
+		err               error
+	}{
+		{"whole", reply("r1", "yes"), "yes", nil},
+		{"late answer to an earlier request first", reply("r0", "old") + reply("r1", "new"), "new", nil},
+		{"only an answer to another request", reply("r0", "old"), "", ErrBroken},
+		{"ends early", head + "Content-Length: 9\r\n\r\nshort", "", ErrBroken},
+		{"chunk ends early", head + "Transfer-Encoding: chunked\r\n\r\n5\r\nab", "", ErrBroken},
+		{"no length, ends with the connection", head + "\r\nall", "all", nil},
+		{"no answer in the protocol", "\x00\x01 garbage\r\n\r\n", "", ErrMalformed},
+		{"closed without an answer", "", "", ErrBroken},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			p := serve(t, []string{tc.reply})
+			got, err := exchange(&Pool{Clock: clock.System()}, p.listener.Addr().String(), "r1")
+			if tc.err == nil {
+				check.NoError(t, "exchange", err)
+				check.Equal(t, "body", got, tc.body)
+				return
+			}
+			check.Is(t, "exchange", err, tc.err)
+		})
+	}
+}
+
+// Guards against a second send of a request that an upstream may have run, and
+// against taking a refused connection for a request that was sent.
+func TestNotSent(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	check.NoError(t, "Listen", err)
+	address := l.Addr().String()
+	check.NoError(t, "Close", l.Close())
+	_, err = exchange(&Pool{Clock: clock.System()}, address, "r1")
+	check.Is(t, "refused connection", err, ErrNotSent)
+	check.Equal(t, "refused connection counts as sent", errors.Is(err, ErrBroken), false)
+}
+
+// Guards against connections that are opened for each request, and against use
+// of one that the peer has closed or on which unasked bytes lie.
+func TestKeptConnections(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		first  []string
+		second []string
+		dialed int64
+	}{
+		{"kept", []string{reply("r1", "a"), reply("r2", "b")}, nil, 1},
+		{"closed by the peer", []string{reply("r1", "a")}, []string{reply("r2", "b")}, 2},
+		{"second answer behind the first", []string{reply("r1", "a") + reply("r1", "a"), ""}, []string{reply("r2", "b")}, 2},
+		{"peer announces the end", []string{"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nConnection: close\r\nContent-Length: 1\r\n\r\na", ""}, []string{reply("r2", "b")}, 2},
+		{"peer keeps it for no time", []string{"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nKeep-Alive: timeout=0\r\nContent-Length: 1\r\n\r\na", ""}, []string{reply("r2", "b")}, 2},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			p := serve(t, tc.first, tc.second)
+			now := clock.NewManual(0)
+			pool := &Pool{Clock: now}
+			address := p.listener.Addr().String()
+			got, err := exchange(pool, address, "r1")
+			check.NoError(t, "first", err)
+			check.Equal(t, "first body", got, "a")
+			waitClosed(pool, address, tc.name == "closed by the peer")
+			now.Advance(1)
+			got, err = exchange(pool, address, "r2")
+			check.NoError(t, "second", err)
+			check.Equal(t, "second body", got, "b")
+			check.Equal(t, "connections", pool.Dialed(), tc.dialed)
+		})
+	}
+}
+
+// waitClosed waits until the kept connection shows that the peer has closed it.
+func waitClosed(p *Pool, address string, closes bool) {
+	for closes {
+		p.mu.Lock()
+		quiet := p.idle[address][0].quiet()
+		p.mu.Unlock()
+		if !quiet {
+			return
+		}
+	}
+}
+
+// Guards against headers of one connection that travel on to the next.
+func TestEndToEnd(t *testing.T) {
+	h := http.Header{"Connection": {"close, X-Hop"}, "X-Hop": {"1"}, "Keep-Alive": {"timeout=5"}, "X-End": {"2"}}
+	got := EndToEnd(h)
+	check.Equal(t, "headers", len(got), 1)
+	check.Equal(t, "X-End", got.Get("X-End"), "2")
+}
--- a/entry/process/experts/change.go
+++ b/entry/process/experts/change.go
@@ -21,6 +21,10 @@
 	// gainPerMove what each copied expert must bring on average.
 	leastGain   = 0.05
 	gainPerMove = 0.0015
+	// leastStepGain is the part of the cost of a layer that a step of a plan must
+	// take off; the cost grows with the eighth power of the load, and each copied
+	// expert has its price.
+	leastStepGain = 0.25
 	// maxCopies bounds the experts that a change brings to a rank; the time of a
 	// change follows from it, and fewer serve sooner.
 	maxCopies = 5
@@ -47,7 +51,7 @@
 		Layers: engine.Layers, Experts: engine.Experts, Ranks: len(ranks),
 		SlotsPerRank: engine.SlotsPerRank, SpareSlots: engine.SpareSlots, MaxCopies: maxCopies,
 	}
-	next := placement.Plan(shape, s.current, s.demand.Loads())
+	next := placement.Plan(shape, s.current, s.demand.Loads(), leastStepGain)
 	before, after := placement.Skew(s.current, s.demand.Loads()), placement.Skew(next, s.demand.Loads())
 	moves := s.current.Moves(next)
 	if before-after < max(leastGain, gainPerMove*float64(moves)) {
@@ -86,6 +90,9 @@
 	if err := o.orderAll(ctx, ranks, group.Order{Op: int(group.Arm), Version: version, Step: step, Epoch: o.state.epoch}); err != nil {
 		return err // the next cycle settles it while the hold stands
 	}
+	if err := o.checkArmed(ctx, version, step); err != nil {
+		return err
+	}
 	armed := o.Clock.Now()
 	if err := o.order(ctx, ranks[0].Member, group.Order{Op: int(group.Release), Step: step, Epoch: o.state.epoch}); err != nil {
 		return err
@@ -94,6 +101,18 @@
 	return nil
 }
 
+// checkArmed returns nil when all ranks say that they are armed. The outcomes
+// of the orders may be outdated: another process can have given orders since.
+func (o *Owner) checkArmed(ctx context.Context, version, step int64) error {
+	term := o.term.Load()
+	ranks, whole := o.all(ctx, func(Member) *group.Call { return &group.Call{Term: term} }, callTime)
+	armedVersion, armedStep, all := armedFor(ranks)
+	if !whole || !all || armedVersion != version || armedStep != step {
+		return errors.Wrap(ErrRefused, "not all ranks are armed")
+	}
+	return nil
+}
+
 // switchStep returns a pass that the group begins after all ranks are armed.
 func (o *Owner) switchStep(ranks []*rank) int64 {
 	last := int64(0)
--- a/entry/process/experts/settle.go
+++ b/entry/process/experts/settle.go
@@ -35,7 +35,7 @@
 	version, step, all = group.None, group.None, true
 	for _, r := range ranks {
 		switch {
-		case r.report.ArmedVersion == group.None:
+		case r == nil || r.report.ArmedVersion == group.None:
 			all = false
 		case step == group.None:
 			version, step = r.report.ArmedVersion, r.report.ArmedStep
--- a/entry/request/balance/balance.go
+++ b/entry/request/balance/balance.go
@@ -111,6 +111,7 @@
 	// completions estimates the rate at which requests end.
 	completions rate
 	turn        int
+	rejections  int
 }
 
 // Balancer decides for all services of an entry. It is not safe for use by
@@ -251,16 +252,19 @@
 	longestReturn  clock.Millis = 2500
 )
 
-// retryAfter spreads returns over the time that the queue needs to empty.
+// returnSlots is the number of different times that rejected callers get.
+const returnSlots = 16
+
+// retryAfter spreads returns: from the time that the queue needs to empty, over
+// as long again. Without any completion to go by, the longest time counts.
 func (s *service) retryAfter(now clock.Millis) clock.Millis {
-	perSecond := s.completions.perSecond(now)
-	if perSecond <= 0 {
-		return longestReturn
+	s.rejections++
+	wait := longestReturn / 2
+	if perSecond := s.completions.perSecond(now); perSecond > 0 {
+		needed := clock.Millis(float64(len(s.queue)) / perSecond * float64(clock.Second))
+		wait = min(max(needed, shortestReturn), longestReturn/2)
 	}
-	s.turn++
-	spread := clock.Millis(s.turn*397) % (longestReturn - shortestReturn)
-	wait := clock.Millis(float64(len(s.queue)) / perSecond * float64(clock.Second))
-	return min(max(wait, shortestReturn)+spread/2, longestReturn)
+	return wait + wait*clock.Millis(s.rejections*7%returnSlots)/returnSlots
 }
 
 func (b *Balancer) usable(now clock.Millis, s *service) int {
--- /dev/null
+++ b/entry/request/balance/balance_test.go
@@ -0,0 +1,203 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+
+	"goldcrestshore/core/process/check"
+	"goldcrestshore/core/process/clock"
+	"goldcrestshore/entry/version/config"
+	"goldcrestshore/entry/version/fleet"
+)
+
+const slots = 4
+
+// fixture is a balancer with a model service of n upstreams, one data centre
+// each, and a plain service.
+func fixture(n int, edit func(*fleet.Upstream)) (*Balancer, *fleet.State) {
+	services := []config.Service{
+		{Name: "model", ColdRequestsPerSecond: 10, Engine: &config.Engine{Slots: slots}},
+		{Name: "plain"},
+	}
+	list := make(map[string]*fleet.Upstream)
+	for i := range n {
+		for _, service := range []string{"model", "plain"} {
+			u := &fleet.Upstream{ID: fmt.Sprintf("%s%d", service, i), Service: service, Address: "a", DataCentre: fmt.Sprintf("dc%d", i), Slots: slots}
+			if edit != nil {
+				edit(u)
+			}
+			list[u.ID] = u
+		}
+	}
+	state := fleet.New()
+	state.Adopt(config.New(1, nil, services, nil, config.Limits{}))
+	state.SetUpstreams(list)
+	state.SetOut(nil)
+	b := New(Settings{DataCentre: "dc0", RetryRatio: 0.2, RetryAllowance: 10, RetryWindow: 10 * clock.Second})
+	state.OnChange(b.SetView)
+	b.SetView(state.View())
+	return b, state
+}
+
+func ticket(now clock.Millis) *Ticket {
+	return &Ticket{Service: "model", Arrived: now, Due: now + 500, GiveUp: now + 1500}
+}
+
+func granted(t *testing.T, d Decision) *Ticket {
+	t.Helper()
+	g, ok := d.(Grant)
+	if !ok {
+		t.Fatalf("decision: got %T, want Grant", d)
+	}
+	return g.Ticket
+}
+
+// Guards against work that gathers on some upstreams while others are idle.
+func TestWorkIsSpreadEvenly(t *testing.T) {
+	b, _ := fixture(3, nil)
+	for range 3 * 2 {
+		granted(t, b.Acquire(0, ticket(0)))
+	}
+	for id, held := range b.Held() {
+		check.Equal(t, "held at "+id, held, 2)
+	}
+}
+
+// Guards against an upstream that gets more than its slots because other
+// entries are not counted.
+func TestOthersCountTowardTheLimit(t *testing.T) {
+	b, _ := fixture(1, nil)
+	b.SetOthers(map[string]int{"model0": slots - 1})
+	granted(t, b.Acquire(0, ticket(0)))
+	_, waits := b.Acquire(0, ticket(0)).(Wait)
+	check.Equal(t, "second request waits", waits, true)
+}
+
+// Guards against new work in a data centre that is out, also for requests that
+// already wait.
+func TestNothingGoesToADataCentreThatIsOut(t *testing.T) {
+	b, state := fixture(2, nil)
+	state.MarkOut("dc1", true)
+	for range slots {
+		granted(t, b.Acquire(0, ticket(0)))
+	}
+	check.Equal(t, "held at model1", b.Held()["model1"], 0)
+	b.Acquire(0, ticket(0))
+	check.Equal(t, "decisions while full", len(b.Tick(20)), 0)
+	state.MarkOut("dc1", false)
+	check.Equal(t, "grants after the return", len(b.Tick(40)), 1)
+}
+
+// Guards against a cold upstream that gets more than this entry's part.
+func TestColdLimitIsShared(t *testing.T) {
+	b, _ := fixture(1, func(u *fleet.Upstream) { u.ColdLeft = 60 * clock.Second })
+	b.SetEntries(5)
+	for range 2 {
+		granted(t, b.Acquire(0, ticket(0)))
+	}
+	_, waits := b.Acquire(0, ticket(0)).(Wait)
+	check.Equal(t, "third in a second waits", waits, true)
+	check.Equal(t, "grants within the second", len(b.Tick(999)), 0)
+	check.Equal(t, "grants in the next second", len(b.Tick(1000)), 1)
+}
+
+// Guards against a failed upstream that gets the same request again, or all new
+// ones because it is idle.
+func TestFailedUpstreamIsSkipped(t *testing.T) {
+	b, _ := fixture(2, nil)
+	first := granted(t, b.Acquire(0, ticket(0)))
+	failed, _ := first.Upstream()
+	b.Release(0, first, Failed)
+	for range 2 {
+		id, _ := granted(t, b.Acquire(1, ticket(1))).Upstream()
+		check.Equal(t, "upstream of a new request is the failed one", id == failed, false)
+	}
+	again := granted(t, b.Acquire(5000, first))
+	id, _ := again.Upstream()
+	check.Equal(t, "upstream of the same request is the failed one", id == failed, false)
+}
+
+// Pattern: overload with late requests. Guards against a queue that serves
+// requests whose objective has passed before those that can still meet it.
+func TestRequestsInTimeGoFirst(t *testing.T) {
+	b, _ := fixture(1, nil)
+	var held []*Ticket
+	for range slots {
+		held = append(held, granted(t, b.Acquire(0, ticket(0))))
+	}
+	late, fresh := ticket(0), ticket(600)
+	b.Acquire(0, late)
+	b.Acquire(600, fresh)
+	out := b.Release(600, held[0], Succeeded)
+	check.Equal(t, "grants", len(out), 1)
+	check.Equal(t, "the fresh request is granted", granted(t, out[0]) == fresh, true)
+}
+
+// Pattern: a burst above what the upstreams can serve. Guards against requests
+// that wait until their deadline although the queue cannot reach them.
+func TestHopelessRequestsAreRejectedAtOnce(t *testing.T) {
+	b, _ := fixture(1, nil)
+	now := clock.Millis(0)
+	var held []*Ticket
+	for range slots {
+		held = append(held, granted(t, b.Acquire(now, ticket(now))))
+	}
+	for _, h := range held { // two completions a second
+		now += 500
+		b.Release(now, h, Succeeded)
+		granted(t, b.Acquire(now, ticket(now)))
+	}
+	rejected := 0
+	for range 10 {
+		if r, ok := b.Acquire(now, ticket(now)).(Reject); ok {
+			rejected++
+			check.AtMost(t, "Retry-After", r.RetryAfter, longestReturn)
+		}
+	}
+	check.AtMost(t, "requests left waiting", 10-rejected, 3)
+}
+
+// Pattern: many rejections in one moment. Guards against callers that all come
+// back at the same time.
+func TestReturnsAreSpread(t *testing.T) {
+	b, _ := fixture(0, nil)
+	seen := make(map[clock.Millis]bool)
+	for range 10 {
+		r, ok := b.Acquire(0, ticket(0)).(Reject)
+		check.Equal(t, "rejected", ok, true)
+		seen[r.RetryAfter] = true
+	}
+	check.Equal(t, "distinct moments of 10 callers", len(seen), 10)
+}
+
+// Guards against repeats above this entry's part of the budget.
+func TestBudget(t *testing.T) {
+	b := NewBudget(0.2, 10*clock.Second)
+	for range 10 {
+		b.Sent(0)
+	}
+	allowed := 0
+	for range 10 {
+		if b.Take(0, 2) {
+			allowed++
+		}
+	}
+	check.Equal(t, "repeats of 10 requests with 2 allowed besides", allowed, 4)
+	check.Equal(t, "repeat after the window", b.Take(30*clock.Second, 2), true)
+}
+
+// Pattern: many running requests lengthen every pass. Guards against pauses
+// above the objective while the limit stays, and against a limit that stays low
+// when pauses are short.
+func TestPaceFollowsPauses(t *testing.T) {
+	e := &config.Engine{Slots: 12}
+	var p pace
+	for now := clock.Millis(0); now < 5000; now += 10 {
+		p.observe(now, 200, 120, e)
+	}
+	check.Equal(t, "limit after long pauses", p.limit(e), fewestRunning)
+	for now := clock.Millis(5000); now < 12000; now += 10 {
+		p.observe(now, 60, 120, e)
+	}
+	check.Equal(t, "limit after short pauses", p.limit(e), 12)
+}
--- /dev/null
+++ b/entry/version/config/config_test.go
@@ -0,0 +1,54 @@
+package config
+
+import (
+	"testing"
+
+	"goldcrestshore/core/process/check"
+)
+
+func sample() *Config {
+	routes := []Route{
+		{Name: "short", Host: "a.example", PathPrefix: "/x/", Shares: []Share{{"s1", 1}}},
+		{Name: "long", Host: "a.example", PathPrefix: "/x/y/", Shares: []Share{{"s1", 90}, {"s2", 10}}},
+		{Name: "other", Host: "b.example", PathPrefix: "/", Shares: []Share{{"s2", 1}}},
+	}
+	customers := []Customer{{Name: "one", Keys: []string{"k1", "k2"}, Priority: -1}}
+	return New(7, routes, []Service{{Name: "s1"}}, customers, Limits{})
+}
+
+// Guards against a request that takes a shorter prefix or another host's route.
+func TestMatchTakesTheLongestPrefixOfTheHost(t *testing.T) {
+	c := sample()
+	for _, tc := range []struct{ host, path, want string }{
+		{"a.example", "/x/1", "short"},
+		{"A.example:80", "/x/y/1", "long"},
+		{"a.example", "/x", ""},
+		{"b.example", "/x/y/1", "other"},
+		{"c.example", "/x/1", ""},
+	} {
+		t.Run(tc.host+tc.path, func(t *testing.T) {
+			got := ""
+			if r := c.Match(tc.host, tc.path); r != nil {
+				got = r.Name
+			}
+			check.Equal(t, "route", got, tc.want)
+		})
+	}
+}
+
+// Guards against a split that ignores its weights.
+func TestPickFollowsWeights(t *testing.T) {
+	r := sample().Match("a.example", "/x/y/")
+	check.Equal(t, "low draw", r.Pick(0.1), "s1")
+	check.Equal(t, "draw below the weight", r.Pick(0.899), "s1")
+	check.Equal(t, "high draw", r.Pick(0.95), "s2")
+	check.Equal(t, "route without services", (&Route{}).Pick(0.5), "")
+}
+
+// Guards against a key that is taken for nobody's or for another customer's.
+func TestCustomerByKey(t *testing.T) {
+	c := sample()
+	check.Equal(t, "holder", c.Customer("k2").Name, "one")
+	check.Equal(t, "unknown key has a holder", c.Customer("k3") != nil, false)
+	check.Equal(t, "empty key has a holder", c.Customer("") != nil, false)
+}
--- a/entry/version/placement/placement_test.go
+++ b/entry/version/placement/placement_test.go
@@ -10,6 +10,9 @@
 	"goldcrestshore/core/process/clock"
 )
 
+// fineGain makes plans as even as the search can.
+const fineGain = 0.002
+
 var small = Shape{Layers: 4, Experts: 72, Ranks: 12, SlotsPerRank: 8, SpareSlots: 3}
 
 // zipf returns loads whose ranks are shuffled.
@@ -66,7 +69,7 @@
 			current := First(tc.shape)
 			before := Skew(current, loads)
 			for range tc.plans {
-				next := Plan(tc.shape, current, loads)
+				next := Plan(tc.shape, current, loads, fineGain)
 				checkValid(t, tc.shape, current, next)
 				current = next
 			}
@@ -82,9 +85,9 @@
 	loads := zipf(r, small, 0.6)
 	current := First(small)
 	for range 8 {
-		current = Plan(small, current, loads)
+		current = Plan(small, current, loads, fineGain)
 	}
-	check.Equal(t, "moves", current.Moves(Plan(small, current, loads)), 0)
+	check.Equal(t, "moves", current.Moves(Plan(small, current, loads, fineGain)), 0)
 }
 
 // Guards against an estimate that follows old counts after demand has changed.
--- a/entry/version/placement/search.go
+++ b/entry/version/placement/search.go
@@ -10,9 +10,6 @@
 const (
 	// maxSteps bounds the moves of one layer in one plan.
 	maxSteps = 64
-	// leastGain is the relative gain in the cost of a layer that a step must
-	// bring; smaller ones cost more to copy than they save.
-	leastGain = 0.25
 	// smoothing is added to the load of each expert as a part of the mean, since
 	// an expert that was not chosen for a moment is not chosen never.
 	smoothing = 0.05
@@ -26,8 +23,9 @@
 }
 
 // Plan returns a map that divides the loads more evenly and that ranks can
-// prepare at once, starting from the map in use.
-func Plan(s Shape, current Map, loads Loads) Map {
+// prepare at once, starting from the map in use. A step is made when it takes at
+// least leastGain, as a part, off the cost of its layer.
+func Plan(s Shape, current Map, loads Loads, leastGain float64) Map {
 	next := current.Clone()
 	searches := make([]*search, len(next))
 	copies := make([]int, s.Ranks)
@@ -37,7 +35,7 @@
 	// The layers take turns, since together they may bring only so many experts
 	// to a rank.
 	for range maxSteps {
-		if !stepAll(searches) {
+		if !stepAll(searches, leastGain) {
 			break
 		}
 	}
@@ -45,10 +43,10 @@
 }
 
 // stepAll makes one step in each layer and reports whether any was worth it.
-func stepAll(searches []*search) bool {
+func stepAll(searches []*search, leastGain float64) bool {
 	moved := false
 	for _, p := range searches {
-		moved = p.step() || moved
+		moved = p.step(leastGain) || moved
 	}
 	return moved
 }
@@ -123,7 +121,7 @@
 
 // step makes the best change for the most loaded rank and reports whether there
 // was one worth making.
-func (p *search) step() bool {
+func (p *search) step(leastGain float64) bool {
 	top := 0
 	for r, l := range p.rankLoad {
 		if l > p.rankLoad[top] {
--- /dev/null
+++ b/measure/mapswitch/mapswitch_test.go
@@ -0,0 +1,294 @@
+package mapswitch_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"goldcrestshore/agent/process/orders"
+	"goldcrestshore/core/process/check"
+	"goldcrestshore/core/process/clock"
+	"goldcrestshore/core/process/event"
+	"goldcrestshore/core/version/group"
+	"goldcrestshore/entry/process/experts"
+	"goldcrestshore/entry/version/config"
+)
+
+var errCut = errors.New("agent cannot be reached")
+
+// cluster is a group with its agents and the processes that may own its maps.
+type cluster struct {
+	*world
+	log    *event.Log
+	agents []*orders.Orders
+	owners []*owner
+
+	termMu sync.Mutex
+	term   int64
+}
+
+// owner is one process that may own the maps.
+type owner struct {
+	c       *cluster
+	process *experts.Owner
+	stop    context.CancelFunc
+
+	mu     sync.Mutex
+	frozen time.Time
+	cut    map[int]bool
+}
+
+func newCluster(ctx context.Context, t *testing.T, seed uint64, owners int) *cluster {
+	t.Helper()
+	log, err := event.NewLog(io.Discard, "error", "test", "test")
+	check.NoError(t, "NewLog", err)
+	c := &cluster{world: newWorld(seed), log: log}
+	for _, r := range c.ranks {
+		c.agents = append(c.agents, c.agent(r))
+	}
+	for i := range owners {
+		c.owners = append(c.owners, c.start(ctx, i))
+	}
+	go c.run(ctx)
+	return c
+}
+
+func (c *cluster) agent(r *rank) *orders.Orders {
+	return &orders.Orders{Clock: clock.System(), Log: c.log, Rank: r}
+}
+
+// start runs a process that may own the maps, and its heartbeats.
+func (c *cluster) start(ctx context.Context, i int) *owner {
+	ctx, stop := context.WithCancel(ctx)
+	o := &owner{c: c, stop: stop, cut: make(map[int]bool)}
+	var members []experts.Member
+	for i := range c.ranks {
+		members = append(members, experts.Member{Upstream: fmt.Sprint(i)})
+	}
+	engine := &config.Engine{Layers: layers, Experts: expertCount, SlotsPerRank: slotsPerRank, SpareSlots: spareSlots}
+	o.process = &experts.Owner{
+		Clock: clock.System(), Log: c.log, Self: fmt.Sprint("owner", i), Service: "s", Ranks: o, Claimer: c,
+		Members: func() []experts.Member { return members },
+		Engine:  func() *config.Engine { return engine },
+		Heard:   o.heard,
+	}
+	go o.process.Run(ctx)
+	go clock.Every(ctx, 120, func() {
+		if !o.standsStill() {
+			o.heard()
+		}
+	})
+	return o
+}
+
+// heard sends a heartbeat to every agent and returns the newest owner.
+func (o *owner) heard() (int64, clock.Millis, int) {
+	o.thaw()
+	term, age, n := int64(0), clock.Millis(0), 0
+	for i := range o.c.ranks {
+		if o.isCut(i) {
+			continue
+		}
+		seen, silent := o.c.agentAt(i).Hear(o.process.Term())
+		n++
+		if seen > term || (seen == term && (n == 1 || silent < age)) {
+			term, age = seen, silent
+		}
+	}
+	return term, age, n
+}
+
+func (c *cluster) agentAt(i int) *orders.Orders {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.agents[i]
+}
+
+// Claim implements experts.Claimer like a conditional write.
+func (c *cluster) Claim(_ context.Context, _ string, term int64) (int64, error) {
+	c.termMu.Lock()
+	defer c.termMu.Unlock()
+	if term != c.term {
+		return 0, experts.ErrNotOwner
+	}
+	c.term += 10
+	return c.term, nil
+}
+
+// Call implements experts.Ranks.
+func (o *owner) Call(ctx context.Context, m experts.Member, call *group.Call, limit clock.Millis) (*group.Reply, error) {
+	return o.ask(ctx, m, call, limit, false)
+}
+
+// Direct implements experts.Ranks.
+func (o *owner) Direct(ctx context.Context, m experts.Member, call *group.Call, limit clock.Millis) (*group.Reply, error) {
+	return o.ask(ctx, m, call, limit, true)
+}
+
+func (o *owner) ask(ctx context.Context, m experts.Member, call *group.Call, limit clock.Millis, direct bool) (*group.Reply, error) {
+	o.thaw()
+	var i int
+	if _, err := fmt.Sscan(m.Upstream, &i); err != nil {
+		return nil, err
+	}
+	agent := o.c.agentAt(i)
+	if direct {
+		agent = o.c.agent(o.c.ranks[i])
+	} else if o.isCut(i) {
+		time.Sleep(limit.Duration())
+		return nil, errCut
+	}
+	replies := make(chan *group.Reply, 1)
+	go func() { replies <- agent.Serve(context.Background(), call) }() // an agent goes on without its owner
+	select {
+	case r := <-replies:
+		o.thaw()
+		return r, nil
+	case <-time.After(limit.Duration()):
+		return nil, errCut
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// thaw waits while the process stands still.
+func (o *owner) thaw() {
+	for o.standsStill() {
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func (o *owner) standsStill() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return time.Now().Before(o.frozen)
+}
+
+func (o *owner) isCut(i int) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.cut[i]
+}
+
+// finish ends all processes and waits for what is still under way.
+func finish(cancel context.CancelFunc) {
+	cancel()
+	time.Sleep(30 * time.Second)
+}
+
+// fault strikes the cluster once.
+func (c *cluster) fault(ctx context.Context, r *rand.Rand) string {
+	o := c.owners[r.IntN(len(c.owners))]
+	i := r.IntN(rankCount)
+	switch r.IntN(6) {
+	case 0:
+		o.mu.Lock()
+		o.frozen = time.Now().Add(4 * time.Second)
+		o.mu.Unlock()
+		return "owner stands still"
+	case 1:
+		o.stop()
+		for k := range c.owners {
+			if c.owners[k] == o {
+				c.owners[k] = c.start(ctx, k)
+			}
+		}
+		return "owner is killed and started"
+	case 2:
+		c.mu.Lock()
+		c.agents[i] = c.agent(c.ranks[i])
+		fresh := c.agents[i]
+		c.mu.Unlock()
+		go func() { _ = fresh.Barrier(ctx) }()
+		return "agent is killed and started"
+	case 3:
+		c.restart(i)
+		return "rank restarts"
+	case 4:
+		o.mu.Lock()
+		o.cut[i] = true
+		o.mu.Unlock()
+		time.AfterFunc(3*time.Second, func() {
+			o.mu.Lock()
+			defer o.mu.Unlock()
+			delete(o.cut, i)
+		})
+		return "owner is cut off from an agent"
+	default:
+		c.mu.Lock()
+		c.idle = !c.idle
+		c.mu.Unlock()
+		return "group becomes idle or busy"
+	}
+}
+
+// Guards against maps that never follow the demand when nothing fails, and
+// against a group that waits for its switch.
+func TestMapsFollowDemandWithoutFaults(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer finish(cancel)
+		c := newCluster(ctx, t, 1, 3)
+		time.Sleep(30 * time.Second)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		check.Equal(t, "mixed maps", fmt.Sprint(c.broken), "[]")
+		check.AtMost(t, "stalled ms", c.stalled.Milliseconds(), passTime.Milliseconds())
+		if c.changes < 5*rankCount {
+			t.Errorf("switches of ranks: got %d, want at least %d", c.changes, 5*rankCount)
+		}
+	})
+}
+
+// Guards against a pass that begins while two ranks have different maps, and
+// against a group that stays stopped after faults have ended: owners that stand
+// still or die, agents that restart, ranks that restart, orders that get no
+// answer and are carried out late.
+func TestNoMixedMapsUnderFaults(t *testing.T) {
+	const schedules = 60
+	for seed := range uint64(schedules) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { schedule(t, seed) })
+		})
+	}
+}
+
+func schedule(t *testing.T, seed uint64) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer finish(cancel)
+	c := newCluster(ctx, t, seed, 3)
+	c.lateShare = 0.35
+	r := rand.New(rand.NewPCG(seed, 2))
+	for range 12 {
+		time.Sleep(time.Duration(300+r.IntN(3000)) * time.Millisecond)
+		what := c.fault(ctx, r)
+		c.mu.Lock()
+		c.note("%s", what)
+		c.mu.Unlock()
+	}
+	c.mu.Lock()
+	c.idle, c.lateShare = false, 0
+	c.mu.Unlock()
+	time.Sleep(25 * time.Second)
+	c.mu.Lock()
+	before := c.step
+	c.mu.Unlock()
+	time.Sleep(5 * time.Second)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	check.Equal(t, "mixed maps", fmt.Sprint(c.broken), "[]")
+	if c.step-before < 50 {
+		t.Errorf("passes in the last 5 s: got %d, want at least 50", c.step-before)
+	}
+	if t.Failed() {
+		t.Log(strings.Join(c.trace, "\n"))
+	}
+}
