Send nothing for a caller who has left

Two windows were found by reading: a grant that comes as the caller leaves, and an exchange that begins after its context has ended. Change: both are checked; a test for the second fails before the change.

--- a/entry/connection/upstream/exchange.go
+++ b/entry/connection/upstream/exchange.go
@@ -122,6 +122,10 @@
 			return nil, err
 		}
 	}
+	if err := ctx.Err(); err != nil {
+		p.put(address, c)
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
 	release := context.AfterFunc(ctx, func() { _ = c.Close() })
 	a, err := p.send(c, r)
 	if err != nil {
--- a/entry/connection/upstream/upstream_test.go
+++ b/entry/connection/upstream/upstream_test.go
@@ -161,6 +161,22 @@
 	}
 }
 
+// Guards against a request that is sent although its caller has left.
+func TestNothingIsSentForACallerWhoHasLeft(t *testing.T) {
+	p := serve(t, []string{reply("r1", "a"), reply("r2", "b")})
+	pool := &Pool{Clock: clock.System()}
+	address := p.listener.Addr().String()
+	_, err := exchange(pool, address, "r1")
+	check.NoError(t, "first", err)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err = pool.Exchange(ctx, address, request("r2"))
+	check.Is(t, "after the caller has left", err, ErrNotSent)
+	got, err := exchange(pool, address, "r2")
+	check.NoError(t, "next request on the kept connection", err)
+	check.Equal(t, "its body", got, "b")
+}
+
 // Guards against headers of one connection that travel on to the next.
 func TestEndToEnd(t *testing.T) {
 	h := http.Header{"Connection": {"close, X-Hop"}, "X-Hop": {"1"}, "Keep-Alive": {"timeout=5"}, "X-End": {"2"}}
--- a/entry/request/forward/run.go
+++ b/entry/request/forward/run.go
@@ -45,6 +45,11 @@
 		case balance.Grant:
 			c.waited = granted - r.arrived
 			c.held, c.limit = d.Held, d.Limit
+			if ctx.Err() != nil { // the grant came as the caller left
+				s.Scheduler.release(t, balance.Abandoned)
+				c.ended(q, reasonDeadline)
+				return
+			}
 		case balance.Reject:
 			c.rejected(q, d)
 			return
