Reject at once while a group is down, probe it, and own maps sooner

Cause: requests waited 1.5 s for a group that was down for seconds and came back too early; after the outage upstreams stayed skipped for up to 3 s; a new owner took 3 s after all processes had died. Change: while all upstreams are skipped one request each 200 ms probes them and the rest is rejected with 2.2 to 2.5 s; the first event ends all skips; plain upstreams are skipped after three failures in a row and ranked by their recent failures; owners claim 0.7 s after their start; a switch under way is no unfinished change.

--- a/agent/process/orders/orders.go
+++ b/agent/process/orders/orders.go
@@ -71,6 +71,9 @@
 		s.term = term
 		s.heard = now
 	}
+	if s.term == 0 {
+		return 0, 0
+	}
 	return s.term, now - s.heard
 }
 
--- a/entry/process/experts/change.go
+++ b/entry/process/experts/change.go
@@ -97,6 +97,7 @@
 	if err := o.order(ctx, ranks[0].Member, group.Order{Op: int(group.Release), Step: step, Epoch: o.state.epoch}); err != nil {
 		return err
 	}
+	o.state.switchAt = step
 	o.Log.Emit(event.MapActivated, event.Fields{"service": o.Service, "version": version, "epoch": o.state.epoch, "step": step, "prepareMs": prepared - began, "armMs": armed - prepared})
 	return nil
 }
--- a/entry/process/experts/owner.go
+++ b/entry/process/experts/owner.go
@@ -33,9 +33,11 @@
 	// takes over; a stalled change stops the whole group.
 	ownerSilence clock.Millis = 1000
 	// claimSpread keeps processes from taking over at the same moment.
-	claimSpread clock.Millis = 600
+	claimSpread clock.Millis = 300
 	// startTime is how long a process listens for an owner after its start.
-	startTime clock.Millis = 1200
+	startTime clock.Millis = 700
+	// claimPause is the time between two tries to take over.
+	claimPause clock.Millis = 450
 	// callTime bounds a call that carries no order.
 	callTime clock.Millis = 500
 	// orderTime bounds a call with an order, which the agent repeats until the
@@ -97,15 +99,18 @@
 
 	term    atomic.Int64
 	started clock.Millis
+	claimAt clock.Millis
 	state   state
 }
 
 // state is what an owner knows of the group.
 type state struct {
-	epoch    int64
-	known    bool
-	current  placement.Map
-	version  int64
+	epoch   int64
+	known   bool
+	current placement.Map
+	version int64
+	// switchAt is the pass at which the map of the last change is used.
+	switchAt int64
 	demand   placement.Estimator
 	last     map[string]counted
 	lastStep int64
@@ -156,9 +161,11 @@
 		return true
 	}
 	silence := ownerSilence + o.delay()
-	if agents == 0 || o.Clock.Now()-o.started < startTime+o.delay() || (term > 0 && age < silence) {
+	now := o.Clock.Now()
+	if agents == 0 || now-o.started < startTime+o.delay() || now < o.claimAt || (term > 0 && age < silence) {
 		return false
 	}
+	o.claimAt = now + claimPause
 	claimed, err := o.Claimer.Claim(ctx, o.Service, term)
 	if err != nil {
 		o.Log.Error(event.MapOwnerLost, err, event.Fields{"service": o.Service, "term": term, "ownerAgeMs": age})
@@ -239,6 +246,9 @@
 		o.state = state{epoch: ranks[0].report.Epoch, last: o.state.last, demand: o.state.demand}
 	}
 	o.observe(ranks, engine)
+	if o.switching(ranks) {
+		return nil
+	}
 	if pending(ranks) {
 		return o.settle(ctx, ranks)
 	}
@@ -258,6 +268,21 @@
 	return false
 }
 
+// switching tells whether all ranks wait for the pass at which they use the map
+// of the last change.
+func (o *Owner) switching(ranks []*rank) bool {
+	version, step, all := armedFor(ranks)
+	if !all || version != o.state.version || step != o.state.switchAt {
+		return false
+	}
+	for _, r := range ranks {
+		if r.report.HeldStep != group.None {
+			return false
+		}
+	}
+	return true
+}
+
 // observe adds the counts since the last look to the demand.
 func (o *Owner) observe(ranks []*rank, engine *config.Engine) {
 	s := &o.state
--- a/entry/request/balance/balance.go
+++ b/entry/request/balance/balance.go
@@ -97,6 +97,25 @@
 	cold    slidingSecond
 	skipTo  clock.Millis
 	strikes int
+	// failures is the recent part of attempts that failed, from 0 to 1.
+	failures float64
+}
+
+// failureWeight is the weight of a new outcome in the part of failures.
+const failureWeight = 0.2
+
+func (u *upstream) note(failed bool) {
+	value := 0.0
+	if failed {
+		value = 1
+	}
+	u.failures += failureWeight * (value - u.failures)
+}
+
+// cost ranks upstreams: requests held, and as much again as the slots when all
+// attempts fail.
+func (u *upstream) cost() float64 {
+	return float64(u.load()) + u.failures*float64(u.entry.Slots)
 }
 
 func (u *upstream) load() int { return u.held + u.others }
@@ -112,6 +131,11 @@
 	completions rate
 	turn        int
 	rejections  int
+	// down is set while all upstreams are skipped.
+	down bool
+	// probeAt is when an upstream that is skipped may be tried again although
+	// all are.
+	probeAt clock.Millis
 }
 
 // Balancer decides for all services of an entry. It is not safe for use by
@@ -199,7 +223,7 @@
 		return b.grant(now, s, t, u)
 	}
 	usable := b.usable(now, s)
-	if usable == 0 && len(s.upstreams) == 0 {
+	if usable == 0 {
 		return b.reject(now, s, t, NoUpstream, usable)
 	}
 	wait := s.expectedWait(now, t)
@@ -259,6 +283,10 @@
 // as long again. Without any completion to go by, the longest time counts.
 func (s *service) retryAfter(now clock.Millis) clock.Millis {
 	s.rejections++
+	if s.down {
+		// What makes all ranks of a group fail lasts for seconds.
+		return longestReturn - (longestReturn/8)*clock.Millis(s.rejections*7%returnSlots)/returnSlots
+	}
 	wait := longestReturn / 2
 	if perSecond := s.completions.perSecond(now); perSecond > 0 {
 		needed := clock.Millis(float64(len(s.queue)) / perSecond * float64(clock.Second))
@@ -283,11 +311,30 @@
 	if s.spec == nil {
 		return nil
 	}
-	var best *upstream
 	s.turn++
+	if u := b.search(now, s, t, false); u != nil {
+		return u
+	}
+	if now < s.probeAt || b.usable(now, s) > 0 {
+		return nil
+	}
+	u := b.search(now, s, t, true)
+	if u != nil {
+		s.probeAt = now + probeInterval
+		s.down = true
+	}
+	return u
+}
+
+// probeInterval is the time between two tries while all upstreams are skipped.
+const probeInterval clock.Millis = 200
+
+// search returns the best upstream, among the skipped ones too if skipped is set.
+func (b *Balancer) search(now clock.Millis, s *service, t *Ticket, skipped bool) *upstream {
+	var best *upstream
 	for i := range s.upstreams {
 		u := s.upstreams[(i+s.turn)%len(s.upstreams)]
-		if !b.may(now, s, u, t) {
+		if (now < u.skipTo && !skipped) || !b.may(now, s, u, t) {
 			continue
 		}
 		if best == nil || b.prefer(u, best) {
@@ -299,7 +346,7 @@
 
 func (b *Balancer) may(now clock.Millis, s *service, u *upstream, t *Ticket) bool {
 	switch {
-	case !b.view.Usable(u.entry), now < u.skipTo:
+	case !b.view.Usable(u.entry):
 		return false
 	case u.load() >= s.limit(u):
 		return false
@@ -318,8 +365,8 @@
 }
 
 func (b *Balancer) prefer(u, best *upstream) bool {
-	if u.load() != best.load() {
-		return u.load() < best.load()
+	if u.cost() != best.cost() {
+		return u.cost() < best.cost()
 	}
 	if u.prompt != best.prompt {
 		return u.prompt < best.prompt
@@ -359,8 +406,22 @@
 const (
 	shortestSkip clock.Millis = 200
 	longestSkip  clock.Millis = 3000
+	// plainStrikes is the number of failures in a row after which an upstream of
+	// a plain service is skipped; single requests fail there on their own.
+	plainStrikes = 3
 )
 
+// skip returns how long an upstream is skipped after so many failures in a row.
+func (s *service) skip(strikes int) clock.Millis {
+	if s.spec != nil && s.spec.Engine == nil {
+		strikes -= plainStrikes - 1
+	}
+	if strikes <= 0 {
+		return 0
+	}
+	return min(shortestSkip<<min(strikes-1, 4), longestSkip)
+}
+
 // Release returns the upstream of a ticket and grants it to those that wait.
 func (b *Balancer) Release(now clock.Millis, t *Ticket, o Outcome) []Decision {
 	s, u := b.service(t.Service), t.upstream
@@ -373,10 +434,12 @@
 	switch o {
 	case Succeeded:
 		u.strikes = 0
+		u.note(false)
 		s.completions.add(now)
 	case Failed, Refused:
-		u.skipTo = now + min(shortestSkip<<u.strikes, longestSkip)
-		u.strikes = min(u.strikes+1, 4)
+		u.strikes++
+		u.note(true)
+		u.skipTo = now + s.skip(u.strikes)
 		t.Avoid = append(t.Avoid, u.entry.ID)
 	case Abandoned:
 		s.completions.add(now)
@@ -384,11 +447,20 @@
 	return b.drain(now, s)
 }
 
-// Prefilled tells that the upstream has read the prompt of a ticket.
+// Prefilled tells that the upstream has read the prompt of a ticket. Since the
+// ranks of a group run together or not at all, none of them is skipped then.
 func (b *Balancer) Prefilled(t *Ticket) {
-	if t.upstream != nil {
-		t.upstream.prompt -= t.Prompt
-		t.Prompt = 0
+	if t.upstream == nil {
+		return
+	}
+	t.upstream.prompt -= t.Prompt
+	t.Prompt = 0
+	s := b.service(t.Service)
+	if s.down {
+		s.down = false
+		for _, u := range s.upstreams {
+			u.skipTo, u.strikes = 0, 0
+		}
 	}
 }
 
