Keep the mean pause between 0.62 and 0.80 of the objective

Cause: a stream is late after one long pause, and the limit followed the mean up to 0.92 of the objective.

--- a/entry/request/balance/pace.go
+++ b/entry/request/balance/pace.go
@@ -7,8 +7,8 @@
 
 // Parts of the pause objective between which the limit stays as it is.
 const (
-	raiseBelow = 0.70
-	lowerAbove = 0.92
+	raiseBelow = 0.62
+	lowerAbove = 0.80
 	// paceInterval is the time between two changes of the limit; a change shows
 	// after a pass or two.
 	paceInterval clock.Millis = 300
