--- /dev/null
+++ b/core/process/clock/gap.go
@@ -0,0 +1,34 @@
+package clock
+
+import (
+	"context"
+
+	"golang.org/x/sys/unix"
+)
+
+// gapInterval is the time between two looks for a gap.
+const gapInterval Millis = 200
+
+// WatchGaps calls f after the process stood still for at least least: after a
+// suspension of the machine, which the monotonic clock does not count, or a
+// pause of the process. What rests on having heard something lately must be
+// checked again then.
+func WatchGaps(ctx context.Context, least Millis, f func(gap Millis)) {
+	last := bootTime()
+	Every(ctx, gapInterval, func() {
+		now := bootTime()
+		if gap := now - last - gapInterval; gap >= least {
+			f(gap)
+		}
+		last = now
+	})
+}
+
+// bootTime is the time since the machine's start, suspensions included.
+func bootTime() Millis {
+	var t unix.Timespec
+	if unix.ClockGettime(unix.CLOCK_BOOTTIME, &t) != nil {
+		return 0 // a machine without this clock shows no gaps
+	}
+	return Millis(t.Nano() / 1e6)
+}
--- /dev/null
+++ b/core/process/event/sink.go
@@ -0,0 +1,113 @@
+package event
+
+import (
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"goldcrestshore/core/process/clock"
+)
+
+// Bounds of the log of one process.
+const (
+	// sinkLines is how many lines wait for a slow reader of the output.
+	sinkLines = 2048
+	// linesPerSecond and urgentLinesPerSecond bound what a process writes; lines
+	// of failures have a part of their own, so that successes cannot displace
+	// them.
+	linesPerSecond       = 400
+	urgentLinesPerSecond = 400
+	// dropNotice is the time between two lines on dropped lines.
+	dropNotice = 5 * clock.Second
+)
+
+// Sink writes log lines in a goroutine of its own. A line that finds no room, or
+// exceeds the rate, is dropped and counted: a reader that takes nothing must not
+// delay a request.
+type Sink struct {
+	out     io.Writer
+	lines   chan []byte
+	dropped atomic.Int64
+	done    chan struct{}
+
+	mu     sync.Mutex
+	second int64
+	plain  int
+	urgent int
+}
+
+// NewSink returns a sink that writes to out until Close.
+func NewSink(out io.Writer) *Sink {
+	s := &Sink{out: out, lines: make(chan []byte, sinkLines), done: make(chan struct{})}
+	go s.run()
+	return s
+}
+
+func (s *Sink) run() {
+	defer close(s.done)
+	for line := range s.lines {
+		_, _ = s.out.Write(line) // there is no other place to report to
+	}
+}
+
+// Write takes one line without waiting. It always reports success.
+func (s *Sink) Write(line []byte) (int, error) {
+	if !s.allowed(isUrgent(line)) {
+		s.dropped.Add(1)
+		return len(line), nil
+	}
+	select {
+	case s.lines <- append([]byte(nil), line...):
+	default:
+		s.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// allowed counts a line against the rate of its class.
+func (s *Sink) allowed(urgent bool) bool {
+	now := time.Now().Unix()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now != s.second {
+		s.second, s.plain, s.urgent = now, 0, 0
+	}
+	if urgent {
+		s.urgent++
+		return s.urgent <= urgentLinesPerSecond
+	}
+	s.plain++
+	return s.plain <= linesPerSecond
+}
+
+// Dropped returns the number of lines dropped so far.
+func (s *Sink) Dropped() int64 { return s.dropped.Load() }
+
+// Close writes what waits, at most for limit, and ends the goroutine. No line
+// may be written afterwards.
+func (s *Sink) Close(limit clock.Millis) {
+	close(s.lines)
+	select {
+	case <-s.done:
+	case <-time.After(limit.Duration()):
+	}
+}
+
+// Watch reports dropped lines on the log from time to time until stop is closed.
+func (s *Sink) Watch(stop <-chan struct{}, log *Log) {
+	ticker := time.NewTicker(dropNotice.Duration())
+	defer ticker.Stop()
+	told := int64(0)
+	for {
+		select {
+		case <-stop:
+			return
+		case <-ticker.C:
+		}
+		if n := s.Dropped(); n > told {
+			log.Emit(LinesDropped, Fields{"lines": n - told, "total": n})
+			told = n
+		}
+	}
+}
--- a/entry/request/balance/balance.go
+++ b/entry/request/balance/balance.go
@@ -155,6 +155,9 @@
 // SetEntries tells how many entries share the limits.
 func (b *Balancer) SetEntries(n int) { b.entries = max(n, 1) }
 
+// SetSettings replaces the shared limits. A window in use keeps its ratio.
+func (b *Balancer) SetSettings(s Settings) { b.settings = s }
+
 // SetView adopts a snapshot. Held requests keep their upstreams.
 func (b *Balancer) SetView(v *fleet.View) {
 	b.view = v
