--- /dev/null
+++ b/entry/request/forward/forward_test.go
@@ -0,0 +1,331 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	"goldcrestshore/core/process/check"
+	"goldcrestshore/core/process/clock"
+	"goldcrestshore/core/process/event"
+	"goldcrestshore/entry/connection/upstream"
+	"goldcrestshore/entry/request/balance"
+	"goldcrestshore/entry/version/config"
+	"goldcrestshore/entry/version/fleet"
+)
+
+var headers = Headers{
+	RequestID: "X-Id", Deadline: "X-Deadline", Key: "X-Key", Customer: "X-Customer", Target: "X-Target",
+	Signature: "X-Signature", NotRun: "X-Not-Run", LastEvent: "X-Last-Event", Tokens: "X-Tokens", Priority: "X-Priority",
+}
+
+// site is an entry before upstreams that answer as the test says.
+type site struct {
+	server *Server
+	front  *httptest.Server
+	fresh  bool
+
+	mu   sync.Mutex
+	seen []*http.Request
+}
+
+// script is the answer of an upstream to one request; an empty one closes the
+// connection.
+type script func(q *http.Request) string
+
+// newSite starts an entry; scripts answer in the order in which requests reach
+// any upstream.
+func newSite(t *testing.T, scripts ...script) *site {
+	t.Helper()
+	log, err := event.NewLog(io.Discard, "error", "entry", "e")
+	check.NoError(t, "NewLog", err)
+	s := &site{fresh: true}
+	routes := []config.Route{
+		{Name: "once", Host: "h.example", PathPrefix: "/once/", Shares: []config.Share{{Service: "plain", Weight: 1}}, MaxUpstreams: 1, Timeout: 5 * clock.Second},
+		{Name: "again", Host: "h.example", PathPrefix: "/again/", Shares: []config.Share{{Service: "plain", Weight: 1}}, Repeat: config.Idempotent, MaxUpstreams: 2, Timeout: 5 * clock.Second},
+		{Name: "stream", Host: "h.example", PathPrefix: "/stream/", Shares: []config.Share{{Service: "plain", Weight: 1}}, Stream: true, Repeat: config.Resumable, MaxUpstreams: 2, Timeout: 5 * clock.Second},
+	}
+	limits := config.Limits{MaxHeaderBytes: 4096, MaxBodyBytes: 100, IdleTimeout: clock.Minute, HeaderTimeout: clock.Second}
+	customers := []config.Customer{{Name: "one", Keys: []string{"k1"}, Priority: -1}}
+	state := fleet.New()
+	state.Adopt(config.New(3, routes, []config.Service{{Name: "plain"}}, customers, limits))
+	address := s.listen(t, scripts)
+	list := make(map[string]*fleet.Upstream)
+	for i := range 3 {
+		id := fmt.Sprint("u", i)
+		list[id] = &fleet.Upstream{ID: id, Service: "plain", Address: address, Slots: 4}
+	}
+	state.SetUpstreams(list)
+	state.SetOut(nil)
+	c := clock.System()
+	scheduler := &Scheduler{Clock: c, Balancer: balance.New(balance.Settings{RetryRatio: 1, RetryAllowance: 10, RetryWindow: 10 * clock.Second})}
+	scheduler.SetView(state.View())
+	s.server = &Server{
+		Clock: c, Log: log, Headers: headers, State: state, Scheduler: scheduler, Pool: &upstream.Pool{Clock: c},
+		Current: func(clock.Millis) bool { return s.fresh },
+	}
+	s.front = httptest.NewServer(s.server)
+	t.Cleanup(s.front.Close)
+	return s
+}
+
+// listen serves all upstreams on one address.
+func (s *site) listen(t *testing.T, scripts []script) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	check.NoError(t, "Listen", err)
+	t.Cleanup(func() { _ = l.Close() })
+	turns := make(chan script, len(scripts))
+	for _, f := range scripts {
+		turns <- f
+	}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(c, turns)
+		}
+	}()
+	return l.Addr().String()
+}
+
+func (s *site) serve(c net.Conn, turns chan script) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for {
+		q, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, q.Body)
+		s.mu.Lock()
+		s.seen = append(s.seen, q)
+		s.mu.Unlock()
+		answer := (<-turns)(q)
+		_, _ = io.WriteString(c, answer)
+		if answer == "" {
+			return
+		}
+	}
+}
+
+// requests returns what has reached upstreams.
+func (s *site) requests() []*http.Request {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]*http.Request(nil), s.seen...)
+}
+
+func ok(body string) script {
+	return func(q *http.Request) string {
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Signature: by-%s\r\nContent-Length: %d\r\n\r\n%s", q.Header.Get("X-Id"), q.Header.Get("X-Target"), len(body), body)
+	}
+}
+
+func status(code int, header string) script {
+	return func(q *http.Request) string {
+		return fmt.Sprintf("HTTP/1.1 %d X\r\nX-Id: %s\r\n%sContent-Length: 0\r\n\r\n", code, q.Header.Get("X-Id"), header)
+	}
+}
+
+// broken closes the connection without an answer.
+func broken(*http.Request) string { return "" }
+
+// events streams part of an answer; a stream that does not end is cut.
+func events(ends bool, list ...string) script {
+	return func(q *http.Request) string {
+		out := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Signature: by-%s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", q.Header.Get("X-Id"), q.Header.Get("X-Target"))
+		for _, e := range list {
+			out += fmt.Sprintf("%x\r\n%s\r\n", len(e), e)
+		}
+		if ends {
+			return out + "0\r\n\r\n"
+		}
+		return out + "zz\r\n" // no chunk: the answer is broken from here on
+	}
+}
+
+// result is what a caller sees.
+type result struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+func (s *site) call(t *testing.T, path string, edit func(*http.Request)) result {
+	t.Helper()
+	q, err := http.NewRequestWithContext(context.Background(), http.MethodPost, s.front.URL+path, strings.NewReader("in"))
+	check.NoError(t, "NewRequest", err)
+	q.Host = "h.example"
+	q.Header.Set("X-Id", "r1")
+	q.Header.Set("X-Key", "k1")
+	q.Header.Set("X-Deadline", "3000")
+	if edit != nil {
+		edit(q)
+	}
+	resp, err := http.DefaultTransport.RoundTrip(q)
+	if err != nil {
+		return result{err: err}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return result{resp.StatusCode, resp.Header, string(body), err}
+}
+
+// Guards against requests that run without a valid key or route, and against a
+// final answer from an entry that may be behind.
+func TestUnknownCallersAreRefused(t *testing.T) {
+	for _, tc := range []struct {
+		name, path, key string
+		fresh           bool
+		want            int
+	}{
+		{"no route", "/none/", "k1", true, http.StatusNotFound},
+		{"unknown key", "/once/a", "k2", true, http.StatusUnauthorized},
+		{"no key", "/once/a", "", true, http.StatusUnauthorized},
+		{"no route, outdated view", "/none/", "k1", false, http.StatusServiceUnavailable},
+		{"unknown key, outdated view", "/once/a", "k2", false, http.StatusServiceUnavailable},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := newSite(t)
+			s.fresh = tc.fresh
+			got := s.call(t, tc.path, func(q *http.Request) { q.Header.Set("X-Key", tc.key) })
+			check.Equal(t, "status", got.status, tc.want)
+			check.Equal(t, "requests at upstreams", len(s.requests()), 0)
+		})
+	}
+}
+
+// Guards against a request that reaches its upstream changed, with the key, or
+// with more time than is left.
+func TestRequestsArePassedOnUnchanged(t *testing.T) {
+	s := newSite(t, ok("yes"))
+	got := s.call(t, "/once/a%20b?c=d", func(q *http.Request) {
+		q.Header.Set("X-Customer", "forged")
+		q.Header.Set("X-Other", "kept")
+		q.Header.Set("Connection", "X-Hop")
+		q.Header.Set("X-Hop", "1")
+	})
+	check.Equal(t, "body", got.body, "yes")
+	q := s.requests()[0]
+	check.Equal(t, "target", q.RequestURI, "/once/a%20b?c=d")
+	check.Equal(t, "host", q.Host, "h.example")
+	check.Equal(t, "key", q.Header.Get("X-Key"), "")
+	check.Equal(t, "customer", q.Header.Get("X-Customer"), "one")
+	check.Equal(t, "other header", q.Header.Get("X-Other"), "kept")
+	check.Equal(t, "header of the connection", q.Header.Get("X-Hop"), "")
+	check.Equal(t, "signature is that of the upstream meant", got.header.Get("X-Signature"), "by-"+q.Header.Get("X-Target"))
+	var left int
+	_, err := fmt.Sscan(q.Header.Get("X-Deadline"), &left)
+	check.NoError(t, "deadline", err)
+	check.AtMost(t, "time passed on", left, 3000)
+}
+
+// Guards against a request that may not be repeated but is, against one that
+// may and is not, and against a refusal that says "not run" of one that may have.
+func TestFailedAttempts(t *testing.T) {
+	notRun := "X-Not-Run: 1\r\n"
+	unsigned := func(q *http.Request) string { return strings.Replace(ok("x")(q), "X-Signature", "X-Nothing", 1) }
+	encoded := func(q *http.Request) string {
+		return strings.Replace(ok("x")(q), "\r\n", "\r\nContent-Encoding: gzip\r\n", 1)
+	}
+	for _, tc := range []struct {
+		name, path string
+		scripts    []script
+		status     int
+		sends      int
+	}{
+		{"once, broken", "/once/", []script{broken}, http.StatusBadGateway, 1},
+		{"once, refused and run elsewhere", "/once/", []script{status(503, notRun), ok("y")}, http.StatusOK, 2},
+		{"once, wrong instance", "/once/", []script{status(421, ""), ok("y")}, http.StatusOK, 2},
+		{"once, failed by the upstream", "/once/", []script{status(500, "X-Signature: s\r\n")}, http.StatusInternalServerError, 1},
+		{"once, unsigned success", "/once/", []script{unsigned}, http.StatusBadGateway, 1},
+		{"again, broken", "/again/", []script{broken, ok("y")}, http.StatusOK, 2},
+		{"again, failed by the upstream", "/again/", []script{status(500, "X-Signature: s\r\n"), ok("y")}, http.StatusOK, 2},
+		{"again, broken twice", "/again/", []script{broken, broken}, http.StatusBadGateway, 2},
+		{"again, encoded body", "/again/", []script{encoded, ok("y")}, http.StatusOK, 2},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := newSite(t, tc.scripts...)
+			got := s.call(t, tc.path, nil)
+			check.NoError(t, "call", got.err)
+			check.Equal(t, "status", got.status, tc.status)
+			check.Equal(t, "sends", len(s.requests()), tc.sends)
+		})
+	}
+}
+
+// Guards against streams with a missing or doubled event, and against a broken
+// one that looks complete.
+func TestStreamsGoOnElsewhere(t *testing.T) {
+	one, two, three := "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n", "id: 3\ndata: c\n\n"
+	for _, tc := range []struct {
+		name    string
+		scripts []script
+		body    string
+		resume  string
+		whole   bool
+	}{
+		{"whole", []script{events(true, one, two, three)}, one + two + three, "", true},
+		{"cut between events", []script{events(false, one, two), events(true, three)}, one + two + three, "2", true},
+		{"cut in an event", []script{events(false, one, "id: 2\nda"), events(true, two, three)}, one + two + three, "1", true},
+		{"cut before the first event", []script{events(false), events(true, one, two, three)}, one + two + three, "", true},
+		{"cut twice", []script{events(false, one), events(false, two)}, one + two, "1", false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := newSite(t, tc.scripts...)
+			got := s.call(t, "/stream/", nil)
+			check.Equal(t, "status", got.status, http.StatusOK)
+			check.Equal(t, "body", got.body, tc.body)
+			check.Equal(t, "whole", got.err == nil, tc.whole)
+			seen := s.requests()
+			check.Equal(t, "upstreams", len(seen), len(tc.scripts))
+			check.Equal(t, "last event at the last upstream", seen[len(seen)-1].Header.Get("X-Last-Event"), tc.resume)
+			check.Equal(t, "signature is that of the first upstream with an event", got.header.Get("X-Signature") != "", true)
+		})
+	}
+}
+
+// Guards against input beyond the limits of the configuration in force.
+func TestLimits(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		edit func(*http.Request)
+		want int
+	}{
+		{"large head", func(q *http.Request) { q.Header.Set("X-Large", strings.Repeat("a", 5000)) }, http.StatusRequestHeaderFieldsTooLarge},
+		{"large body", func(q *http.Request) { setBody(q, 200, true) }, http.StatusRequestEntityTooLarge},
+		{"large body without a length", func(q *http.Request) { setBody(q, 200, false) }, http.StatusRequestEntityTooLarge},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := newSite(t)
+			check.Equal(t, "status", s.call(t, "/once/", tc.edit).status, tc.want)
+		})
+	}
+}
+
+func setBody(q *http.Request, n int, withLength bool) {
+	q.Body = io.NopCloser(strings.NewReader(strings.Repeat("b", n)))
+	q.ContentLength = -1
+	if withLength {
+		q.ContentLength = int64(n)
+	}
+}
+
+// Guards against streams that are split in the wrong place.
+func TestEventBoundaries(t *testing.T) {
+	check.Equal(t, "whole events", eventsEnd([]byte("id: 1\n\nid: 2\n\nid")), 14)
+	check.Equal(t, "no whole event", eventsEnd([]byte("id: 1\n")), 0)
+	check.Equal(t, "last id", lastEventID([]byte("id: 1\ndata: x\n\nid: 22\ndata: id: 9\n\n")), "22")
+	check.Equal(t, "no id", lastEventID([]byte("data: x\n\n")), "")
+}
