Let an entry that the store turns away learn from the others

Cause: the store may refuse some machines and serve the rest; such an entry kept its view for as long, with keys that had been revoked and replicas that leave. Changes that come together take one watch.

--- a/agent/connection/sidecar/sidecar.go
+++ b/agent/connection/sidecar/sidecar.go
@@ -24,6 +24,8 @@
 	// heldTime is how long what an entry holds is believed after its last
 	// heartbeat.
 	heldTime clock.Millis = 1500
+	// maxPeers bounds the addresses of other entries in an answer.
+	maxPeers = 3
 	// callIdle ends the connection of an owner that calls no more.
 	callIdle = 20 * clock.Second
 )
@@ -44,6 +46,8 @@
 type holding struct {
 	held int
 	at   clock.Millis
+	// peer is the entry's address while the store serves it.
+	peer string
 }
 
 // Run serves until ctx is done.
@@ -98,7 +102,7 @@
 	now := s.Clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.held[h.Entry] = holding{h.Held, now}
+	s.held[h.Entry] = holding{h.Held, now, h.Peer}
 	out := &group.Load{Term: term, OwnerAge: int64(age)}
 	for entry, held := range s.held {
 		if now-held.at > heldTime {
@@ -106,8 +110,12 @@
 			continue
 		}
 		out.Entries++
-		if entry != h.Entry {
-			out.Others += held.held
+		if entry == h.Entry {
+			continue
+		}
+		out.Others += held.held
+		if held.peer != "" && len(out.Peers) < maxPeers {
+			out.Peers = append(out.Peers, held.peer)
 		}
 	}
 	return out
--- a/core/connection/frame/kind.go
+++ b/core/connection/frame/kind.go
@@ -4,6 +4,7 @@
 	"github.com/cockroachdb/errors"
 
 	"goldcrestshore/core/version/group"
+	"goldcrestshore/core/version/snapshot"
 )
 
 // Kinds of frames. Numbers are part of the protocol and are never reused.
@@ -120,6 +121,10 @@
 		return unmarshal[RankCall](body)
 	case kindRankReply:
 		return unmarshal[RankReply](body)
+	case kindSnapshotAsk:
+		return unmarshal[SnapshotAsk](body)
+	case kindSnapshotReply:
+		return unmarshal[SnapshotReply](body)
 	}
 	return nil, errors.Wrapf(ErrUnknownKind, "kind %d", kind)
 }
@@ -145,6 +150,9 @@
 	kindLoad      = 41
 	kindRankCall  = 42
 	kindRankReply = 43
+
+	kindSnapshotAsk   = 44
+	kindSnapshotReply = 45
 )
 
 // Holding is an entry's heartbeat to the agent of a rank.
@@ -159,7 +167,15 @@
 // RankReply is the answer to RankCall.
 type RankReply struct{ group.Reply }
 
-func (*Holding) frameKind() byte   { return kindHolding }
-func (*GroupLoad) frameKind() byte { return kindLoad }
-func (*RankCall) frameKind() byte  { return kindRankCall }
-func (*RankReply) frameKind() byte { return kindRankReply }
+// SnapshotAsk asks another entry for the objects of the store.
+type SnapshotAsk struct{ snapshot.Ask }
+
+// SnapshotReply is the answer to SnapshotAsk.
+type SnapshotReply struct{ snapshot.Reply }
+
+func (*SnapshotAsk) frameKind() byte   { return kindSnapshotAsk }
+func (*SnapshotReply) frameKind() byte { return kindSnapshotReply }
+func (*Holding) frameKind() byte       { return kindHolding }
+func (*GroupLoad) frameKind() byte     { return kindLoad }
+func (*RankCall) frameKind() byte      { return kindRankCall }
+func (*RankReply) frameKind() byte     { return kindRankReply }
--- a/core/process/event/catalogue.go
+++ b/core/process/event/catalogue.go
@@ -51,6 +51,7 @@
 	CentreChanged    = define(1255, logrus.InfoLevel, "data centre was taken out of service or back")
 	ProcessSuspended = define(1256, logrus.WarnLevel, "process stood still; the view is read again")
 	SettingsReloaded = define(1257, logrus.InfoLevel, "settings were read again")
+	ViewMirrored     = define(1258, logrus.InfoLevel, "objects of the store were learned from another entry")
 )
 
 // Events of requests at an entry, 1300-1399.
--- a/core/version/group/group.go
+++ b/core/version/group/group.go
@@ -125,6 +125,9 @@
 	Held int
 	// Term is that of the entry's ownership of maps, 0 for none.
 	Term int64
+	// Peer is the address at which the entry answers other entries, empty while
+	// the store does not serve it.
+	Peer string
 }
 
 // Load is an agent's answer to a heartbeat.
@@ -137,6 +140,8 @@
 	Term int64
 	// OwnerAge is the time since the owner was heard, in milliseconds.
 	OwnerAge int64
+	// Peers are addresses of other entries that the store serves.
+	Peers []string
 }
 
 // OwnerAgeMillis returns OwnerAge as a span of time.
--- a/core/version/group/group_gen.go
+++ b/core/version/group/group_gen.go
@@ -71,13 +71,14 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z Holding) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Holding) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 3
-	o = append(o, 0x93)
+	// array header, size 4
+	o = append(o, 0x94)
 	o = msgp.AppendString(o, z.Entry)
 	o = msgp.AppendInt(o, z.Held)
 	o = msgp.AppendInt64(o, z.Term)
+	o = msgp.AppendString(o, z.Peer)
 	return
 }
 
@@ -89,8 +90,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	z.Entry, bts, err = msgp.ReadStringBytes(bts)
@@ -108,25 +109,34 @@
 		err = msgp.WrapError(err, "Term")
 		return
 	}
+	z.Peer, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Peer")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z Holding) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Entry) + msgp.IntSize + msgp.Int64Size
+func (z *Holding) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Entry) + msgp.IntSize + msgp.Int64Size + msgp.StringPrefixSize + len(z.Peer)
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Load) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 4
-	o = append(o, 0x94)
+	// array header, size 5
+	o = append(o, 0x95)
 	o = msgp.AppendInt(o, z.Others)
 	o = msgp.AppendInt(o, z.Entries)
 	o = msgp.AppendInt64(o, z.Term)
 	o = msgp.AppendInt64(o, z.OwnerAge)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Peers)))
+	for za0001 := range z.Peers {
+		o = msgp.AppendString(o, z.Peers[za0001])
+	}
 	return
 }
 
@@ -138,8 +148,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
 	}
 	z.Others, bts, err = msgp.ReadIntBytes(bts)
@@ -162,13 +172,34 @@
 		err = msgp.WrapError(err, "OwnerAge")
 		return
 	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Peers")
+		return
+	}
+	if cap(z.Peers) >= int(zb0002) {
+		z.Peers = (z.Peers)[:zb0002]
+	} else {
+		z.Peers = make([]string, zb0002)
+	}
+	for za0001 := range z.Peers {
+		z.Peers[za0001], bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Peers", za0001)
+			return
+		}
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Load) Msgsize() (s int) {
-	s = 1 + msgp.IntSize + msgp.IntSize + msgp.Int64Size + msgp.Int64Size
+	s = 1 + msgp.IntSize + msgp.IntSize + msgp.Int64Size + msgp.Int64Size + msgp.ArrayHeaderSize
+	for za0001 := range z.Peers {
+		s += msgp.StringPrefixSize + len(z.Peers[za0001])
+	}
 	return
 }
 
--- a/entry/connection/sidecar/beacon.go
+++ b/entry/connection/sidecar/beacon.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"context"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 
 	"github.com/cockroachdb/errors"
@@ -45,6 +47,9 @@
 	Held func() map[string]int
 	// Term returns the term of this entry's ownership of a service's maps.
 	Term func(service string) int64
+	// Peer returns the address for other entries, empty while the store does not
+	// serve this one.
+	Peer func() string
 	// OnLoads receives the loads by upstream after each round.
 	OnLoads func(map[string]group.Load)
 
@@ -99,7 +104,7 @@
 }
 
 func (b *Beacon) send(c net.PacketConn, a Agent, held int, sequence uint64) {
-	m := &frame.Holding{Holding: group.Holding{Entry: b.Entry, Held: held, Term: b.Term(a.Service)}}
+	m := &frame.Holding{Holding: group.Holding{Entry: b.Entry, Held: held, Term: b.Term(a.Service), Peer: b.Peer()}}
 	out, err := frame.Append(nil, frame.NewID(0, sequence), m)
 	if err != nil {
 		b.Log.Error(event.PeerMalformed, err, nil)
@@ -148,6 +153,17 @@
 	return out
 }
 
+// Peers returns addresses of entries that the store serves.
+func (b *Beacon) Peers() []string {
+	seen := make(map[string]bool)
+	for _, load := range b.fresh() {
+		for _, peer := range load.Peers {
+			seen[peer] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(seen))
+}
+
 // Owner returns the highest term of an owner of a service's maps, the time
 // since any agent heard that owner, and the number of agents that answer.
 func (b *Beacon) Owner(service string) (term int64, age clock.Millis, agents int) {
--- a/entry/process/watch/watch.go
+++ b/entry/process/watch/watch.go
@@ -31,6 +31,9 @@
 	// firstPause and longestPause bound the time between failed calls.
 	firstPause   clock.Millis = 100
 	longestPause clock.Millis = 800
+	// gatherTime is left between an answered watch and the next one, so that
+	// changes that come together take one call.
+	gatherTime clock.Millis = 250
 	// pauseSpread keeps entries that fail together from calling together.
 	pauseSpread = 0.5
 	// contactTime is how long after the last answer a view counts as current
@@ -60,6 +63,8 @@
 	failed []clock.Millis
 	cancel []context.CancelFunc
 	relist []bool
+	// mirrored is when another entry last told what the store holds.
+	mirrored clock.Millis
 }
 
 // Run follows all kinds until ctx is done.
@@ -88,6 +93,9 @@
 	if w.failed == nil {
 		return false
 	}
+	if w.mirrored > 0 && now-w.mirrored <= contactTime {
+		return true
+	}
 	for _, since := range w.failed {
 		if since > 0 && now-since > contactTime {
 			return false
@@ -96,6 +104,26 @@
 	return true
 }
 
+// Served tells whether the store itself answers for every kind.
+func (w *Watcher) Served() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, since := range w.failed {
+		if since > 0 {
+			return false
+		}
+	}
+	return w.failed != nil
+}
+
+// Mirrored notes that another entry, which the store serves, has told what the
+// store holds.
+func (w *Watcher) Mirrored() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.mirrored = w.Clock.Now()
+}
+
 // Reset ends the calls in progress and reads everything again, for use after
 // the process stood still.
 func (w *Watcher) Reset() {
@@ -150,9 +178,13 @@
 		next, err := w.step(ctx, i, source, revision)
 		switch {
 		case err == nil:
+			changed := next != revision && revision != 0
 			revision = next
 			pause = firstPause
 			w.answered(i)
+			if changed && !clock.Sleep(ctx, gatherTime) {
+				return
+			}
 			continue
 		case errors.Is(err, ErrHistoryGone):
 			w.Log.Emit(event.StoreHistoryGone, event.Fields{"kind": source.Name(), "revision": revision})
