Hold and release a pass by the owner itself; explain requests from logs

Change: the owner gives both orders from its own machine, with the sequence that it has read; an owner that has been silent for 0.7 s is replaced; ranks whose agents are gone are asked directly while a change is unfinished. goldcrestctl explain puts together what logs say of a request. Conclusion: a pause of any one machine stops a group for less than 2 s (measure/mapswitch).

--- a/agent/process/orders/orders.go
+++ b/agent/process/orders/orders.go
@@ -96,6 +96,9 @@
 	if c.HasOrder {
 		reply.Outcome = int(s.settle(ctx, c.Order))
 	}
+	if c.HasOrder && c.NoReport {
+		return reply
+	}
 	if err := s.inspect(ctx, c, reply); err != nil {
 		reply.Failure = err.Error()
 	}
@@ -125,14 +128,13 @@
 func (s *Orders) settle(ctx context.Context, o group.Order) group.Outcome {
 	ctx, cancel := context.WithTimeout(ctx, settleTime.Duration())
 	defer cancel()
-	before, err := s.Rank.Report(ctx)
-	if err != nil {
-		return group.Refused // nothing has been sent
-	}
-	if before.Epoch != o.Epoch {
-		return group.Refused
+	if o.Expected == 0 {
+		before, err := s.Rank.Report(ctx)
+		if err != nil || before.Epoch != o.Epoch {
+			return group.Refused // nothing has been sent
+		}
+		o.Expected = before.Sequence
 	}
-	o.Expected = before.Sequence
 	unanswered := 0
 	for ctx.Err() == nil {
 		err := s.sendOnce(ctx, o)
@@ -142,7 +144,7 @@
 		case errors.Is(err, ErrRefused) && unanswered == 0:
 			return group.Refused
 		case errors.Is(err, ErrRefused):
-			return s.afterTwin(ctx, before, o)
+			return s.afterTwin(ctx, o)
 		}
 		unanswered++
 		if !clock.Sleep(ctx, retryPause) {
@@ -162,14 +164,14 @@
 // afterTwin tells the outcome when a copy was refused after another one got no
 // answer. A sequence that has moved does not tell which order moved it, so the
 // state decides; every copy is void then.
-func (s *Orders) afterTwin(ctx context.Context, before group.Report, o group.Order) group.Outcome {
+func (s *Orders) afterTwin(ctx context.Context, o group.Order) group.Outcome {
 	now, err := s.Rank.Report(ctx)
 	switch {
 	case err != nil:
 		return group.Unknown
-	case now.Epoch != before.Epoch || now.Born != before.Born:
+	case now.Epoch != o.Epoch:
 		return group.Refused
-	case now.Sequence > before.Sequence && holds(now, o):
+	case now.Sequence > o.Expected && holds(now, o):
 		return group.Accepted
 	}
 	return group.Refused
--- a/core/process/event/event.go
+++ b/core/process/event/event.go
@@ -9,6 +9,10 @@
 	"github.com/sirupsen/logrus"
 )
 
+// timeFormat has milliseconds, so that lines of several processes can be put in
+// order.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // Event is one kind of log line.
 type Event struct {
 	number int
@@ -42,7 +46,7 @@
 	logger := logrus.New()
 	logger.SetOutput(w)
 	logger.SetLevel(l)
-	logger.SetFormatter(&logrus.JSONFormatter{})
+	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: timeFormat})
 	return &Log{logger.WithFields(logrus.Fields{"role": role, "instance": instance})}, nil
 }
 
--- a/core/version/group/group.go
+++ b/core/version/group/group.go
@@ -73,7 +73,8 @@
 	Epoch   int64
 	// Map holds the experts by layer and rank, for Prepare.
 	Map [][][]int
-	// Expected is the rank's Sequence for which the order holds.
+	// Expected is the rank's Sequence for which the order holds; 0 lets the agent
+	// ask the rank for it.
 	Expected int64
 }
 
@@ -104,6 +105,8 @@
 	// HasOrder tells that Order is to be carried out.
 	HasOrder bool
 	Order    Order
+	// NoReport asks for the outcome of the order alone.
+	NoReport bool
 }
 
 // Reply is an agent's answer.
--- /dev/null
+++ b/ctl/process/explain/explain.go
@@ -0,0 +1,215 @@
+// Package explain puts together what several processes have logged about one
+// request.
+package explain
+
+import (
+	"bufio"
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"goldcrestshore/core/process/event"
+)
+
+// ErrUnknown means that no line names the request.
+var ErrUnknown = errors.New("no log line names the request")
+
+const (
+	// maxLineBytes bounds one line.
+	maxLineBytes = 1 << 20
+	// recentTime is how long before a request an event of its process still says
+	// something about it.
+	recentTime = 3 * time.Second
+	// fieldRequest names the request of a line.
+	fieldRequest = "request"
+)
+
+// Line is one event of a log.
+type Line struct {
+	Time     time.Time      `json:"time"`
+	Instance string         `json:"instance"`
+	Event    int            `json:"event"`
+	Message  string         `json:"message"`
+	Fields   map[string]any `json:"fields"`
+}
+
+// Story is what the logs say of a request.
+type Story struct {
+	Request string `json:"request"`
+	// Lines are the events of the request in the order of time.
+	Lines []Line `json:"lines"`
+	// State are the last events on what the processes of the request depend on,
+	// up to its end: store, configuration, data centres, upstreams, expert maps.
+	State []Line `json:"state"`
+	// Skipped is the number of lines that are no events.
+	Skipped int `json:"skipped"`
+}
+
+// Reader collects the events of several logs.
+type Reader struct {
+	lines   []Line
+	skipped int
+}
+
+// Read adds a log. What stands before the first brace of a line is ignored, so
+// that the prefixes of collectors do no harm.
+func (r *Reader) Read(in io.Reader) error {
+	scanner := bufio.NewScanner(in)
+	scanner.Buffer(nil, maxLineBytes)
+	for scanner.Scan() {
+		if len(bytes.TrimSpace(scanner.Bytes())) == 0 {
+			continue
+		}
+		line, ok := parse(scanner.Bytes())
+		if !ok {
+			r.skipped++
+			continue
+		}
+		r.lines = append(r.lines, line)
+	}
+	return errors.Wrap(scanner.Err(), "read log")
+}
+
+// parse reads one line and reports whether it is an event.
+func parse(raw []byte) (Line, bool) {
+	i := bytes.IndexByte(raw, '{')
+	if i < 0 {
+		return Line{}, false
+	}
+	var fields map[string]any
+	if json.Unmarshal(raw[i:], &fields) != nil {
+		return Line{}, false
+	}
+	number, isEvent := fields["event"].(float64)
+	at, err := time.Parse(time.RFC3339Nano, fmt.Sprint(fields["time"]))
+	if !isEvent || err != nil {
+		return Line{}, false
+	}
+	line := Line{Time: at, Event: int(number), Fields: fields}
+	line.Instance, _ = fields["instance"].(string)
+	line.Message, _ = fields["msg"].(string)
+	for _, known := range []string{"event", "time", "instance", "msg", "level", "role"} {
+		delete(fields, known)
+	}
+	return line, true
+}
+
+// Story returns what the logs say of a request, or ErrUnknown.
+func (r *Reader) Story(request string) (*Story, error) {
+	slices.SortStableFunc(r.lines, func(a, b Line) int { return a.Time.Compare(b.Time) })
+	s := &Story{Request: request, Skipped: r.skipped}
+	for _, l := range r.lines {
+		if l.Fields[fieldRequest] == request {
+			s.Lines = append(s.Lines, l)
+		}
+	}
+	if len(s.Lines) == 0 {
+		return nil, errors.Wrapf(ErrUnknown, "%q in %d events and %d other lines", request, len(r.lines), r.skipped)
+	}
+	s.State = r.state(s)
+	return s, nil
+}
+
+// subjects are the events that tell the state of something, with the field that
+// names what they are about.
+var subjects = map[int]string{
+	event.ConfigAdopted.Number():    "",
+	event.StoreLost.Number():        "kind",
+	event.StoreRegained.Number():    "kind",
+	event.UpstreamChanged.Number():  "upstream",
+	event.CentreChanged.Number():    "dataCentre",
+	event.ProcessSuspended.Number(): "",
+	event.ProcessStopping.Number():  "",
+	event.UpstreamSkipped.Number():  "upstream",
+	event.MapActivated.Number():     "service",
+	event.MapAbandoned.Number():     "service",
+}
+
+// state returns the last event on each subject, of the processes that saw the
+// request, and those on expert maps of any process.
+func (r *Reader) state(s *Story) []Line {
+	seen := make(map[string]bool)
+	for _, l := range s.Lines {
+		seen[l.Instance] = true
+	}
+	end := s.Lines[len(s.Lines)-1].Time
+	last := make(map[string]Line)
+	for _, l := range r.lines {
+		subject, known := subjects[l.Event]
+		aboutMaps := l.Event == event.MapActivated.Number() || l.Event == event.MapAbandoned.Number()
+		if !known || l.Time.After(end) || !(seen[l.Instance] || aboutMaps) || !relevant(l, s) {
+			continue
+		}
+		key := fmt.Sprint(l.Instance, group(l.Event), l.Fields[subject])
+		last[key] = l
+	}
+	out := make([]Line, 0, len(last))
+	for _, l := range last {
+		out = append(out, l)
+	}
+	slices.SortFunc(out, func(a, b Line) int {
+		return cmp.Or(a.Time.Compare(b.Time), cmp.Compare(a.Event, b.Event), cmp.Compare(fmt.Sprint(a.Fields), fmt.Sprint(b.Fields)))
+	})
+	return out
+}
+
+// group puts events on the same subject together.
+func group(number int) int {
+	switch number {
+	case event.StoreRegained.Number():
+		return event.StoreLost.Number()
+	case event.MapAbandoned.Number():
+		return event.MapActivated.Number()
+	}
+	return number
+}
+
+// relevant leaves out events on upstreams that were long over.
+func relevant(l Line, s *Story) bool {
+	if l.Event != event.UpstreamSkipped.Number() && l.Event != event.UpstreamChanged.Number() {
+		return true
+	}
+	return s.Lines[0].Time.Sub(l.Time) < recentTime
+}
+
+// Print writes the story as text.
+func (s *Story) Print(out io.Writer) error {
+	var b strings.Builder
+	fmt.Fprintf(&b, "request %s\n", s.Request)
+	for _, l := range s.Lines {
+		b.WriteString(text(l))
+	}
+	b.WriteString("\nlast known state before its end\n")
+	for _, l := range s.State {
+		b.WriteString(text(l))
+	}
+	if s.Skipped > 0 {
+		fmt.Fprintf(&b, "\n%d lines of the logs are no events and were left out\n", s.Skipped)
+	}
+	_, err := io.WriteString(out, b.String())
+	return errors.Wrap(err, "write")
+}
+
+// text is one line with its fields by name.
+func text(l Line) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "  %s  %-24s %d %s:", l.Time.UTC().Format("15:04:05.000"), l.Instance, l.Event, l.Message)
+	names := make([]string, 0, len(l.Fields))
+	for name := range l.Fields {
+		if name != fieldRequest {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		fmt.Fprintf(&b, " %s=%v", name, l.Fields[name])
+	}
+	return b.String() + "\n"
+}
--- a/ctl/process/operator/command.go
+++ b/ctl/process/operator/command.go
@@ -59,7 +59,7 @@
 		Subcommands: []*ffcli.Command{
 			t.checkCommand(), t.getCommand(), t.diffCommand(), t.applyCommand(),
 			t.marksCommand("datacentre"), t.marksCommand("instance"),
-			t.statusCommand(), t.reportCommand(),
+			t.statusCommand(), t.reportCommand(), t.explainCommand(),
 		},
 		Exec: usage,
 	}
--- a/ctl/process/operator/exit.go
+++ b/ctl/process/operator/exit.go
@@ -8,6 +8,7 @@
 
 	"goldcrestshore/core/connection/platform"
 	"goldcrestshore/core/version/text"
+	"goldcrestshore/ctl/process/explain"
 )
 
 // Exit codes, as documented in docs/operators.md.
@@ -40,7 +41,7 @@
 		return exitDone
 	case errors.Is(err, errUsage):
 		return exitUsage
-	case errors.As(err, &problems), errors.Is(err, errUnknownName):
+	case errors.As(err, &problems), errors.Is(err, errUnknownName), errors.Is(err, explain.ErrUnknown):
 		return exitRefused
 	case errors.Is(err, platform.ErrConflict):
 		return exitConflict
--- a/entry/process/experts/change.go
+++ b/entry/process/experts/change.go
@@ -75,7 +75,7 @@
 func (o *Owner) change(ctx context.Context, ranks []*rank, version int64, next placement.Map) error {
 	began := o.Clock.Now()
 	order := group.Order{Op: int(group.Prepare), Version: version, Epoch: o.state.epoch, Map: next}
-	if err := o.orderAll(ctx, ranks, order); err != nil {
+	if err := o.orderAll(ctx, ranks, order, orderTime); err != nil {
 		return err
 	}
 	ranks, err := o.awaitPrepared(ctx, version)
@@ -84,34 +84,39 @@
 	}
 	prepared := o.Clock.Now()
 	step := o.switchStep(ranks)
-	if err := o.order(ctx, ranks[0].Member, group.Order{Op: int(group.Hold), Step: step, Epoch: o.state.epoch}); err != nil {
+	o.state.settled = false // until the release, the next cycle ends what fails here
+	hold := group.Order{Op: int(group.Hold), Step: step, Epoch: o.state.epoch, Expected: ranks[0].report.Sequence}
+	if err := o.orderFirst(ctx, ranks, hold); err != nil {
 		return err
 	}
-	if err := o.orderAll(ctx, ranks, group.Order{Op: int(group.Arm), Version: version, Step: step, Epoch: o.state.epoch}); err != nil {
-		return err // the next cycle settles it while the hold stands
+	if err := o.orderAll(ctx, ranks, group.Order{Op: int(group.Arm), Version: version, Step: step, Epoch: o.state.epoch}, switchTime); err != nil {
+		return err
 	}
-	if err := o.checkArmed(ctx, version, step); err != nil {
+	ranks, err = o.checkArmed(ctx, version, step)
+	if err != nil {
 		return err
 	}
 	armed := o.Clock.Now()
-	if err := o.order(ctx, ranks[0].Member, group.Order{Op: int(group.Release), Step: step, Epoch: o.state.epoch}); err != nil {
+	release := group.Order{Op: int(group.Release), Step: step, Epoch: o.state.epoch, Expected: ranks[0].report.Sequence}
+	if err := o.orderFirst(ctx, ranks, release); err != nil {
 		return err
 	}
+	o.state.settled = true
 	o.state.switchAt = step
 	o.Log.Emit(event.MapActivated, event.Fields{"service": o.Service, "version": version, "epoch": o.state.epoch, "step": step, "prepareMs": prepared - began, "armMs": armed - prepared})
 	return nil
 }
 
-// checkArmed returns nil when all ranks say that they are armed. The outcomes
+// checkArmed returns the ranks when all of them say that they are armed. The outcomes
 // of the orders may be outdated: another process can have given orders since.
-func (o *Owner) checkArmed(ctx context.Context, version, step int64) error {
+func (o *Owner) checkArmed(ctx context.Context, version, step int64) ([]*rank, error) {
 	term := o.term.Load()
 	ranks, whole := o.all(ctx, func(Member) *group.Call { return &group.Call{Term: term} }, callTime)
 	armedVersion, armedStep, all := armedFor(ranks)
 	if !whole || !all || armedVersion != version || armedStep != step {
-		return errors.Wrap(ErrRefused, "not all ranks are armed")
+		return nil, errors.Wrap(ErrRefused, "not all ranks are armed")
 	}
-	return nil
+	return ranks, nil
 }
 
 // switchStep returns a pass that the group begins after all ranks are armed.
@@ -157,8 +162,8 @@
 }
 
 // order gives an order to one rank through its agent.
-func (o *Owner) order(ctx context.Context, m Member, order group.Order) error {
-	reply, err := o.Ranks.Call(ctx, m, &group.Call{Term: o.term.Load(), HasOrder: true, Order: order}, orderTime)
+func (o *Owner) order(ctx context.Context, m Member, order group.Order, limit clock.Millis) error {
+	reply, err := o.Ranks.Call(ctx, m, &group.Call{Term: o.term.Load(), HasOrder: true, Order: order}, limit)
 	return o.outcome(m, order, reply, err)
 }
 
@@ -182,12 +187,21 @@
 	return errors.Wrapf(ErrRefused, "%s at %s", group.Op(order.Op), m.Upstream)
 }
 
+// orderFirst gives an order to the first rank without its agent. If the machine
+// of the rank that holds a pass stopped, nobody could release it; if this process
+// stops, the next owner can.
+func (o *Owner) orderFirst(ctx context.Context, ranks []*rank, order group.Order) error {
+	call := &group.Call{Term: o.term.Load(), HasOrder: true, Order: order, NoReport: true}
+	reply, err := o.Ranks.Direct(ctx, ranks[0].Member, call, callTime)
+	return o.outcome(ranks[0].Member, order, reply, err)
+}
+
 // orderAll gives the same order to all ranks at once.
-func (o *Owner) orderAll(ctx context.Context, ranks []*rank, order group.Order) error {
+func (o *Owner) orderAll(ctx context.Context, ranks []*rank, order group.Order, limit clock.Millis) error {
 	failed := make([]error, len(ranks))
 	var running sync.WaitGroup
 	for i, r := range ranks {
-		running.Go(func() { failed[i] = o.order(ctx, r.Member, order) })
+		running.Go(func() { failed[i] = o.order(ctx, r.Member, order, limit) })
 	}
 	running.Wait()
 	for _, err := range failed {
--- a/entry/process/experts/owner.go
+++ b/entry/process/experts/owner.go
@@ -31,7 +31,7 @@
 	cycle clock.Millis = 150
 	// ownerSilence is how long an owner is not heard before another process
 	// takes over; a stalled change stops the whole group.
-	ownerSilence clock.Millis = 1000
+	ownerSilence clock.Millis = 700
 	// claimSpread keeps processes from taking over at the same moment.
 	claimSpread clock.Millis = 300
 	// startTime is how long a process listens for an owner after its start.
@@ -40,6 +40,10 @@
 	claimPause clock.Millis = 450
 	// callTime bounds a call that carries no order.
 	callTime clock.Millis = 500
+	// directPause is the time between two looks past agents.
+	directPause clock.Millis = 400
+	// switchTime bounds a call with an order while a pass is held.
+	switchTime clock.Millis = 700
 	// orderTime bounds a call with an order, which the agent repeats until the
 	// rank has answered.
 	orderTime = 8 * clock.Second
@@ -100,7 +104,9 @@
 	term    atomic.Int64
 	started clock.Millis
 	claimAt clock.Millis
-	state   state
+	// directAt is when ranks may be asked past their agents again.
+	directAt clock.Millis
+	state    state
 }
 
 // state is what an owner knows of the group.
@@ -109,6 +115,9 @@
 	known   bool
 	current placement.Map
 	version int64
+	// settled is set while no change of this or an earlier owner can be
+	// unfinished.
+	settled bool
 	// switchAt is the pass at which the map of the last change is used.
 	switchAt int64
 	demand   placement.Estimator
@@ -198,17 +207,51 @@
 	answered := make([]*rank, len(members))
 	var running sync.WaitGroup
 	for i, m := range members {
-		running.Go(func() {
-			reply, err := o.Ranks.Call(ctx, m, call(m), limit)
-			if err == nil && reply.Failure == "" {
-				answered[i] = &rank{m, reply.Report, reply}
-			}
-		})
+		running.Go(func() { answered[i] = o.look(ctx, o.Ranks.Call, m, call(m), limit) })
+	}
+	running.Wait()
+	ranks, whole := arrange(answered)
+	if whole || !(pending(ranks) || o.unsettled()) {
+		return ranks, whole
+	}
+	// A change that was begun must be ended although an agent is gone.
+	for i, m := range members {
+		if answered[i] == nil {
+			running.Go(func() { answered[i] = o.look(ctx, o.Ranks.Direct, m, call(m), limit) })
+		}
 	}
 	running.Wait()
 	return arrange(answered)
 }
 
+// asker is a way to a rank.
+type asker func(ctx context.Context, m Member, c *group.Call, limit clock.Millis) (*group.Reply, error)
+
+// look returns what a rank says, nil when it does not answer.
+func (o *Owner) look(ctx context.Context, ask asker, m Member, c *group.Call, limit clock.Millis) *rank {
+	reply, err := ask(ctx, m, c, limit)
+	if err != nil {
+		o.Log.Error(event.RankUnreached, err, event.Fields{"upstream": m.Upstream})
+		return nil
+	}
+	if reply.Failure != "" {
+		o.Log.Emit(event.RankUnreached, event.Fields{"upstream": m.Upstream, "error": reply.Failure})
+		return nil
+	}
+	return &rank{m, reply.Report, reply}
+}
+
+// unsettled tells whether a change may have been left unfinished, at most once
+// in a pause, since ranks are asked past their agents then.
+func (o *Owner) unsettled() bool {
+	now := o.Clock.Now()
+	if o.state.settled || now < o.directAt {
+		return false
+	}
+	o.directAt = now + directPause
+	return true
+}
+
 // arrange orders replies by rank and tells whether they are a whole group.
 func arrange(answered []*rank) ([]*rank, bool) {
 	var ranks []*rank
@@ -243,7 +286,7 @@
 		return nil
 	}
 	if ranks[0].report.Epoch != o.state.epoch {
-		o.state = state{epoch: ranks[0].report.Epoch, last: o.state.last, demand: o.state.demand}
+		o.state = state{epoch: ranks[0].report.Epoch, settled: o.state.settled, last: o.state.last, demand: o.state.demand}
 	}
 	o.observe(ranks, engine)
 	if o.switching(ranks) {
@@ -252,6 +295,7 @@
 	if pending(ranks) {
 		return o.settle(ctx, ranks)
 	}
+	o.state.settled = true
 	if !o.state.known {
 		return o.learnMap(ranks)
 	}
@@ -261,6 +305,9 @@
 // pending tells whether a change has been begun and not ended.
 func pending(ranks []*rank) bool {
 	for _, r := range ranks {
+		if r == nil {
+			continue
+		}
 		if r.report.ArmedVersion != group.None || r.report.HeldStep != group.None {
 			return true
 		}
--- a/entry/process/experts/settle.go
+++ b/entry/process/experts/settle.go
@@ -13,6 +13,10 @@
 // stood still and was replaced.
 const directTime clock.Millis = 800
 
+// agentTime is how long an agent may take for an order before the rank itself is
+// given it: the whole group waits.
+const agentTime clock.Millis = 350
+
 // settle ends a change that was begun and not ended, by this process or by an
 // earlier owner. If every rank is armed for the same pass the change is
 // completed; otherwise it is taken back behind a hold.
@@ -89,7 +93,7 @@
 // agent does not answer.
 func (o *Owner) orderAnyway(ctx context.Context, m Member, order group.Order, began clock.Millis) error {
 	call := &group.Call{Term: o.term.Load(), HasOrder: true, Order: order}
-	reply, err := o.Ranks.Call(ctx, m, call, callTime)
+	reply, err := o.Ranks.Call(ctx, m, call, agentTime)
 	if err != nil && o.Clock.Now()-began < directTime {
 		reply, err = o.Ranks.Direct(ctx, m, call, callTime)
 	}
--- a/measure/mapswitch/mapswitch_test.go
+++ b/measure/mapswitch/mapswitch_test.go
@@ -33,6 +33,23 @@
 
 	termMu sync.Mutex
 	term   int64
+	// still is until when each agent stands still.
+	still [rankCount]time.Time
+}
+
+// freeze makes an agent stand still.
+func (c *cluster) freeze(i int, d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.still[i] = time.Now().Add(d)
+}
+
+// awaitAgent waits while an agent stands still.
+func (c *cluster) awaitAgent(i int) {
+	c.mu.Lock()
+	until := c.still[i]
+	c.mu.Unlock()
+	time.Sleep(time.Until(until))
 }
 
 // owner is one process that may own the maps.
@@ -147,7 +164,12 @@
 		return nil, errCut
 	}
 	replies := make(chan *group.Reply, 1)
-	go func() { replies <- agent.Serve(context.Background(), call) }() // an agent goes on without its owner
+	go func() { // an agent goes on without its owner
+		if !direct {
+			o.c.awaitAgent(i)
+		}
+		replies <- agent.Serve(context.Background(), call)
+	}()
 	select {
 	case r := <-replies:
 		o.thaw()
@@ -188,7 +210,7 @@
 func (c *cluster) fault(ctx context.Context, r *rand.Rand) string {
 	o := c.owners[r.IntN(len(c.owners))]
 	i := r.IntN(rankCount)
-	switch r.IntN(6) {
+	switch r.IntN(7) {
 	case 0:
 		o.mu.Lock()
 		o.frozen = time.Now().Add(4 * time.Second)
@@ -222,6 +244,9 @@
 			delete(o.cut, i)
 		})
 		return "owner is cut off from an agent"
+	case 5:
+		c.freeze(i, 4*time.Second)
+		return "agent stands still"
 	default:
 		c.mu.Lock()
 		c.idle = !c.idle
@@ -248,6 +273,55 @@
 	})
 }
 
+// Guards against a group that stops for as long as the owner or an agent stands
+// still while a pass is held.
+func TestAPauseDuringAChangeStopsTheGroupBriefly(t *testing.T) {
+	pause := func(t *testing.T, strike func(c *cluster), most time.Duration) {
+		synctest.Test(t, func(t *testing.T) { paused(t, strike, most) })
+	}
+	t.Run("owner", func(t *testing.T) {
+		pause(t, func(c *cluster) {
+			for _, o := range c.owners {
+				if o.process.Term() > 0 {
+					o.mu.Lock()
+					o.frozen = time.Now().Add(4 * time.Second)
+					o.mu.Unlock()
+				}
+			}
+		}, 2*time.Second)
+	})
+	for i := range rankCount {
+		t.Run(fmt.Sprint("agent ", i), func(t *testing.T) {
+			pause(t, func(c *cluster) { c.freeze(i, 4*time.Second) }, 2*time.Second)
+		})
+	}
+}
+
+func paused(t *testing.T, strike func(c *cluster), most time.Duration) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer finish(cancel)
+	c := newCluster(ctx, t, 1, 3)
+	for c.heldAt(0) == group.None {
+		time.Sleep(100 * time.Microsecond)
+	}
+	strike(c)
+	time.Sleep(10 * time.Second)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	check.Equal(t, "mixed maps", fmt.Sprint(c.broken), "[]")
+	check.AtMost(t, "stalled ms", c.stalled.Milliseconds(), most.Milliseconds())
+	if t.Failed() {
+		t.Log(strings.Join(c.trace, "\n"))
+	}
+}
+
+// heldAt returns the pass that a rank holds.
+func (c *cluster) heldAt(i int) int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ranks[i].held
+}
+
 // Guards against a pass that begins while two ranks have different maps, and
 // against a group that stays stopped after faults have ended: owners that stand
 // still or die, agents that restart, ranks that restart, orders that get no
