--- a/measure/mapswitch/mapswitch_test.go
+++ b/measure/mapswitch/mapswitch_test.go
@@ -22,6 +22,9 @@
 	"goldcrestshore/entry/version/config"
 )
 
+// callLatency is the time that a call is on its way.
+const callLatency = time.Millisecond
+
 var errCut = errors.New("agent cannot be reached")
 
 // cluster is a group with its agents and the processes that may own its maps.
@@ -156,6 +159,7 @@
 	if _, err := fmt.Sscan(m.Upstream, &i); err != nil {
 		return nil, err
 	}
+	time.Sleep(callLatency)
 	agent := o.c.agentAt(i)
 	if direct {
 		agent = o.c.agent(o.c.ranks[i])
