--- a/entry/request/balance/balance.go
+++ b/entry/request/balance/balance.go
@@ -20,6 +20,8 @@
 	RetryRatio     float64
 	RetryAllowance float64
 	RetryWindow    clock.Millis
+	// Policy is the way to choose upstreams.
+	Policy Policy
 }
 
 // Reason tells why a request is rejected.
@@ -314,6 +316,9 @@
 	if s.spec == nil {
 		return nil
 	}
+	if b.settings.Policy != LeastLoaded {
+		return b.baseline(now, s)
+	}
 	s.turn++
 	if u := b.search(now, s, t, false); u != nil {
 		return u
--- a/entry/request/balance/balance_test.go
+++ b/entry/request/balance/balance_test.go
@@ -201,3 +201,19 @@
 	}
 	check.Equal(t, "limit after short pauses", p.limit(e), 12)
 }
+
+// Guards against baselines that use upstreams which leave or have failed.
+func TestBaselinesHeedUsability(t *testing.T) {
+	for _, p := range []Policy{RoundRobin, LeastOfTwo} {
+		t.Run(string(p), func(t *testing.T) {
+			b, state := fixture(3, nil)
+			b.SetSettings(Settings{Policy: p})
+			state.MarkOut("dc1", true)
+			for range 2 * 3 * slots {
+				granted(t, b.Acquire(0, ticket(0)))
+			}
+			check.Equal(t, "held at model1", b.Held()["model1"], 0)
+			check.Equal(t, "held at model0 and model2", b.Held()["model0"]+b.Held()["model2"], 2*3*slots)
+		})
+	}
+}
--- /dev/null
+++ b/entry/request/balance/policy.go
@@ -0,0 +1,47 @@
+package balance
+
+import "goldcrestshore/core/process/clock"
+
+// Policy is a way to choose upstreams. All but LeastLoaded are baselines for
+// measurements.
+type Policy string
+
+// Policies.
+const (
+	// LeastLoaded takes the upstream that holds the least over all entries,
+	// within its limit.
+	LeastLoaded Policy = ""
+	// RoundRobin takes upstreams in turn, without limits.
+	RoundRobin Policy = "roundRobin"
+	// LeastOfTwo takes the one of two random upstreams that holds less of this
+	// entry's requests, without limits.
+	LeastOfTwo Policy = "leastOfTwo"
+)
+
+// Known tells whether there is such a policy.
+func (p Policy) Known() bool { return p == LeastLoaded || p == RoundRobin || p == LeastOfTwo }
+
+// baseline chooses by one of the baselines, nil when no upstream is usable.
+func (b *Balancer) baseline(now clock.Millis, s *service) *upstream {
+	var usable []*upstream
+	for _, u := range s.upstreams {
+		if b.view.Usable(u.entry) && now >= u.skipTo {
+			usable = append(usable, u)
+		}
+	}
+	if len(usable) == 0 {
+		return nil
+	}
+	s.turn++
+	first := usable[s.turn%len(usable)]
+	if b.settings.Policy == RoundRobin {
+		return first
+	}
+	// A multiplicative step stands in for the second random draw, so that the
+	// decision needs no source of random numbers.
+	second := usable[s.turn*7919%len(usable)]
+	if second.held < first.held {
+		return second
+	}
+	return first
+}
