--- a/entry/request/balance/balance.go
+++ b/entry/request/balance/balance.go
@@ -547,15 +547,20 @@
 
 func (b *Balancer) expire(now clock.Millis, s *service) []Decision {
 	var out []Decision
+	usable := b.usable(now, s)
 	for i := 0; i < len(s.queue); {
 		t := s.queue[i]
-		if now < t.GiveUp {
+		reason := TooLate
+		switch {
+		case s.down && usable == 0:
+			reason = NoUpstream // waiting does not help while a group is down
+		case now < t.GiveUp:
 			i++
 			continue
 		}
 		s.queue = slices.Delete(s.queue, i, i+1)
 		t.queued = false
-		out = append(out, b.reject(now, s, t, TooLate, b.usable(now, s)))
+		out = append(out, b.reject(now, s, t, reason, usable))
 	}
 	return out
 }
--- a/entry/request/balance/balance_test.go
+++ b/entry/request/balance/balance_test.go
@@ -157,6 +157,31 @@
 	check.AtMost(t, "requests left waiting", 10-rejected, 3)
 }
 
+// Pattern: a whole group fails. Guards against requests that wait although no
+// upstream can take them, against callers that come back at once, and against
+// upstreams that stay skipped when the group runs again.
+func TestAGroupThatIsDown(t *testing.T) {
+	b, _ := fixture(2, nil)
+	var held []*Ticket
+	for range 2 * slots {
+		held = append(held, granted(t, b.Acquire(0, ticket(0))))
+	}
+	for range 2 {
+		b.Acquire(0, ticket(0))
+	}
+	var probes []Decision
+	for _, h := range held {
+		probes = append(probes, b.Release(10, h, Failed)...)
+	}
+	check.Equal(t, "probes", len(probes), 1)
+	r, rejected := b.Acquire(12, ticket(12)).(Reject)
+	check.Equal(t, "next request is rejected at once", rejected, true)
+	check.AtMost(t, "shortest return", 2000, r.RetryAfter)
+	check.Equal(t, "waiting requests are rejected", len(b.Tick(20)), 1)
+	b.Prefilled(granted(t, probes[0]))
+	granted(t, b.Acquire(30, ticket(30)))
+}
+
 // Pattern: many rejections in one moment. Guards against callers that all come
 // back at the same time.
 func TestReturnsAreSpread(t *testing.T) {
