Change maps by three copies a rank and look each 100 ms

Cause: after a jump of demand passes take up to three times as long until the map follows; copies of five experts a rank take half a second. Change: three copies, 100 ms, and a jump is believed from 15,000 choices on.

--- a/entry/process/experts/change.go
+++ b/entry/process/experts/change.go
@@ -27,7 +27,7 @@
 	leastStepGain = 0.25
 	// maxCopies bounds the experts that a change brings to a rank; the time of a
 	// change follows from it, and fewer serve sooner.
-	maxCopies = 5
+	maxCopies = 3
 	// prepareTime bounds the copying of experts.
 	prepareTime = 8 * clock.Second
 	// preparePause is the time between two looks at the copies.
--- a/entry/process/experts/owner.go
+++ b/entry/process/experts/owner.go
@@ -28,7 +28,7 @@
 
 const (
 	// cycle is the time between two looks at the ranks.
-	cycle clock.Millis = 150
+	cycle clock.Millis = 100
 	// ownerSilence is how long an owner is not heard before another process
 	// takes over; a stalled change stops the whole group.
 	ownerSilence clock.Millis = 700
@@ -52,10 +52,10 @@
 	// leastTokens is the number of choices a layer needs before a plan.
 	leastTokens = 2000
 	// jumpTokens is the number of choices that show a jump in demand.
-	jumpTokens = 40000
+	jumpTokens = 15000
 	// leastJump and jumpRatio are the skew, and its ratio to that expected, from
 	// which on a jump is assumed.
-	leastJump = 1.7
+	leastJump = 1.6
 	jumpRatio = 1.4
 )
 
