Replace the limit by pauses with a fixed one

Cause: the adaptive limit on running requests brought nothing that could be measured, and refused more.

--- a/entry/request/balance/balance.go
+++ b/entry/request/balance/balance.go
@@ -128,7 +128,6 @@
 	upstreams []*upstream
 	queue     []*Ticket
 	budget    *Budget
-	pace      pace
 	// completions estimates the rate at which requests end.
 	completions rate
 	turn        int
@@ -212,13 +211,14 @@
 	})
 }
 
+// waitingPart is the part of its slots, as a divisor, that may wait at an upstream
+// besides, so that a slot that becomes free is used at once. Those that wait there
+// are ordered by priority, too.
+const waitingPart = 3
+
 // limit returns how many requests one upstream may hold from all entries.
 func (s *service) limit(u *upstream) int {
-	slots := u.entry.Slots
-	if s.spec.Engine != nil {
-		return s.pace.limit(s.spec.Engine)
-	}
-	return slots + slots/2
+	return u.entry.Slots + u.entry.Slots/waitingPart
 }
 
 // Acquire asks for an upstream for a new request.
@@ -490,14 +490,6 @@
 // Sent counts the first send of a request.
 func (b *Balancer) Sent(now clock.Millis, name string) { b.service(name).budget.Sent(now) }
 
-// Pause tells the time between two events of a stream of the service.
-func (b *Balancer) Pause(now clock.Millis, name string, pause, objective clock.Millis) {
-	s := b.service(name)
-	if s.spec != nil && s.spec.Engine != nil {
-		s.pace.observe(now, pause, objective, s.spec.Engine)
-	}
-}
-
 // SetOthers tells how many requests other entries hold at each upstream.
 func (b *Balancer) SetOthers(held map[string]int) {
 	for _, s := range b.services {
--- a/entry/request/forward/answer.go
+++ b/entry/request/forward/answer.go
@@ -70,9 +70,7 @@
 // stream passes events on as each arrives whole. After a failure another
 // upstream continues after the last event.
 func (c *call) stream(a *upstream.Answer) (balance.Outcome, bool) {
-	s := c.server
 	buffer := make([]byte, 0, streamBufferBytes)
-	last := s.Clock.Now()
 	for {
 		a.ReadWithin(silence)
 		if cap(buffer)-len(buffer) < streamBufferBytes/2 {
@@ -81,7 +79,7 @@
 		n, err := a.Read(buffer[len(buffer):cap(buffer)])
 		buffer = buffer[:len(buffer)+n]
 		if end := eventsEnd(buffer); end > 0 {
-			last = c.pass(a, buffer[:end], last)
+			c.pass(a, buffer[:end])
 			buffer = buffer[:copy(buffer, buffer[end:])]
 		}
 		switch {
@@ -114,20 +112,15 @@
 	c.writer.WriteHeader(a.Status)
 }
 
-// pass writes whole events and returns the instant.
-func (c *call) pass(a *upstream.Answer, events []byte, last clock.Millis) clock.Millis {
+// pass writes whole events.
+func (c *call) pass(a *upstream.Answer, events []byte) {
 	s, r := c.server, c.request
-	now := s.Clock.Now()
 	if c.events == 0 {
 		s.Scheduler.With(func(_ clock.Millis, b *balance.Balancer) { b.Prefilled(c.ticket) })
-	} else {
-		s.Scheduler.With(func(now clock.Millis, b *balance.Balancer) {
-			b.Pause(now, r.service, now-last, r.route.PauseObjective)
-		})
 	}
 	if !c.started {
 		c.begin(a)
-		s.Counters.firstEvent(now - r.arrived)
+		s.Counters.firstEvent(s.Clock.Now() - r.arrived)
 	}
 	if id := lastEventID(events); id != "" {
 		c.lastEvent = id
@@ -137,7 +130,6 @@
 	if f, ok := c.writer.(http.Flusher); ok {
 		f.Flush()
 	}
-	return now
 }
 
 var (
