--- a/entry/connection/sidecar/beacon.go
+++ b/entry/connection/sidecar/beacon.go
@@ -22,7 +22,7 @@
 	beaconInterval clock.Millis = 120
 	// loadTime is how long an agent's answer is believed.
 	loadTime    clock.Millis = 700
-	maxDatagram              = 1400
+	maxDatagram int          = 1400
 )
 
 // Agent is the process beside an upstream.
