--- /dev/null
+++ b/entry/connection/sidecar/sidecar_test.go
@@ -0,0 +1,121 @@
+package sidecar
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"goldcrestshore/core/connection/frame"
+	"goldcrestshore/core/process/check"
+	"goldcrestshore/core/process/clock"
+	"goldcrestshore/core/process/event"
+	"goldcrestshore/core/version/group"
+)
+
+// agents answers heartbeats from one socket for two upstreams in turn.
+func agents(t *testing.T, loads ...group.Load) string {
+	t.Helper()
+	c, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	check.NoError(t, "ListenPacket", err)
+	t.Cleanup(func() { _ = c.Close() })
+	go func() {
+		buffer := make([]byte, maxDatagram)
+		for i := 0; ; i++ {
+			n, from, err := c.ReadFrom(buffer)
+			if err != nil {
+				return
+			}
+			id, _, err := frame.Read(bytes.NewReader(buffer[:n]))
+			if err != nil {
+				return
+			}
+			out, err := frame.Append(nil, id, &frame.GroupLoad{Load: loads[i%len(loads)]})
+			if err != nil {
+				return
+			}
+			_, _ = c.WriteTo([]byte("no frame"), from) // must do no harm
+			_, _ = c.WriteTo(out, from)
+		}
+	}()
+	return c.LocalAddr().String()
+}
+
+// Guards against an owner's age or other entries' requests that are taken from
+// the wrong agent, and against answers that are no frames.
+func TestBeaconLearnsLoadsAndTheOwner(t *testing.T) {
+	log, err := event.NewLog(io.Discard, "error", "entry", "e")
+	check.NoError(t, "NewLog", err)
+	address := agents(t, group.Load{Others: 3, Entries: 2, Term: 7, OwnerAge: 50, Peers: []string{"p"}}, group.Load{Others: 1, Entries: 2, Term: 5})
+	learned := make(chan map[string]group.Load, 100)
+	b := &Beacon{
+		Clock: clock.System(), Log: log, Entry: "e", Listen: "127.0.0.1:0",
+		Agents: func() []Agent {
+			return []Agent{{Upstream: "u1", Service: "s", Address: address}, {Upstream: "u2", Service: "s", Address: address}}
+		},
+		Held: func() map[string]int { return nil }, Term: func(string) int64 { return 0 }, Peer: func() string { return "" },
+		OnLoads: func(l map[string]group.Load) { learned <- l },
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- b.Run(ctx) }()
+	defer func() {
+		cancel()
+		check.NoError(t, "Run", <-ended)
+	}()
+	for len(<-learned) < 2 {
+	}
+	term, _, n := b.Owner("s")
+	check.Equal(t, "term", term, 7)
+	check.Equal(t, "agents", n, 2)
+	check.Equal(t, "peers", len(b.Peers()), 1)
+	_, _, n = b.Owner("other")
+	check.Equal(t, "agents of another service", n, 0)
+}
+
+// Guards against a call that outlives its limit when an agent stands still, and
+// against an answer to it that is taken for that to the next call.
+func TestACallEndsWithItsLimit(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	check.NoError(t, "Listen", err)
+	defer l.Close()
+	go func() {
+		for i := 0; ; i++ {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go answerOwner(c, i > 0)
+		}
+	}()
+	var caller Caller
+	_, err = caller.Call(context.Background(), l.Addr().String(), &group.Call{Term: 1}, 50)
+	check.Is(t, "agent that stands still", err, ErrUnreached)
+	got, err := caller.Call(context.Background(), l.Addr().String(), &group.Call{Term: 2}, 20*clock.Second)
+	check.NoError(t, "next call", err)
+	check.Equal(t, "outcome", got.Outcome, int(group.Accepted))
+}
+
+// answerOwner answers calls, or reads them only.
+func answerOwner(c net.Conn, answers bool) {
+	defer c.Close()
+	for {
+		id, _, err := frame.Read(c)
+		if err != nil {
+			return
+		}
+		if !answers {
+			time.Sleep(200 * time.Millisecond)
+			continue
+		}
+		out, err := frame.Append(nil, id, &frame.RankReply{Reply: group.Reply{Outcome: int(group.Accepted)}})
+		if err != nil {
+			return
+		}
+		if _, err := c.Write(out); err != nil {
+			return
+		}
+	}
+}
