--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 SEED ?= 1
 export CGO_ENABLED := 1
 
-.PHONY: build demo test format vet lint generated unit
+.PHONY: build demo test format vet lint generated unit soak
 
 build:
 	@mkdir -p bin
@@ -23,7 +23,7 @@
 
 # Generated code must match its source.
 generated:
-	@sum() { cat core/connection/frame/*_gen.go entry/request/claim/*_gen.go | cksum; }; before=$$(sum); \
+	@sum() { cat core/connection/frame/*_gen.go core/version/*/*_gen.go entry/request/claim/*_gen.go | cksum; }; before=$$(sum); \
 	for m in core entry; do (cd $$m && go generate ./...) || exit 1; done; \
 	[ "$$before" = "$$(sum)" ] || { echo "generated code does not match its source"; exit 1; }
 
@@ -40,6 +40,12 @@
 	@SEED=$(SEED) scripts/once.sh
 	@bin/goldcrest-measure once -seed $(SEED)
 
+# Entries as separate processes under faults from outside. SEED is the first of
+# SEEDS seeds.
+SEEDS ?= 1
+soak:
+	@cd platform && SOAK_SEED=$(SEED) SOAK_SEEDS=$(SEEDS) go test -count=1 -timeout 60m -v ./soak
+
 # Virtual-time measurements over the decision packages; each ends with a line "result …".
 measure-%: build
 	@bin/goldcrest-measure $* -seed $(SEED)
