Weigh copies of experts by their size and the size of the group

Change: a change brings as many experts to a rank as it copies in 0.3 s, and gains are asked for each gigabyte and rank; for the small sites the figures stay.

--- a/entry/process/experts/change.go
+++ b/entry/process/experts/change.go
@@ -17,17 +17,20 @@
 var ErrRefused = errors.New("rank did not accept an order")
 
 const (
-	// leastGain is the part of the skew that a change must take away, and
-	// gainPerMove what each copied expert must bring on average.
-	leastGain   = 0.05
-	gainPerMove = 0.0015
-	// leastStepGain is the part of the cost of a layer that a step of a plan must
-	// take off; the cost grows with the eighth power of the load, and each copied
-	// expert has its price.
-	leastStepGain = 0.25
-	// maxCopies bounds the experts that a change brings to a rank; the time of a
-	// change follows from it, and fewer serve sooner.
-	maxCopies = 3
+	// leastGain is the part of the skew that a change must take away.
+	leastGain = 0.05
+	// gainPerMove is what each copied gigabyte must take off the skew on average,
+	// times the ranks: its price is the same in a large group, and more gains by it.
+	gainPerMove = 0.0082
+	// gainPerStep is the part of the cost of a layer that a step of a plan must
+	// take off for each copied gigabyte, times the ranks; the cost grows with the
+	// eighth power of the load.
+	gainPerStep = 1.36
+	// copyTime is how long the copies of a change may take at a rank; fewer serve
+	// sooner.
+	copyTime = 300.0
+	// fewestCopies is the number of copies at a rank whatever they take.
+	fewestCopies = 2
 	// prepareTime bounds the copying of experts.
 	prepareTime = 8 * clock.Second
 	// preparePause is the time between two looks at the copies.
@@ -47,14 +50,15 @@
 	if s.demand.Total() < leastTokens {
 		return nil
 	}
+	gigabytes := engine.ExpertMB / megabytesPerGigabyte / float64(len(ranks))
 	shape := placement.Shape{
 		Layers: engine.Layers, Experts: engine.Experts, Ranks: len(ranks),
-		SlotsPerRank: engine.SlotsPerRank, SpareSlots: engine.SpareSlots, MaxCopies: maxCopies,
+		SlotsPerRank: engine.SlotsPerRank, SpareSlots: engine.SpareSlots, MaxCopies: mostCopies(engine),
 	}
-	next := placement.Plan(shape, s.current, s.demand.Loads(), leastStepGain)
+	next := placement.Plan(shape, s.current, s.demand.Loads(), gainPerStep*gigabytes)
 	before, after := placement.Skew(s.current, s.demand.Loads()), placement.Skew(next, s.demand.Loads())
 	moves := s.current.Moves(next)
-	if before-after < max(leastGain, gainPerMove*float64(moves)) {
+	if before-after < max(leastGain, gainPerMove*gigabytes*float64(moves)) {
 		return nil
 	}
 	version := s.version + 1
@@ -71,6 +75,16 @@
 	return nil
 }
 
+const megabytesPerGigabyte = 1000
+
+// mostCopies returns how many experts a change may bring to a rank.
+func mostCopies(e *config.Engine) int {
+	if e.CopyMillis() <= 0 {
+		return fewestCopies
+	}
+	return max(fewestCopies, int(copyTime/e.CopyMillis()))
+}
+
 // change makes all ranks use a map.
 func (o *Owner) change(ctx context.Context, ranks []*rank, version int64, next placement.Map) error {
 	began := o.Clock.Now()
--- a/entry/version/config/config.go
+++ b/entry/version/config/config.go
@@ -81,10 +81,24 @@
 	SlotsPerRank int
 	// SpareSlots is how many experts of a layer one change may bring to a rank.
 	SpareSlots int
+	// ExpertMB is the size of an expert's weights, and LinkMbps the rate at which a
+	// rank copies them.
+	ExpertMB float64
+	LinkMbps float64
 	// ExpertShare is the part of the work for a token that its experts do.
 	ExpertShare float64
 }
 
+// CopyMillis is how long a rank takes to copy one expert, 0 when unknown.
+func (e *Engine) CopyMillis() float64 {
+	if e.LinkMbps <= 0 {
+		return 0
+	}
+	return e.ExpertMB * bitsPerByte * float64(clock.Second) / e.LinkMbps
+}
+
+const bitsPerByte = 8
+
 // Service describes the upstreams behind a name.
 type Service struct {
 	Name           string
