--- a/entry/process/experts/owner.go
+++ b/entry/process/experts/owner.go
@@ -11,7 +11,6 @@
 import (
 	"context"
 	"hash/fnv"
-	"sync"
 	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
@@ -127,12 +126,6 @@
 	pass     clock.Millis
 }
 
-// counted are the cumulative counts of one incarnation of a rank.
-type counted struct {
-	born   int64
-	counts []int64
-}
-
 // Term returns the term of this process's ownership, 0 for none.
 func (o *Owner) Term() int64 { return o.term.Load() }
 
@@ -193,88 +186,6 @@
 	return clock.Millis(h.Sum32()) % claimSpread
 }
 
-// rank is a member with its latest report.
-type rank struct {
-	Member
-	report group.Report
-	reply  *group.Reply
-}
-
-// all asks every member and returns the replies in the order of ranks, with
-// whether the whole group has answered in one epoch.
-func (o *Owner) all(ctx context.Context, call func(Member) *group.Call, limit clock.Millis) ([]*rank, bool) {
-	members := o.Members()
-	answered := make([]*rank, len(members))
-	var running sync.WaitGroup
-	for i, m := range members {
-		running.Go(func() { answered[i] = o.look(ctx, o.Ranks.Call, m, call(m), limit) })
-	}
-	running.Wait()
-	ranks, whole := arrange(answered)
-	if whole || !(pending(ranks) || o.unsettled()) {
-		return ranks, whole
-	}
-	// A change that was begun must be ended although an agent is gone.
-	for i, m := range members {
-		if answered[i] == nil {
-			running.Go(func() { answered[i] = o.look(ctx, o.Ranks.Direct, m, call(m), limit) })
-		}
-	}
-	running.Wait()
-	return arrange(answered)
-}
-
-// asker is a way to a rank.
-type asker func(ctx context.Context, m Member, c *group.Call, limit clock.Millis) (*group.Reply, error)
-
-// look returns what a rank says, nil when it does not answer.
-func (o *Owner) look(ctx context.Context, ask asker, m Member, c *group.Call, limit clock.Millis) *rank {
-	reply, err := ask(ctx, m, c, limit)
-	if err != nil {
-		o.Log.Error(event.RankUnreached, err, event.Fields{"upstream": m.Upstream})
-		return nil
-	}
-	if reply.Failure != "" {
-		o.Log.Emit(event.RankUnreached, event.Fields{"upstream": m.Upstream, "error": reply.Failure})
-		return nil
-	}
-	return &rank{m, reply.Report, reply}
-}
-
-// unsettled tells whether a change may have been left unfinished, at most once
-// in a pause, since ranks are asked past their agents then.
-func (o *Owner) unsettled() bool {
-	now := o.Clock.Now()
-	if o.state.settled || now < o.directAt {
-		return false
-	}
-	o.directAt = now + directPause
-	return true
-}
-
-// arrange orders replies by rank and tells whether they are a whole group.
-func arrange(answered []*rank) ([]*rank, bool) {
-	var ranks []*rank
-	for _, r := range answered {
-		if r == nil {
-			continue
-		}
-		for len(ranks) <= r.report.Rank {
-			ranks = append(ranks, nil)
-		}
-		ranks[r.report.Rank] = r
-	}
-	if len(ranks) == 0 || ranks[0] == nil || len(ranks) != ranks[0].report.Size {
-		return ranks, false
-	}
-	for _, r := range ranks {
-		if r == nil || r.report.Epoch != ranks[0].report.Epoch || r.report.Group != ranks[0].report.Group || !r.report.Open {
-			return ranks, false
-		}
-	}
-	return ranks, true
-}
-
 // tend looks at the ranks once and changes the map when that pays.
 func (o *Owner) tend(ctx context.Context, engine *config.Engine) error {
 	term := o.term.Load()
@@ -302,19 +213,6 @@
 	return o.improve(ctx, ranks, engine)
 }
 
-// pending tells whether a change has been begun and not ended.
-func pending(ranks []*rank) bool {
-	for _, r := range ranks {
-		if r == nil {
-			continue
-		}
-		if r.report.ArmedVersion != group.None || r.report.HeldStep != group.None {
-			return true
-		}
-	}
-	return false
-}
-
 // switching tells whether all ranks wait for the pass at which they use the map
 // of the last change.
 func (o *Owner) switching(ranks []*rank) bool {
@@ -329,77 +227,3 @@
 	}
 	return true
 }
-
-// observe adds the counts since the last look to the demand.
-func (o *Owner) observe(ranks []*rank, engine *config.Engine) {
-	s := &o.state
-	now := o.Clock.Now()
-	s.demand.HalfLife = demandHalfLife
-	if s.last == nil {
-		s.last = make(map[string]counted)
-	}
-	sum := make(placement.Loads, engine.Layers)
-	for layer := range sum {
-		sum[layer] = make([]float64, engine.Experts)
-	}
-	for _, r := range ranks {
-		counts := r.reply.Counts
-		before := s.last[r.Upstream]
-		s.last[r.Upstream] = counted{r.report.Born, counts}
-		if before.born != r.report.Born || len(counts) != engine.Layers*engine.Experts || len(before.counts) != len(counts) {
-			continue
-		}
-		for i, n := range counts {
-			sum[i/engine.Experts][i%engine.Experts] += float64(max(n-before.counts[i], 0))
-		}
-	}
-	if jumped(s, sum) {
-		s.demand.Replace(now, sum)
-	} else {
-		s.demand.Add(now, sum)
-	}
-	step := ranks[0].report.Step
-	if step > s.lastStep && s.lastAt > 0 {
-		s.pass = (now - s.lastAt) / clock.Millis(step-s.lastStep)
-	}
-	s.lastStep, s.lastAt = step, now
-}
-
-// jumped tells whether the counts since the last look fit the map in use so
-// much worse than the earlier ones that the demand must have changed.
-func jumped(s *state, sum placement.Loads) bool {
-	if !s.known || s.demand.Loads() == nil || total(sum) < jumpTokens {
-		return false
-	}
-	now, before := placement.Skew(s.current, sum), placement.Skew(s.current, s.demand.Loads())
-	return now > leastJump && now > jumpRatio*before
-}
-
-func total(sum placement.Loads) float64 {
-	out := 0.0
-	for _, n := range sum[0] {
-		out += n
-	}
-	return out
-}
-
-// learnMap takes the map in use from the ranks.
-func (o *Owner) learnMap(ranks []*rank) error {
-	layers := len(ranks[0].reply.Experts)
-	current := make(placement.Map, layers)
-	version := int64(0)
-	for layer := range current {
-		current[layer] = make([][]int, len(ranks))
-	}
-	for i, r := range ranks {
-		if len(r.reply.Experts) != layers {
-			return nil // asked again in the next cycle
-		}
-		for layer := range current {
-			current[layer][i] = r.reply.Experts[layer]
-		}
-		version = max(version, r.report.Map, r.report.Prepared)
-	}
-	o.state.current, o.state.version, o.state.known = current, version, layers > 0
-	return nil
-}
--- a/entry/request/balance/balance.go
+++ b/entry/request/balance/balance.go
@@ -7,7 +7,6 @@
 	"slices"
 
 	"goldcrestshore/core/process/clock"
-	"goldcrestshore/entry/version/config"
 	"goldcrestshore/entry/version/fleet"
 )
 
@@ -86,58 +85,11 @@
 	Usable int
 }
 
-func (Grant) decision()  {}
-func (Wait) decision()   {}
-func (Reject) decision() {}
-
-// upstream is the state of one upstream.
-type upstream struct {
-	entry   *fleet.Upstream
-	held    int
-	others  int
-	prompt  int
-	cold    slidingSecond
-	skipTo  clock.Millis
-	strikes int
-	// failures is the recent part of attempts that failed, from 0 to 1.
-	failures float64
-}
-
-// failureWeight is the weight of a new outcome in the part of failures.
-const failureWeight = 0.2
-
-func (u *upstream) note(failed bool) {
-	value := 0.0
-	if failed {
-		value = 1
-	}
-	u.failures += failureWeight * (value - u.failures)
-}
+func (Grant) decision() {}
 
-// cost ranks upstreams: requests held, and as much again as the slots when all
-// attempts fail.
-func (u *upstream) cost() float64 {
-	return float64(u.load()) + u.failures*float64(u.entry.Slots)
-}
+func (Wait) decision() {}
 
-func (u *upstream) load() int { return u.held + u.others }
-
-// service is the state of one service.
-type service struct {
-	spec      *config.Service
-	upstreams []*upstream
-	queue     []*Ticket
-	budget    *Budget
-	// completions estimates the rate at which requests end.
-	completions rate
-	turn        int
-	rejections  int
-	// down is set while all upstreams are skipped.
-	down bool
-	// probeAt is when an upstream that is skipped may be tried again although
-	// all are.
-	probeAt clock.Millis
-}
+func (Reject) decision() {}
 
 // Balancer decides for all services of an entry. It is not safe for use by
 // several goroutines.
@@ -192,45 +144,6 @@
 	return s
 }
 
-// adopt replaces the list of upstreams and keeps the state of those that stay.
-func (s *service) adopt(v *fleet.View) {
-	if s.spec == nil {
-		return
-	}
-	old := make(map[string]*upstream, len(s.upstreams))
-	for _, u := range s.upstreams {
-		old[u.entry.ID] = u
-	}
-	s.upstreams = s.upstreams[:0:0]
-	for id, entry := range v.Upstreams() {
-		if entry.Service != s.spec.Name {
-			continue
-		}
-		u := old[id]
-		if u == nil {
-			u = &upstream{}
-		}
-		u.entry = entry
-		s.upstreams = append(s.upstreams, u)
-	}
-	slices.SortFunc(s.upstreams, func(a, b *upstream) int {
-		if a.entry.ID < b.entry.ID {
-			return -1
-		}
-		return 1
-	})
-}
-
-// waitingPart is the part of its slots, as a divisor, that may wait at an upstream
-// besides, so that a slot that becomes free is used at once. Those that wait there
-// are ordered by priority, too.
-const waitingPart = 3
-
-// limit returns how many requests one upstream may hold from all entries.
-func (s *service) limit(u *upstream) int {
-	return u.entry.Slots + u.entry.Slots/waitingPart
-}
-
 // Acquire asks for an upstream for a new request.
 func (b *Balancer) Acquire(now clock.Millis, t *Ticket) Decision {
 	s := b.service(t.Service)
@@ -254,145 +167,6 @@
 	return Wait{Ahead: i}
 }
 
-// before orders waiting requests: by priority, then those that can still meet
-// their objective, then by arrival.
-func before(now clock.Millis, a, b *Ticket) bool {
-	if a.Priority != b.Priority {
-		return a.Priority < b.Priority
-	}
-	lateA, lateB := now > a.Due, now > b.Due
-	if lateA != lateB {
-		return lateB
-	}
-	return a.Due < b.Due
-}
-
-func (s *service) expectedWait(now clock.Millis, t *Ticket) clock.Millis {
-	ahead := 1
-	for _, q := range s.queue {
-		if !before(now, t, q) {
-			ahead++
-		}
-	}
-	perSecond := s.completions.perSecond(now)
-	if perSecond <= 0 {
-		return 0
-	}
-	return clock.Millis(float64(ahead) / perSecond * float64(clock.Second))
-}
-
-func (b *Balancer) reject(now clock.Millis, s *service, t *Ticket, reason Reason, usable int) Reject {
-	return Reject{Ticket: t, Reason: reason, RetryAfter: s.retryAfter(now), Queued: len(s.queue), Usable: usable}
-}
-
-// Bounds of the time after which a rejected caller comes back.
-const (
-	shortestReturn clock.Millis = 300
-	longestReturn  clock.Millis = 2500
-)
-
-// returnSlots is the number of different times that rejected callers get.
-const returnSlots = 16
-
-// retryAfter spreads returns: from the time that the queue needs to empty, over
-// as long again. Without any completion to go by, the longest time counts.
-func (s *service) retryAfter(now clock.Millis) clock.Millis {
-	s.rejections++
-	if s.down {
-		// What makes all ranks of a group fail lasts for seconds.
-		return longestReturn - (longestReturn/8)*clock.Millis(s.rejections*7%returnSlots)/returnSlots
-	}
-	wait := longestReturn / 2
-	if perSecond := s.completions.perSecond(now); perSecond > 0 {
-		needed := clock.Millis(float64(len(s.queue)) / perSecond * float64(clock.Second))
-		wait = min(max(needed, shortestReturn), longestReturn/2)
-	}
-	return wait + wait*clock.Millis(s.rejections*7%returnSlots)/returnSlots
-}
-
-func (b *Balancer) usable(now clock.Millis, s *service) int {
-	n := 0
-	for _, u := range s.upstreams {
-		if b.view.Usable(u.entry) && now >= u.skipTo {
-			n++
-		}
-	}
-	return n
-}
-
-// choose returns the upstream with the least load that may take the ticket,
-// nil when none may.
-func (b *Balancer) choose(now clock.Millis, s *service, t *Ticket) *upstream {
-	if s.spec == nil {
-		return nil
-	}
-	if b.settings.Policy != LeastLoaded {
-		return b.baseline(now, s)
-	}
-	s.turn++
-	if u := b.search(now, s, t, false); u != nil {
-		return u
-	}
-	if now < s.probeAt || b.usable(now, s) > 0 {
-		return nil
-	}
-	u := b.search(now, s, t, true)
-	if u != nil {
-		s.probeAt = now + probeInterval
-		s.down = true
-	}
-	return u
-}
-
-// probeInterval is the time between two tries while all upstreams are skipped.
-const probeInterval clock.Millis = 200
-
-// search returns the best upstream, among the skipped ones too if skipped is set.
-func (b *Balancer) search(now clock.Millis, s *service, t *Ticket, skipped bool) *upstream {
-	var best *upstream
-	for i := range s.upstreams {
-		u := s.upstreams[(i+s.turn)%len(s.upstreams)]
-		if (now < u.skipTo && !skipped) || !b.may(now, s, u, t) {
-			continue
-		}
-		if best == nil || b.prefer(u, best) {
-			best = u
-		}
-	}
-	return best
-}
-
-func (b *Balancer) may(now clock.Millis, s *service, u *upstream, t *Ticket) bool {
-	switch {
-	case !b.view.Usable(u.entry):
-		return false
-	case u.load() >= s.limit(u):
-		return false
-	case slices.Contains(t.Avoid, u.entry.ID):
-		return false
-	case u.entry.Cold(now):
-		return u.cold.allows(now, b.coldLimit(s))
-	}
-	return true
-}
-
-// coldLimit is this entry's part of the requests that a cold upstream bears in
-// a second.
-func (b *Balancer) coldLimit(s *service) int {
-	return max(1, int(s.spec.ColdRequestsPerSecond)/b.entries)
-}
-
-func (b *Balancer) prefer(u, best *upstream) bool {
-	if u.cost() != best.cost() {
-		return u.cost() < best.cost()
-	}
-	if u.prompt != best.prompt {
-		return u.prompt < best.prompt
-	}
-	near, bestNear := u.entry.DataCentre == b.settings.DataCentre, best.entry.DataCentre == b.settings.DataCentre
-	return near && !bestNear
-}
-
 func (b *Balancer) grant(now clock.Millis, s *service, t *Ticket, u *upstream) Grant {
 	u.held++
 	u.prompt += t.Prompt
@@ -419,27 +193,6 @@
 	Abandoned
 )
 
-// Times for which an upstream that failed gets no new requests; they double
-// with each failure in a row.
-const (
-	shortestSkip clock.Millis = 200
-	longestSkip  clock.Millis = 3000
-	// plainStrikes is the number of failures in a row after which an upstream of
-	// a plain service is skipped; single requests fail there on their own.
-	plainStrikes = 3
-)
-
-// skip returns how long an upstream is skipped after so many failures in a row.
-func (s *service) skip(strikes int) clock.Millis {
-	if s.spec != nil && s.spec.Engine == nil {
-		strikes -= plainStrikes - 1
-	}
-	if strikes <= 0 {
-		return 0
-	}
-	return min(shortestSkip<<min(strikes-1, 4), longestSkip)
-}
-
 // Release returns the upstream of a ticket and grants it to those that wait.
 func (b *Balancer) Release(now clock.Millis, t *Ticket, o Outcome) []Decision {
 	s, u := b.service(t.Service), t.upstream
@@ -531,38 +284,3 @@
 	}
 	return out
 }
-
-func (b *Balancer) drain(now clock.Millis, s *service) []Decision {
-	var out []Decision
-	for i := 0; i < len(s.queue); {
-		t := s.queue[i]
-		u := b.choose(now, s, t)
-		if u == nil {
-			i++
-			continue
-		}
-		s.queue = slices.Delete(s.queue, i, i+1)
-		out = append(out, b.grant(now, s, t, u))
-	}
-	return out
-}
-
-func (b *Balancer) expire(now clock.Millis, s *service) []Decision {
-	var out []Decision
-	usable := b.usable(now, s)
-	for i := 0; i < len(s.queue); {
-		t := s.queue[i]
-		reason := TooLate
-		switch {
-		case s.down && usable == 0:
-			reason = NoUpstream // waiting does not help while a group is down
-		case now < t.GiveUp:
-			i++
-			continue
-		}
-		s.queue = slices.Delete(s.queue, i, i+1)
-		t.queued = false
-		out = append(out, b.reject(now, s, t, reason, usable))
-	}
-	return out
-}
--- /dev/null
+++ b/entry/request/balance/choose.go
@@ -0,0 +1,90 @@
+package balance
+
+import (
+	"slices"
+
+	"goldcrestshore/core/process/clock"
+)
+
+func (b *Balancer) usable(now clock.Millis, s *service) int {
+	n := 0
+	for _, u := range s.upstreams {
+		if b.view.Usable(u.entry) && now >= u.skipTo {
+			n++
+		}
+	}
+	return n
+}
+
+// choose returns the upstream with the least load that may take the ticket,
+// nil when none may.
+func (b *Balancer) choose(now clock.Millis, s *service, t *Ticket) *upstream {
+	if s.spec == nil {
+		return nil
+	}
+	if b.settings.Policy != LeastLoaded {
+		return b.baseline(now, s)
+	}
+	s.turn++
+	if u := b.search(now, s, t, false); u != nil {
+		return u
+	}
+	if now < s.probeAt || b.usable(now, s) > 0 {
+		return nil
+	}
+	u := b.search(now, s, t, true)
+	if u != nil {
+		s.probeAt = now + probeInterval
+		s.down = true
+	}
+	return u
+}
+
+// probeInterval is the time between two tries while all upstreams are skipped.
+const probeInterval clock.Millis = 200
+
+// search returns the best upstream, among the skipped ones too if skipped is set.
+func (b *Balancer) search(now clock.Millis, s *service, t *Ticket, skipped bool) *upstream {
+	var best *upstream
+	for i := range s.upstreams {
+		u := s.upstreams[(i+s.turn)%len(s.upstreams)]
+		if (now < u.skipTo && !skipped) || !b.may(now, s, u, t) {
+			continue
+		}
+		if best == nil || b.prefer(u, best) {
+			best = u
+		}
+	}
+	return best
+}
+
+func (b *Balancer) may(now clock.Millis, s *service, u *upstream, t *Ticket) bool {
+	switch {
+	case !b.view.Usable(u.entry):
+		return false
+	case u.load() >= s.limit(u):
+		return false
+	case slices.Contains(t.Avoid, u.entry.ID):
+		return false
+	case u.entry.Cold(now):
+		return u.cold.allows(now, b.coldLimit(s))
+	}
+	return true
+}
+
+// coldLimit is this entry's part of the requests that a cold upstream bears in
+// a second.
+func (b *Balancer) coldLimit(s *service) int {
+	return max(1, int(s.spec.ColdRequestsPerSecond)/b.entries)
+}
+
+func (b *Balancer) prefer(u, best *upstream) bool {
+	if u.cost() != best.cost() {
+		return u.cost() < best.cost()
+	}
+	if u.prompt != best.prompt {
+		return u.prompt < best.prompt
+	}
+	near, bestNear := u.entry.DataCentre == b.settings.DataCentre, best.entry.DataCentre == b.settings.DataCentre
+	return near && !bestNear
+}
--- /dev/null
+++ b/entry/request/balance/queue.go
@@ -0,0 +1,98 @@
+package balance
+
+import (
+	"slices"
+
+	"goldcrestshore/core/process/clock"
+)
+
+// before orders waiting requests: by priority, then those that can still meet
+// their objective, then by arrival.
+func before(now clock.Millis, a, b *Ticket) bool {
+	if a.Priority != b.Priority {
+		return a.Priority < b.Priority
+	}
+	lateA, lateB := now > a.Due, now > b.Due
+	if lateA != lateB {
+		return lateB
+	}
+	return a.Due < b.Due
+}
+
+func (s *service) expectedWait(now clock.Millis, t *Ticket) clock.Millis {
+	ahead := 1
+	for _, q := range s.queue {
+		if !before(now, t, q) {
+			ahead++
+		}
+	}
+	perSecond := s.completions.perSecond(now)
+	if perSecond <= 0 {
+		return 0
+	}
+	return clock.Millis(float64(ahead) / perSecond * float64(clock.Second))
+}
+
+func (b *Balancer) reject(now clock.Millis, s *service, t *Ticket, reason Reason, usable int) Reject {
+	return Reject{Ticket: t, Reason: reason, RetryAfter: s.retryAfter(now), Queued: len(s.queue), Usable: usable}
+}
+
+// Bounds of the time after which a rejected caller comes back.
+const (
+	shortestReturn clock.Millis = 300
+	longestReturn  clock.Millis = 2500
+)
+
+// returnSlots is the number of different times that rejected callers get.
+const returnSlots = 16
+
+// retryAfter spreads returns: from the time that the queue needs to empty, over
+// as long again. Without any completion to go by, the longest time counts.
+func (s *service) retryAfter(now clock.Millis) clock.Millis {
+	s.rejections++
+	if s.down {
+		// What makes all ranks of a group fail lasts for seconds.
+		return longestReturn - (longestReturn/8)*clock.Millis(s.rejections*7%returnSlots)/returnSlots
+	}
+	wait := longestReturn / 2
+	if perSecond := s.completions.perSecond(now); perSecond > 0 {
+		needed := clock.Millis(float64(len(s.queue)) / perSecond * float64(clock.Second))
+		wait = min(max(needed, shortestReturn), longestReturn/2)
+	}
+	return wait + wait*clock.Millis(s.rejections*7%returnSlots)/returnSlots
+}
+
+func (b *Balancer) drain(now clock.Millis, s *service) []Decision {
+	var out []Decision
+	for i := 0; i < len(s.queue); {
+		t := s.queue[i]
+		u := b.choose(now, s, t)
+		if u == nil {
+			i++
+			continue
+		}
+		s.queue = slices.Delete(s.queue, i, i+1)
+		out = append(out, b.grant(now, s, t, u))
+	}
+	return out
+}
+
+func (b *Balancer) expire(now clock.Millis, s *service) []Decision {
+	var out []Decision
+	usable := b.usable(now, s)
+	for i := 0; i < len(s.queue); {
+		t := s.queue[i]
+		reason := TooLate
+		switch {
+		case s.down && usable == 0:
+			reason = NoUpstream // waiting does not help while a group is down
+		case now < t.GiveUp:
+			i++
+			continue
+		}
+		s.queue = slices.Delete(s.queue, i, i+1)
+		t.queued = false
+		out = append(out, b.reject(now, s, t, reason, usable))
+	}
+	return out
+}
--- /dev/null
+++ b/entry/request/balance/upstream.go
@@ -0,0 +1,118 @@
+package balance
+
+import (
+	"slices"
+
+	"goldcrestshore/core/process/clock"
+	"goldcrestshore/entry/version/config"
+	"goldcrestshore/entry/version/fleet"
+)
+
+// upstream is the state of one upstream.
+type upstream struct {
+	entry   *fleet.Upstream
+	held    int
+	others  int
+	prompt  int
+	cold    slidingSecond
+	skipTo  clock.Millis
+	strikes int
+	// failures is the recent part of attempts that failed, from 0 to 1.
+	failures float64
+}
+
+// failureWeight is the weight of a new outcome in the part of failures.
+const failureWeight = 0.2
+
+func (u *upstream) note(failed bool) {
+	value := 0.0
+	if failed {
+		value = 1
+	}
+	u.failures += failureWeight * (value - u.failures)
+}
+
+// cost ranks upstreams: requests held, and as much again as the slots when all
+// attempts fail.
+func (u *upstream) cost() float64 {
+	return float64(u.load()) + u.failures*float64(u.entry.Slots)
+}
+
+func (u *upstream) load() int { return u.held + u.others }
+
+// service is the state of one service.
+type service struct {
+	spec      *config.Service
+	upstreams []*upstream
+	queue     []*Ticket
+	budget    *Budget
+	// completions estimates the rate at which requests end.
+	completions rate
+	turn        int
+	rejections  int
+	// down is set while all upstreams are skipped.
+	down bool
+	// probeAt is when an upstream that is skipped may be tried again although
+	// all are.
+	probeAt clock.Millis
+}
+
+// adopt replaces the list of upstreams and keeps the state of those that stay.
+func (s *service) adopt(v *fleet.View) {
+	if s.spec == nil {
+		return
+	}
+	old := make(map[string]*upstream, len(s.upstreams))
+	for _, u := range s.upstreams {
+		old[u.entry.ID] = u
+	}
+	s.upstreams = s.upstreams[:0:0]
+	for id, entry := range v.Upstreams() {
+		if entry.Service != s.spec.Name {
+			continue
+		}
+		u := old[id]
+		if u == nil {
+			u = &upstream{}
+		}
+		u.entry = entry
+		s.upstreams = append(s.upstreams, u)
+	}
+	slices.SortFunc(s.upstreams, func(a, b *upstream) int {
+		if a.entry.ID < b.entry.ID {
+			return -1
+		}
+		return 1
+	})
+}
+
+// waitingPart is the part of its slots, as a divisor, that may wait at an upstream
+// besides, so that a slot that becomes free is used at once. Those that wait there
+// are ordered by priority, too.
+const waitingPart = 3
+
+// limit returns how many requests one upstream may hold from all entries.
+func (s *service) limit(u *upstream) int {
+	return u.entry.Slots + u.entry.Slots/waitingPart
+}
+
+// Times for which an upstream that failed gets no new requests; they double
+// with each failure in a row.
+const (
+	shortestSkip clock.Millis = 200
+	longestSkip  clock.Millis = 3000
+	// plainStrikes is the number of failures in a row after which an upstream of
+	// a plain service is skipped; single requests fail there on their own.
+	plainStrikes = 3
+)
+
+// skip returns how long an upstream is skipped after so many failures in a row.
+func (s *service) skip(strikes int) clock.Millis {
+	if s.spec != nil && s.spec.Engine == nil {
+		strikes -= plainStrikes - 1
+	}
+	if strikes <= 0 {
+		return 0
+	}
+	return min(shortestSkip<<min(strikes-1, 4), longestSkip)
+}
