Share the connections that an upstream accepts; drop unused fields

Cause: nothing kept all entries together below an upstream's limit of connections; the adapter decoded fields that no decision uses. Change: an entry holds its part of the connections at most and keeps four idle ones an upstream.

--- a/entry/connection/upstream/pool.go
+++ b/entry/connection/upstream/pool.go
@@ -30,8 +30,9 @@
 	dialTimeout = 400 * clock.Millis(1)
 	// defaultIdle is how long a connection without a Keep-Alive header is kept.
 	defaultIdle = 3 * clock.Second
-	// maxIdle bounds the kept connections to one address.
-	maxIdle = 16
+	// maxIdle bounds the kept connections to one address; an upstream may accept a
+	// few dozen from all entries together.
+	maxIdle = 4
 )
 
 // Pool keeps connections by address. It is safe for use by several goroutines.
--- a/entry/request/balance/balance_test.go
+++ b/entry/request/balance/balance_test.go
@@ -20,7 +20,7 @@
 // each, and a plain service.
 func fixture(n int, edit func(*fleet.Upstream)) (*Balancer, *fleet.State) {
 	services := []config.Service{
-		{Name: "model", ColdRequestsPerSecond: 10, Engine: &config.Engine{Slots: slots}},
+		{Name: "model", ColdRequestsPerSecond: 10, Engine: &config.Engine{}},
 		{Name: "plain"},
 	}
 	list := make(map[string]*fleet.Upstream)
@@ -187,6 +187,19 @@
 	granted(t, b.Acquire(30, ticket(30)))
 }
 
+// Guards against more connections to an upstream than it accepts from all
+// entries.
+func TestConnectionsAreShared(t *testing.T) {
+	b, _ := fixture(1, nil)
+	b.SetEntries(5)
+	b.service("model").spec.MaxConnections = 10
+	for range 2 {
+		granted(t, b.Acquire(0, ticket(0)))
+	}
+	_, third := b.Acquire(0, ticket(0)).(Grant)
+	check.Equal(t, "a third request is sent", third, false)
+}
+
 // Pattern: many rejections in one moment. Guards against callers that all come
 // back at the same time.
 func TestReturnsAreSpread(t *testing.T) {
--- a/entry/request/balance/choose.go
+++ b/entry/request/balance/choose.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"math"
 	"slices"
 
 	"goldcrestshore/core/process/clock"
@@ -62,7 +63,7 @@
 	switch {
 	case !b.view.Usable(u.entry):
 		return false
-	case u.load() >= s.limit(u):
+	case u.load() >= s.limit(u), u.held >= b.connectionLimit(s):
 		return false
 	case slices.Contains(t.Avoid, u.entry.ID):
 		return false
@@ -72,6 +73,15 @@
 	return true
 }
 
+// connectionLimit is this entry's part of the connections that an upstream
+// accepts; a request takes one.
+func (b *Balancer) connectionLimit(s *service) int {
+	if s.spec.MaxConnections == 0 {
+		return math.MaxInt
+	}
+	return max(1, s.spec.MaxConnections/b.entries)
+}
+
 // coldLimit is this entry's part of the requests that a cold upstream bears in
 // a second.
 func (b *Balancer) coldLimit(s *service) int {
--- a/entry/request/forward/forward_test.go
+++ b/entry/request/forward/forward_test.go
@@ -23,7 +23,7 @@
 
 var headers = Headers{
 	RequestID: "X-Id", Deadline: "X-Deadline", Key: "X-Key", Customer: "X-Customer", Target: "X-Target",
-	Signature: "X-Signature", NotRun: "X-Not-Run", LastEvent: "X-Last-Event", Tokens: "X-Tokens", Priority: "X-Priority",
+	Signature: "X-Signature", NotRun: "X-Not-Run", LastEvent: "X-Last-Event", Tokens: "X-Tokens",
 }
 
 // site is an entry before upstreams that answer as the test says.
--- a/entry/request/forward/server.go
+++ b/entry/request/forward/server.go
@@ -39,8 +39,6 @@
 	LastEvent string
 	// Tokens gives the number of prompt tokens and the most output tokens.
 	Tokens string
-	// Priority ranks the request at the upstream.
-	Priority string
 }
 
 const (
--- a/entry/version/config/config.go
+++ b/entry/version/config/config.go
@@ -57,22 +57,6 @@
 // Engine describes how the upstreams of a model service compute. All ranks
 // of a group advance together, one pass at a time.
 type Engine struct {
-	// Slots is how many requests an upstream runs at once.
-	Slots int
-	// KVTokens is the memory of an upstream for running requests.
-	KVTokens int
-	// StepMillis is the time of a token step without requests.
-	StepMillis float64
-	// SequenceMillis is what each running request adds to a step.
-	SequenceMillis float64
-	// StepsPerPass is the number of token steps of a pass.
-	StepsPerPass int
-	// PrefillTokensPerMilli is the rate at which prompts are read.
-	PrefillTokensPerMilli float64
-	// UsualOutput is the mean number of output tokens of a request.
-	UsualOutput int
-	// UsualPrompt is the mean number of prompt tokens of a request.
-	UsualPrompt int
 	// Layers is the number of expert layers that a map divides.
 	Layers int
 	// Experts is the number of experts of a layer.
@@ -85,8 +69,6 @@
 	// rank copies them.
 	ExpertMB float64
 	LinkMbps float64
-	// ExpertShare is the part of the work for a token that its experts do.
-	ExpertShare float64
 }
 
 // CopyMillis is how long a rank takes to copy one expert, 0 when unknown.
@@ -102,10 +84,7 @@
 // Service describes the upstreams behind a name.
 type Service struct {
 	Name           string
-	HealthPath     string
 	MaxConnections int
-	// ColdTime is how long an upstream stays cold after its start.
-	ColdTime clock.Millis
 	// ColdRequestsPerSecond is what a cold upstream bears from all entries.
 	ColdRequestsPerSecond float64
 	// Engine is nil for plain services.
