Read datagrams by one loop and drop what nothing uses

Cause: the agent's and the entry's loops over datagrams were the same but for the message; a ticket kept its arrival and whether it waits, which nothing read, and the count of outcomes took a route that it ignored. Change: frame.Datagrams serves both; the fields and the parameter are gone. Conclusion: behaviour is the same.

--- a/agent/connection/sidecar/sidecar.go
+++ b/agent/connection/sidecar/sidecar.go
@@ -4,7 +4,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"net"
 	"sync"
@@ -20,7 +19,6 @@
 )
 
 const (
-	maxDatagram = 1400
 	// heldTime is how long what an entry holds is believed after its last
 	// heartbeat.
 	heldTime clock.Millis = 1500
@@ -74,26 +72,19 @@
 }
 
 func (s *Server) heartbeats(ctx context.Context, c net.PacketConn) {
-	buffer := make([]byte, maxDatagram)
-	for ctx.Err() == nil {
-		n, from, err := c.ReadFrom(buffer)
-		if err != nil {
-			continue // ends with ctx
-		}
-		id, m, err := frame.Read(bytes.NewReader(buffer[:n]))
-		holding, ok := m.(*frame.Holding)
-		if err != nil || !ok {
-			s.Log.Emit(event.PeerMalformed, event.Fields{"from": from.String()})
-			continue
-		}
+	frame.Datagrams(ctx, c, s.malformed, func(id frame.ID, from net.Addr, holding *frame.Holding) {
 		reply := s.load(&holding.Holding)
 		out, err := frame.Append(nil, id, &frame.GroupLoad{Load: *reply})
 		if err != nil {
 			s.Log.Error(event.PeerMalformed, err, nil)
-			continue
+			return
 		}
 		_, _ = c.WriteTo(out, from) // a lost datagram is followed by another one
-	}
+	})
+}
+
+func (s *Server) malformed(from net.Addr) {
+	s.Log.Emit(event.PeerMalformed, event.Fields{"from": from.String()})
 }
 
 // load notes a heartbeat and sums up what others hold.
--- /dev/null
+++ b/core/connection/frame/datagram.go
@@ -0,0 +1,29 @@
+package frame
+
+import (
+	"bytes"
+	"context"
+	"net"
+)
+
+// MaxDatagramBytes bounds a frame that travels as a datagram.
+const MaxDatagramBytes = 1400
+
+// Datagrams passes each datagram that holds a message of type M to handle until
+// ctx is done and the connection closed; others are passed to malformed.
+func Datagrams[M Message](ctx context.Context, c net.PacketConn, malformed func(from net.Addr), handle func(id ID, from net.Addr, m M)) {
+	buffer := make([]byte, MaxDatagramBytes)
+	for ctx.Err() == nil {
+		n, from, err := c.ReadFrom(buffer)
+		if err != nil {
+			continue // ends with ctx
+		}
+		id, message, err := Read(bytes.NewReader(buffer[:n]))
+		m, ok := message.(M)
+		if err != nil || !ok {
+			malformed(from)
+			continue
+		}
+		handle(id, from, m)
+	}
+}
--- a/entry/connection/sidecar/beacon.go
+++ b/entry/connection/sidecar/beacon.go
@@ -1,7 +1,6 @@
 package sidecar
 
 import (
-	"bytes"
 	"context"
 	"maps"
 	"net"
@@ -21,8 +20,7 @@
 	// age of what is known of other entries' requests.
 	beaconInterval clock.Millis = 120
 	// loadTime is how long an agent's answer is believed.
-	loadTime    clock.Millis = 700
-	maxDatagram int          = 1400
+	loadTime clock.Millis = 700
 )
 
 // Agent is the process beside an upstream.
@@ -119,24 +117,17 @@
 }
 
 func (b *Beacon) receive(ctx context.Context, c net.PacketConn) {
-	buffer := make([]byte, maxDatagram)
-	for ctx.Err() == nil {
-		n, from, err := c.ReadFrom(buffer)
-		if err != nil {
-			continue // ends with ctx
-		}
-		id, m, err := frame.Read(bytes.NewReader(buffer[:n]))
-		load, ok := m.(*frame.GroupLoad)
-		if err != nil || !ok {
-			b.Log.Emit(event.PeerMalformed, event.Fields{"from": from.String()})
-			continue
-		}
+	frame.Datagrams(ctx, c, b.malformed, func(id frame.ID, _ net.Addr, load *frame.GroupLoad) {
 		b.mu.Lock()
+		defer b.mu.Unlock()
 		if upstream, known := b.sent[id.Sequence()]; known {
 			b.loads[upstream] = answer{load.Load, b.loads[upstream].service, b.Clock.Now()}
 		}
-		b.mu.Unlock()
-	}
+	})
+}
+
+func (b *Beacon) malformed(from net.Addr) {
+	b.Log.Emit(event.PeerMalformed, event.Fields{"from": from.String()})
 }
 
 // fresh returns the loads that are recent enough to be believed.
--- a/entry/connection/sidecar/sidecar_test.go
+++ b/entry/connection/sidecar/sidecar_test.go
@@ -22,7 +22,7 @@
 	check.NoError(t, "ListenPacket", err)
 	t.Cleanup(func() { _ = c.Close() })
 	go func() {
-		buffer := make([]byte, maxDatagram)
+		buffer := make([]byte, frame.MaxDatagramBytes)
 		for i := 0; ; i++ {
 			n, from, err := c.ReadFrom(buffer)
 			if err != nil {
--- a/entry/request/balance/balance.go
+++ b/entry/request/balance/balance.go
@@ -41,8 +41,6 @@
 	Priority int
 	// Prompt is the number of prompt tokens, 0 for plain services.
 	Prompt int
-	// Arrived is when the request was read.
-	Arrived clock.Millis
 	// Due is when its first byte should be on its way.
 	Due clock.Millis
 	// GiveUp is when waiting ends with a rejection.
@@ -51,7 +49,6 @@
 	Avoid []string
 
 	upstream *upstream
-	queued   bool
 }
 
 // Upstream returns the id and address of the upstream that was granted.
@@ -158,7 +155,6 @@
 	if now+wait > t.GiveUp {
 		return b.reject(now, s, t, QueueFull, usable)
 	}
-	t.queued = true
 	i := len(s.queue)
 	for i > 0 && before(now, t, s.queue[i-1]) {
 		i--
@@ -174,7 +170,6 @@
 		u.cold.take(now, 1<<30)
 	}
 	t.upstream = u
-	t.queued = false
 	return Grant{Ticket: t, Held: u.load(), Limit: s.limit(u)}
 }
 
@@ -241,7 +236,6 @@
 	if i := slices.Index(s.queue, t); i >= 0 {
 		s.queue = slices.Delete(s.queue, i, i+1)
 	}
-	t.queued = false
 }
 
 // Repeat reports whether a request of the service may be sent again, and
--- a/entry/request/balance/balance_test.go
+++ b/entry/request/balance/balance_test.go
@@ -45,7 +45,7 @@
 }
 
 func ticket(now clock.Millis) *Ticket {
-	return &Ticket{Service: "model", Arrived: now, Due: now + 500, GiveUp: now + 1500}
+	return &Ticket{Service: "model", Due: now + 500, GiveUp: now + 1500}
 }
 
 func granted(t *testing.T, d Decision) *Ticket {
--- a/entry/request/balance/queue.go
+++ b/entry/request/balance/queue.go
@@ -91,7 +91,6 @@
 			continue
 		}
 		s.queue = slices.Delete(s.queue, i, i+1)
-		t.queued = false
 		out = append(out, b.reject(now, s, t, reason, usable))
 	}
 	return out
--- a/entry/request/forward/counters.go
+++ b/entry/request/forward/counters.go
@@ -24,7 +24,7 @@
 }
 
 // outcome counts the end of a request.
-func (c *Counters) outcome(_, cause string) {
+func (c *Counters) outcome(cause string) {
 	if c == nil {
 		return
 	}
--- a/entry/request/forward/run.go
+++ b/entry/request/forward/run.go
@@ -76,7 +76,7 @@
 	due := r.arrived + r.route.Objective
 	return &balance.Ticket{
 		Service: r.service, Priority: r.priority, Prompt: r.prompt,
-		Arrived: r.arrived, Due: due, GiveUp: min(r.arrived+longestWait, r.deadline-answerMargin),
+		Due: due, GiveUp: min(r.arrived+longestWait, r.deadline-answerMargin),
 	}
 }
 
@@ -254,7 +254,7 @@
 func (c *call) finish(q *http.Request, f *refusal) {
 	s, r := c.server, c.request
 	if q.Context().Err() != nil {
-		s.Counters.outcome(r.routeName(), "left")
+		s.Counters.outcome("left")
 		s.Log.Emit(event.RequestLeft, event.Fields{"request": r.id, "ms": s.Clock.Now() - r.arrived, "upstream": c.upstream, "events": c.events})
 		panic(http.ErrAbortHandler)
 	}
@@ -262,7 +262,7 @@
 		s.refuse(c.writer, r, f)
 		return
 	}
-	s.Counters.outcome(r.routeName(), "aborted")
+	s.Counters.outcome("aborted")
 	s.Log.Emit(event.AnswerAborted, event.Fields{"request": r.id, "ms": s.Clock.Now() - r.arrived, "upstream": c.upstream, "events": c.events, "cause": f.reason, "failure": c.failure, "lastEvent": c.lastEvent})
 	// Ends the connection without the terminator of the body, so that the
 	// caller sees that the answer is not whole.
@@ -272,7 +272,7 @@
 func (c *call) answered() {
 	s, r := c.server, c.request
 	total := s.Clock.Now() - r.arrived
-	s.Counters.outcome(r.routeName(), "answered")
+	s.Counters.outcome("answered")
 	s.Log.Emit(event.RequestAnswered, event.Fields{
 		"request": r.id, "route": r.routeName(), "status": c.status, "upstream": c.upstream, "ms": total,
 		"waitedMs": c.waited, "held": c.held, "limit": c.limit, "sends": c.sends, "events": c.events, "config": r.version,
--- a/entry/request/forward/server.go
+++ b/entry/request/forward/server.go
@@ -179,7 +179,7 @@
 	for k, v := range f.fields {
 		fields[k] = v
 	}
-	s.Counters.outcome(r.routeName(), f.reason)
+	s.Counters.outcome(f.reason)
 	if f.status == http.StatusServiceUnavailable {
 		fields["retryAfterMs"] = f.retryAfter
 		w.Header().Set("Retry-After", seconds(f.retryAfter))
