Send nothing to silent instances and reset abandoned exchanges

Instances beside four ranks stand still while a pass is held; what is sent to their ranks lies unread, callers leave after two seconds, and the requests reach the ranks when these wake, although their connections had been closed.

Ruled out: requests sent after the caller had left (the trace shows one send, two seconds before).

Change: an exchange that is given up ends with a reset. An upstream whose agent leaves three heartbeats unanswered is chosen last; if it holds requests and has sent nothing for 0.5 s it gets none, and those without an answer are sent elsewhere while other ranks send. Nothing is concluded when most agents are silent.

--- a/entry/connection/sidecar/beacon.go
+++ b/entry/connection/sidecar/beacon.go
@@ -21,6 +21,9 @@
 	beaconInterval clock.Millis = 120
 	// loadTime is how long an agent's answer is believed.
 	loadTime clock.Millis = 700
+	// silentTime is how long an agent may leave heartbeats unanswered: three are
+	// seldom lost in a row.
+	silentTime = 3 * beaconInterval
 )
 
 // Agent is the process beside an upstream.
@@ -48,8 +51,9 @@
 	// Peer returns the address for other entries, empty while the store does not
 	// serve this one.
 	Peer func() string
-	// OnLoads receives the loads by upstream after each round.
-	OnLoads func(map[string]group.Load)
+	// OnLoads receives the loads by upstream after each round, and the upstreams
+	// whose agents have stopped answering.
+	OnLoads func(loads map[string]group.Load, silent map[string]bool)
 
 	mu    sync.Mutex
 	loads map[string]answer
@@ -79,7 +83,7 @@
 }
 
 func (b *Beacon) round(c net.PacketConn) {
-	b.OnLoads(b.fresh())
+	b.OnLoads(b.fresh(), b.silent())
 	held := b.Held()
 	agents := b.Agents()
 	b.mu.Lock()
@@ -144,6 +148,20 @@
 	return out
 }
 
+// silent returns the upstreams whose agents have answered before and not lately.
+func (b *Beacon) silent() map[string]bool {
+	now := b.Clock.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make(map[string]bool)
+	for upstream, a := range b.loads {
+		if a.at >= 0 && now-a.at > silentTime {
+			out[upstream] = true
+		}
+	}
+	return out
+}
+
 // Peers returns addresses of entries that the store serves.
 func (b *Beacon) Peers() []string {
 	seen := make(map[string]bool)
--- a/entry/connection/sidecar/sidecar_test.go
+++ b/entry/connection/sidecar/sidecar_test.go
@@ -56,7 +56,7 @@
 			return []Agent{{Upstream: "u1", Service: "s", Address: address}, {Upstream: "u2", Service: "s", Address: address}}
 		},
 		Held: func() map[string]int { return nil }, Term: func(string) int64 { return 0 }, Peer: func() string { return "" },
-		OnLoads: func(l map[string]group.Load) { learned <- l },
+		OnLoads: func(l map[string]group.Load, _ map[string]bool) { learned <- l },
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
@@ -75,6 +75,20 @@
 	check.Equal(t, "agents of another service", n, 0)
 }
 
+// Guards against an agent that has stopped answering and counts as alive, and
+// against one that never answered and counts as having stopped.
+func TestSilentAgents(t *testing.T) {
+	b := &Beacon{Clock: clock.System(), loads: map[string]answer{
+		"never":  {at: -loadTime},
+		"lately": {at: clock.System().Now()},
+	}}
+	b.loads["stopped"] = answer{at: b.Clock.Now() - silentTime - 1}
+	silent := b.silent()
+	check.Equal(t, "stopped", silent["stopped"], true)
+	check.Equal(t, "lately", silent["lately"], false)
+	check.Equal(t, "never", silent["never"], false)
+}
+
 // Guards against a call that outlives its limit when an agent stands still, and
 // against an answer to it that is taken for that to the next call.
 func TestACallEndsWithItsLimit(t *testing.T) {
--- a/entry/connection/upstream/conn.go
+++ b/entry/connection/upstream/conn.go
@@ -61,6 +61,15 @@
 	})
 }
 
+// abort closes the connection with a reset. An ordinary close may be taken for one
+// of the sending half alone, and the upstream would run a request for nobody.
+func (c *conn) abort() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // an ordinary close ends the exchange as well
+	}
+	_ = c.Close()
+}
+
 // quiet tells whether the peer has neither closed the connection nor sent bytes
 // that no request asked for.
 func (c *conn) quiet() bool {
--- a/entry/connection/upstream/exchange.go
+++ b/entry/connection/upstream/exchange.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"time"
@@ -38,8 +39,14 @@
 	// HeadTimeout bounds the time until the head of the answer arrives; 0 for
 	// no bound but that of the context.
 	HeadTimeout clock.Millis
+	// Stalled is asked each stallCheck while no byte of an answer has arrived, if
+	// set. When it returns true the exchange ends with ErrStalled.
+	Stalled func() bool
 }
 
+// stallCheck is the time between two questions whether an upstream is stalled.
+const stallCheck clock.Millis = 100
+
 // encode returns the request as it is sent.
 func (r *Request) encode() []byte {
 	var b bytes.Buffer
@@ -109,7 +116,7 @@
 	}
 	a.ended = true
 	a.release()
-	_ = a.conn.Close()
+	a.conn.abort()
 }
 
 // Exchange sends a request and returns the head of its answer. The connection
@@ -126,11 +133,11 @@
 		p.put(address, c)
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	release := context.AfterFunc(ctx, func() { _ = c.Close() })
+	release := context.AfterFunc(ctx, c.abort)
 	a, err := p.send(c, r)
 	if err != nil {
 		release()
-		_ = c.Close()
+		c.abort()
 		return nil, errors.Wrapf(err, "upstream %s", address)
 	}
 	a.pool, a.address, a.conn, a.release = p, address, c, release
@@ -161,7 +168,7 @@
 // may arrive late.
 func readAnswer(c *conn, r *Request) (*Answer, error) {
 	for range maxStrayAnswers {
-		if _, err := c.reader.Peek(1); err != nil {
+		if err := awaitByte(c, r); err != nil {
 			return nil, fmt.Errorf("%w: %w", ErrBroken, err)
 		}
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
@@ -181,6 +188,30 @@
 	return nil, fmt.Errorf("%w: %w: answer belongs to another request", ErrBroken, ErrMalformed)
 }
 
+// awaitByte waits until a byte of an answer has arrived.
+func awaitByte(c *conn, r *Request) error {
+	if r.Stalled == nil {
+		_, err := c.reader.Peek(1)
+		return err
+	}
+	end := time.Now().Add(r.HeadTimeout.Duration())
+	for {
+		next := time.Now().Add(stallCheck.Duration())
+		if next.After(end) {
+			next = end
+		}
+		_ = c.SetReadDeadline(next) // a closed connection fails the read
+		_, err := c.reader.Peek(1)
+		if !errors.Is(err, os.ErrDeadlineExceeded) || !time.Now().Before(end) {
+			_ = c.SetReadDeadline(end)
+			return err
+		}
+		if r.Stalled() {
+			return ErrStalled
+		}
+	}
+}
+
 func newAnswer(resp *http.Response) *Answer {
 	return &Answer{Status: resp.StatusCode, Header: resp.Header, body: resp.Body, close: resp.Close}
 }
--- a/entry/connection/upstream/pool.go
+++ b/entry/connection/upstream/pool.go
@@ -22,6 +22,8 @@
 	// ErrBroken means that the connection failed after the request may have
 	// been read; the upstream may have run it.
 	ErrBroken = errors.New("connection to the upstream failed after the request was sent")
+	// ErrStalled means that the upstream was silent while others were not.
+	ErrStalled = errors.New("upstream is stalled")
 	// ErrMalformed means that the upstream sent bytes that are no answer.
 	ErrMalformed = errors.New("upstream sent a malformed answer")
 )
--- a/entry/connection/upstream/upstream_test.go
+++ b/entry/connection/upstream/upstream_test.go
@@ -6,7 +6,9 @@
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -177,6 +179,60 @@
 	check.Equal(t, "its body", got, "b")
 }
 
+// Guards against an upstream that takes the end of an exchange for a connection of
+// which only one half was closed, and runs the request for nobody.
+func TestAnAbandonedExchangeIsReset(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	check.NoError(t, "Listen", err)
+	defer listener.Close()
+	ctx, leave := context.WithCancel(context.Background())
+	go func() {
+		_, _ = (&Pool{Clock: clock.System()}).Exchange(ctx, listener.Addr().String(), request("1")) // the upstream's side is looked at
+	}()
+	c, err := listener.Accept()
+	check.NoError(t, "Accept", err)
+	defer c.Close()
+	r := bufio.NewReader(c)
+	_, err = http.ReadRequest(r)
+	check.NoError(t, "request", err)
+	leave()
+	_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+	_, err = io.Copy(io.Discard, r)
+	check.Is(t, "end of the connection", err, syscall.ECONNRESET)
+}
+
+// Guards against a request that waits at an upstream which others have left
+// behind, and against an answer that is lost because the wait was looked at.
+func TestStalled(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	check.NoError(t, "Listen", err)
+	defer listener.Close()
+	go func() {
+		for c, err := listener.Accept(); err == nil; c, err = listener.Accept() {
+			time.Sleep(3 * stallCheck.Duration())
+			_, _ = io.WriteString(c, reply("1", "late")) // the caller sees what is missing
+		}
+	}()
+	ask := func(stalled bool) (*Answer, error) {
+		r := request("1")
+		r.HeadTimeout = 5 * clock.Second
+		r.Stalled = func() bool { return stalled }
+		return (&Pool{Clock: clock.System()}).Exchange(context.Background(), listener.Addr().String(), r)
+	}
+	t.Run("stalled", func(t *testing.T) {
+		_, err := ask(true)
+		check.Is(t, "exchange", err, ErrStalled)
+		check.Is(t, "the request may have been read", err, ErrBroken)
+	})
+	t.Run("slow", func(t *testing.T) {
+		a, err := ask(false)
+		check.NoError(t, "exchange", err)
+		body, err := io.ReadAll(a)
+		check.NoError(t, "body", err)
+		check.Equal(t, "body", string(body), "late")
+	})
+}
+
 // Guards against headers of one connection that travel on to the next.
 func TestEndToEnd(t *testing.T) {
 	h := http.Header{"Connection": {"close, X-Hop"}, "X-Hop": {"1"}, "Keep-Alive": {"timeout=5"}, "X-End": {"2"}}
--- a/entry/request/balance/balance.go
+++ b/entry/request/balance/balance.go
@@ -164,6 +164,9 @@
 }
 
 func (b *Balancer) grant(now clock.Millis, s *service, t *Ticket, u *upstream) Grant {
+	if u.held == 0 {
+		u.heard = now
+	}
 	u.held++
 	u.prompt += t.Prompt
 	if u.entry.Cold(now) {
--- a/entry/request/balance/choose.go
+++ b/entry/request/balance/choose.go
@@ -65,7 +65,7 @@
 		return false
 	case u.load() >= s.limit(u), u.held >= b.connectionLimit(s):
 		return false
-	case slices.Contains(t.Avoid, u.entry.ID):
+	case slices.Contains(t.Avoid, u.entry.ID), s.silent(now, u):
 		return false
 	case u.entry.Cold(now):
 		return u.cold.allows(now, b.coldLimit(s))
--- a/entry/request/balance/upstream.go
+++ b/entry/request/balance/upstream.go
@@ -17,6 +17,10 @@
 	cold    slidingSecond
 	skipTo  clock.Millis
 	strikes int
+	// heard is when it last sent something, or got a request while it had none.
+	heard clock.Millis
+	// agentSilent is set while the agent beside it does not answer.
+	agentSilent bool
 	// failures is the recent part of attempts that failed, from 0 to 1.
 	failures float64
 }
@@ -33,9 +37,13 @@
 }
 
 // cost ranks upstreams: requests held, and as much again as the slots when all
-// attempts fail.
+// attempts fail, or when the agent is silent.
 func (u *upstream) cost() float64 {
-	return float64(u.load()) + u.failures*float64(u.entry.Slots)
+	cost := float64(u.load()) + u.failures*float64(u.entry.Slots)
+	if u.agentSilent {
+		cost += float64(u.entry.Slots)
+	}
+	return cost
 }
 
 func (u *upstream) load() int { return u.held + u.others }
@@ -50,6 +58,8 @@
 	completions rate
 	turn        int
 	rejections  int
+	// agentsTell is set while most agents of the service answer.
+	agentsTell bool
 	// down is set while all upstreams are skipped.
 	down bool
 	// probeAt is when an upstream that is skipped may be tried again although
--- a/entry/request/forward/answer.go
+++ b/entry/request/forward/answer.go
@@ -115,9 +115,12 @@
 // pass writes whole events.
 func (c *call) pass(a *upstream.Answer, events []byte) {
 	s, r := c.server, c.request
-	if c.events == 0 {
-		s.Scheduler.With(func(_ clock.Millis, b *balance.Balancer) { b.Prefilled(c.ticket) })
-	}
+	s.Scheduler.With(func(now clock.Millis, b *balance.Balancer) {
+		b.Heard(now, c.ticket)
+		if c.events == 0 {
+			b.Prefilled(c.ticket)
+		}
+	})
 	if !c.started {
 		c.begin(a)
 		s.Counters.firstEvent(s.Clock.Now() - r.arrived)
--- a/entry/request/forward/run.go
+++ b/entry/request/forward/run.go
@@ -152,6 +152,9 @@
 	case err != nil:
 		c.runs++
 		c.failure = "broken"
+		if errors.Is(err, upstream.ErrStalled) {
+			c.failure = "stalled"
+		}
 	default:
 		outcome, done = c.take(a)
 		a.Close()
@@ -188,6 +191,9 @@
 	switch {
 	case r.route.Stream:
 		out.HeadTimeout = min(left, silence)
+		if r.repeatable() && c.runs+1 < r.route.MaxUpstreams {
+			out.Stalled = c.stalled
+		}
 	case r.repeatable() && c.runs+1 < r.route.MaxUpstreams:
 		out.HeadTimeout = clock.Millis(float64(left) * headPart)
 	}
@@ -197,6 +203,13 @@
 	return &out
 }
 
+// stalled tells whether the upstream is silent while others are not.
+func (c *call) stalled() bool {
+	stalled := false
+	c.server.Scheduler.With(func(now clock.Millis, b *balance.Balancer) { stalled = b.Stalled(now, c.ticket) })
+	return stalled
+}
+
 // defaultMaxIdle is no bound beyond what the upstream announces.
 const defaultMaxIdle = clock.Minute
 
