Let maps and requests follow the pace of ranks

Ruled out: late maps (each change took 0.3 s); a loss of the owner.

Change: a rank's pace is read from its report and told to entries by its agent. Plans weigh the load of a rank with its pace and may take experts from a rank without bringing any to another. Ranks with a pace of 3 and more get no requests while most are quick, others the fewer the slower they are.

--- a/agent/connection/sidecar/sidecar.go
+++ b/agent/connection/sidecar/sidecar.go
@@ -94,7 +94,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.held[h.Entry] = holding{h.Held, now, h.Peer}
-	out := &group.Load{Term: term, OwnerAge: int64(age)}
+	out := &group.Load{Term: term, OwnerAge: int64(age), Pace: s.Orders.Pace()}
 	for entry, held := range s.held {
 		if now-held.at > heldTime {
 			delete(s.held, entry)
--- a/agent/process/orders/orders.go
+++ b/agent/process/orders/orders.go
@@ -63,6 +63,10 @@
 	termMu sync.Mutex
 	term   int64
 	heard  clock.Millis
+
+	paceMu sync.Mutex
+	pace   float64
+	paceAt clock.Millis
 }
 
 // Hear notes the term of an owner that is alive, and returns the highest term
@@ -87,6 +91,26 @@
 	return term < highest
 }
 
+// paceTime is how long the pace of the last report is believed.
+const paceTime = 2 * clock.Second
+
+func (s *Orders) notePace(pace float64) {
+	s.paceMu.Lock()
+	defer s.paceMu.Unlock()
+	s.pace, s.paceAt = pace, s.Clock.Now()
+}
+
+// Pace returns how many times as long the rank's work takes as usual, 0 when no
+// owner has asked lately.
+func (s *Orders) Pace() float64 {
+	s.paceMu.Lock()
+	defer s.paceMu.Unlock()
+	if s.Clock.Now()-s.paceAt > paceTime {
+		return 0
+	}
+	return s.pace
+}
+
 // Serve answers a call of an owner.
 func (s *Orders) Serve(ctx context.Context, c *group.Call) *group.Reply {
 	if !s.turn.take(ctx) {
@@ -115,6 +139,7 @@
 	if reply.Report, err = s.Rank.Report(ctx); err != nil {
 		return errors.Wrap(err, "report")
 	}
+	s.notePace(reply.Report.Pace)
 	if c.WantCounts {
 		if reply.Counts, err = s.Rank.Counts(ctx); err != nil {
 			return errors.Wrap(err, "counts")
--- a/core/version/group/group.go
+++ b/core/version/group/group.go
@@ -41,6 +41,8 @@
 	HeldStep int64
 	Running  int
 	Queued   int
+	// Pace is how many times as long the rank's work takes as usual.
+	Pace float64
 }
 
 // Op is an operation of an order.
@@ -145,6 +147,9 @@
 	OwnerAge int64
 	// Peers are addresses of other entries that the store serves.
 	Peers []string
+	// Pace is how many times as long the rank's work takes as usual, 0 when
+	// unknown.
+	Pace float64
 }
 
 // OwnerAgeMillis returns OwnerAge as a span of time.
--- a/core/version/group/group_gen.go
+++ b/core/version/group/group_gen.go
@@ -133,8 +133,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Load) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 5
-	o = append(o, 0x95)
+	// array header, size 6
+	o = append(o, 0x96)
 	o = msgp.AppendInt(o, z.Others)
 	o = msgp.AppendInt(o, z.Entries)
 	o = msgp.AppendInt64(o, z.Term)
@@ -143,6 +143,7 @@
 	for za0001 := range z.Peers {
 		o = msgp.AppendString(o, z.Peers[za0001])
 	}
+	o = msgp.AppendFloat64(o, z.Pace)
 	return
 }
 
@@ -154,8 +155,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
 		return
 	}
 	z.Others, bts, err = msgp.ReadIntBytes(bts)
@@ -196,6 +197,11 @@
 			return
 		}
 	}
+	z.Pace, bts, err = msgp.ReadFloat64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Pace")
+		return
+	}
 	o = bts
 	return
 }
@@ -206,6 +212,7 @@
 	for za0001 := range z.Peers {
 		s += msgp.StringPrefixSize + len(z.Peers[za0001])
 	}
+	s += msgp.Float64Size
 	return
 }
 
@@ -449,8 +456,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Report) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 15
-	o = append(o, 0x9f)
+	// array header, size 16
+	o = append(o, 0xdc, 0x0, 0x10)
 	o = msgp.AppendInt64(o, z.Born)
 	o = msgp.AppendString(o, z.Group)
 	o = msgp.AppendInt64(o, z.Epoch)
@@ -466,6 +473,7 @@
 	o = msgp.AppendInt64(o, z.HeldStep)
 	o = msgp.AppendInt(o, z.Running)
 	o = msgp.AppendInt(o, z.Queued)
+	o = msgp.AppendFloat64(o, z.Pace)
 	return
 }
 
@@ -477,8 +485,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 15 {
-		err = msgp.ArrayError{Wanted: 15, Got: zb0001}
+	if zb0001 != 16 {
+		err = msgp.ArrayError{Wanted: 16, Got: zb0001}
 		return
 	}
 	z.Born, bts, err = msgp.ReadInt64Bytes(bts)
@@ -556,12 +564,17 @@
 		err = msgp.WrapError(err, "Queued")
 		return
 	}
+	z.Pace, bts, err = msgp.ReadFloat64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Pace")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Report) Msgsize() (s int) {
-	s = 1 + msgp.Int64Size + msgp.StringPrefixSize + len(z.Group) + msgp.Int64Size + msgp.IntSize + msgp.IntSize + msgp.BoolSize + msgp.Int64Size + msgp.Int64Size + msgp.Int64Size + msgp.Int64Size + msgp.Int64Size + msgp.Int64Size + msgp.Int64Size + msgp.IntSize + msgp.IntSize
+	s = 3 + msgp.Int64Size + msgp.StringPrefixSize + len(z.Group) + msgp.Int64Size + msgp.IntSize + msgp.IntSize + msgp.BoolSize + msgp.Int64Size + msgp.Int64Size + msgp.Int64Size + msgp.Int64Size + msgp.Int64Size + msgp.Int64Size + msgp.Int64Size + msgp.IntSize + msgp.IntSize + msgp.Float64Size
 	return
 }
--- a/entry/process/experts/change.go
+++ b/entry/process/experts/change.go
@@ -66,10 +66,10 @@
 	gigabytes := engine.ExpertMB / megabytesPerGigabyte / float64(len(ranks))
 	shape := placement.Shape{
 		Layers: engine.Layers, Experts: engine.Experts, Ranks: len(ranks),
-		SlotsPerRank: engine.SlotsPerRank, SpareSlots: engine.SpareSlots, MaxCopies: mostCopies(engine),
+		SlotsPerRank: engine.SlotsPerRank, SpareSlots: engine.SpareSlots, MaxCopies: mostCopies(engine), Pace: paces(ranks),
 	}
 	next := placement.Plan(shape, s.current, s.demand.Loads(), gainPerStep*gigabytes)
-	before, after := placement.Skew(s.current, s.demand.Loads()), placement.Skew(next, s.demand.Loads())
+	before, after := shape.Skew(s.current, s.demand.Loads()), shape.Skew(next, s.demand.Loads())
 	moves := s.current.Moves(next)
 	if before-after < max(leastGain, gainPerMove*gigabytes*float64(moves)) {
 		return nil
@@ -87,6 +87,15 @@
 	return nil
 }
 
+// paces returns the pace of each rank.
+func paces(ranks []*rank) []float64 {
+	out := make([]float64, len(ranks))
+	for i, r := range ranks {
+		out[i] = r.report.Pace
+	}
+	return out
+}
+
 // nextVersion returns a version that no rank has had. A copy that is not complete
 // does not show, so that terms keep the versions of two owners apart.
 func (o *Owner) nextVersion(ranks []*rank) int64 {
--- a/entry/process/experts/demand.go
+++ b/entry/process/experts/demand.go
@@ -53,7 +53,8 @@
 	if !s.known || s.demand.Loads() == nil || total(sum) < jumpTokens {
 		return false
 	}
-	now, before := placement.Skew(s.current, sum), placement.Skew(s.current, s.demand.Loads())
+	var alike placement.Shape
+	now, before := alike.Skew(s.current, sum), alike.Skew(s.current, s.demand.Loads())
 	return now > leastJump && now > jumpRatio*before
 }
 
--- a/entry/request/balance/balance.go
+++ b/entry/request/balance/balance.go
@@ -259,6 +259,15 @@
 	}
 }
 
+// SetPaces tells how many times as long the work of upstreams takes as usual.
+func (b *Balancer) SetPaces(paces map[string]float64) {
+	for _, s := range b.services {
+		for _, u := range s.upstreams {
+			u.pace = paces[u.entry.ID]
+		}
+	}
+}
+
 // Held returns how many requests this entry holds at each upstream.
 func (b *Balancer) Held() map[string]int {
 	held := make(map[string]int)
--- /dev/null
+++ b/entry/request/balance/pace_test.go
@@ -0,0 +1,33 @@
+package balance
+
+import (
+	"testing"
+
+	"goldcrestshore/core/process/check"
+)
+
+// Guards against requests at a slow rank, for which all ranks of the group wait in
+// every pass.
+func TestSlowRanksGetLess(t *testing.T) {
+	held := func(paces map[string]float64, requests int) map[string]int {
+		b, _ := fixture(3, nil)
+		b.SetPaces(paces)
+		for range requests {
+			b.Acquire(0, ticket(0))
+		}
+		return b.Held()
+	}
+	t.Run("a little slow", func(t *testing.T) {
+		check.Equal(t, "held", held(map[string]float64{"model0": 2}, 5)["model0"], 1)
+	})
+	t.Run("very slow", func(t *testing.T) {
+		check.Equal(t, "held", held(map[string]float64{"model0": 12}, 3*limit)["model0"], 0)
+	})
+	t.Run("all are slow", func(t *testing.T) {
+		got := held(map[string]float64{"model0": 12, "model1": 12, "model2": 12}, 3*limit)
+		check.Equal(t, "held", got["model0"], 1)
+	})
+	t.Run("unknown", func(t *testing.T) {
+		check.Equal(t, "held", held(nil, 3*limit)["model0"], limit)
+	})
+}
--- a/entry/request/balance/upstream.go
+++ b/entry/request/balance/upstream.go
@@ -19,6 +19,8 @@
 	strikes int
 	// heard is when it last sent something, or got a request while it had none.
 	heard clock.Millis
+	// pace is how many times as long its work takes as usual.
+	pace float64
 	// agentSilent is set while the agent beside it does not answer.
 	agentSilent bool
 	// failures is the recent part of attempts that failed, from 0 to 1.
@@ -36,10 +38,10 @@
 	u.failures += failureWeight * (value - u.failures)
 }
 
-// cost ranks upstreams: requests held, and as much again as the slots when all
-// attempts fail, or when the agent is silent.
+// cost ranks upstreams: the work that they would have, and as much again as the
+// slots when all attempts fail, or when the agent is silent.
 func (u *upstream) cost() float64 {
-	cost := float64(u.load()) + u.failures*float64(u.entry.Slots)
+	cost := float64(u.load()+1)*max(u.pace, 1) + u.failures*float64(u.entry.Slots)
 	if u.agentSilent {
 		cost += float64(u.entry.Slots)
 	}
@@ -101,9 +103,36 @@
 // are ordered by priority, too.
 const waitingPart = 3
 
-// limit returns how many requests one upstream may hold from all entries.
+// limit returns how many requests one upstream may hold from all entries. A pass
+// of a group lasts as long as that of its slowest rank, which therefore gets less
+// than it could run.
 func (s *service) limit(u *upstream) int {
-	return u.entry.Slots + u.entry.Slots/waitingPart
+	most := u.entry.Slots + u.entry.Slots/waitingPart
+	switch {
+	case u.pace <= 1:
+		return most
+	case u.pace >= slowPace && s.mostAreQuick():
+		return 0
+	}
+	return max(1, int(float64(most)/u.pace))
+}
+
+const (
+	// slowPace is from when on a rank gets no requests while most others are
+	// quicker: one request there would cost all others more than it is worth.
+	slowPace = 3.0
+	// quickPace is the pace of a rank that counts as quick.
+	quickPace = 1.5
+)
+
+func (s *service) mostAreQuick() bool {
+	quick := 0
+	for _, u := range s.upstreams {
+		if u.pace < quickPace {
+			quick++
+		}
+	}
+	return 2*quick > len(s.upstreams)
 }
 
 // Times for which an upstream that failed gets no new requests; they double
--- a/entry/version/placement/placement.go
+++ b/entry/version/placement/placement.go
@@ -22,6 +22,17 @@
 	// MaxCopies is how many experts one change may bring to a rank over all
 	// layers, 0 for no bound; a rank copies them one after the other.
 	MaxCopies int
+	// Pace is how many times as long the work of each rank takes as usual; nil
+	// means that all are alike.
+	Pace []float64
+}
+
+// pace returns the pace of a rank.
+func (s Shape) pace(rank int) float64 {
+	if rank >= len(s.Pace) {
+		return 1
+	}
+	return max(s.Pace[rank], 1)
 }
 
 // Map holds the experts by layer and rank.
@@ -69,31 +80,32 @@
 // Loads are the expected tokens of each expert by layer.
 type Loads [][]float64
 
-// Skew returns the load of the most loaded rank over the mean, averaged over
-// the layers; 1 is perfectly even.
-func Skew(m Map, loads Loads) float64 {
+// Skew returns the time of the rank that takes longest over that of a perfect
+// division, averaged over the layers; 1 is perfectly even.
+func (s Shape) Skew(m Map, loads Loads) float64 {
 	sum := 0.0
 	for layer := range m {
-		sum += layerSkew(m[layer], loads[layer])
+		sum += s.layerSkew(m[layer], loads[layer])
 	}
 	return sum / float64(max(len(m), 1))
 }
 
-func layerSkew(ranks [][]int, load []float64) float64 {
+func (s Shape) layerSkew(ranks [][]int, load []float64) float64 {
 	replicas := countReplicas(ranks, len(load))
-	total, top := 0.0, 0.0
-	for _, experts := range ranks {
+	total, top, speed := 0.0, 0.0, 0.0
+	for rank, experts := range ranks {
 		sum := 0.0
 		for _, e := range experts {
 			sum += load[e] / float64(replicas[e])
 		}
 		total += sum
-		top = max(top, sum)
+		top = max(top, sum*s.pace(rank))
+		speed += 1 / s.pace(rank)
 	}
 	if total == 0 {
 		return 1
 	}
-	return top * float64(len(ranks)) / total
+	return top * speed / total
 }
 
 func countReplicas(ranks [][]int, experts int) []int {
--- a/entry/version/placement/placement_test.go
+++ b/entry/version/placement/placement_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -67,14 +68,41 @@
 			r := rand.New(rand.NewPCG(1, 2))
 			loads := zipf(r, tc.shape, 0.8)
 			current := First(tc.shape)
-			before := Skew(current, loads)
+			before := tc.shape.Skew(current, loads)
 			for range tc.plans {
 				next := Plan(tc.shape, current, loads, fineGain)
 				checkValid(t, tc.shape, current, next)
 				current = next
 			}
-			check.AtMost(t, "skew", Skew(current, loads), tc.want)
-			check.AtMost(t, "skew against the first map", Skew(current, loads), before)
+			check.AtMost(t, "skew", tc.shape.Skew(current, loads), tc.want)
+			check.AtMost(t, "skew against the first map", tc.shape.Skew(current, loads), before)
+		})
+	}
+}
+
+// Guards against a group that waits for a slow rank: every pass lasts as long as
+// that of the rank that takes longest.
+func TestASlowRankLosesItsExperts(t *testing.T) {
+	for _, pace := range []float64{1.6, 4, 12} {
+		t.Run(fmt.Sprint("pace ", pace), func(t *testing.T) {
+			s := small
+			s.MaxCopies = 5
+			loads := zipf(rand.New(rand.NewPCG(5, 6)), s, 0.8)
+			current := First(s)
+			for range 4 {
+				current = Plan(s, current, loads, fineGain)
+			}
+			s.Pace = make([]float64, s.Ranks)
+			s.Pace[3] = pace
+			before := s.Skew(current, loads)
+			for range 6 {
+				next := Plan(s, current, loads, fineGain)
+				checkValid(t, s, current, next)
+				current = next
+			}
+			after := s.Skew(current, loads)
+			check.AtMost(t, "time over that of a perfect division", after, 1.3)
+			check.AtMost(t, "time against that before", after, before)
 		})
 	}
 }
--- a/entry/version/placement/search.go
+++ b/entry/version/placement/search.go
@@ -93,22 +93,25 @@
 			p.rankLoad[rank] += p.load[e] / float64(p.replicas[e])
 		}
 	}
-	for _, l := range p.rankLoad {
-		p.cost += p.term(l)
+	for r := range p.rankLoad {
+		p.cost += p.term(r, p.rankLoad[r])
 	}
 	return p
 }
 
-// term is what a rank adds to the cost: the eighth power follows the most
-// loaded rank and still rewards progress at others.
-func (p *search) term(load float64) float64 {
-	x := load / p.mean
+// time is how long the work of a rank takes with a load.
+func (p *search) time(rank int, load float64) float64 { return load * p.shape.pace(rank) }
+
+// term is what a rank adds to the cost: the eighth power follows the rank that
+// takes longest and still rewards progress at others.
+func (p *search) term(rank int, load float64) float64 {
+	x := p.time(rank, load) / p.mean
 	x *= x
 	x *= x
 	return x * x
 }
 
-// change is a step: expert in comes to a rank, out leaves it unless it is -1,
+// change is a step: expert in comes to a rank, out leaves it, either may be none,
 // and in a swap out goes to the rank from which in comes.
 type change struct {
 	in, out  int
@@ -119,17 +122,23 @@
 	possible bool
 }
 
-// step makes the best change for the most loaded rank and reports whether there
-// was one worth making.
+// none stands for no expert.
+const none = -1
+
+// step makes the best change for the rank that takes longest and reports whether
+// there was one worth making.
 func (p *search) step(leastGain float64) bool {
 	top := 0
 	for r, l := range p.rankLoad {
-		if l > p.rankLoad[top] {
+		if p.time(r, l) > p.time(top, p.rankLoad[top]) {
 			top = r
 		}
 	}
 	var best change
 	for _, e := range p.ranks[top] {
+		if p.replicas[e] > 1 {
+			p.keep(&best, change{in: none, out: e, rank: top})
+		}
 		for r := range p.ranks {
 			if r == top || slices.Contains(p.ranks[r], e) {
 				continue
@@ -150,7 +159,7 @@
 		return
 	}
 	if len(p.ranks[r]) < p.shape.SlotsPerRank {
-		p.keep(best, change{in: e, out: -1, rank: r, from: top})
+		p.keep(best, change{in: e, out: none, rank: r, from: top})
 	}
 	for _, x := range p.ranks[r] {
 		if p.replicas[x] > 1 {
@@ -187,16 +196,18 @@
 		p.touch(c.rank, in-out)
 		p.touch(c.from, out-in)
 	} else {
-		p.spread(c.in, p.replicas[c.in]+1)
-		p.touch(c.rank, p.load[c.in]/float64(p.replicas[c.in]+1))
-		if c.out >= 0 {
+		if c.in != none {
+			p.spread(c.in, p.replicas[c.in]+1)
+			p.touch(c.rank, p.load[c.in]/float64(p.replicas[c.in]+1))
+		}
+		if c.out != none {
 			p.spread(c.out, p.replicas[c.out]-1)
 			p.touch(c.rank, -p.load[c.out]/float64(p.replicas[c.out]-1))
 		}
 	}
 	gain := 0.0
 	for _, r := range p.touched {
-		gain += p.term(p.rankLoad[r]) - p.term(p.rankLoad[r]+p.delta[r])
+		gain += p.term(r, p.rankLoad[r]) - p.term(r, p.rankLoad[r]+p.delta[r])
 		p.delta[r] = 0
 	}
 	return gain
@@ -224,10 +235,12 @@
 		p.add(c.rank, c.in)
 		p.add(c.from, c.out)
 	} else {
-		if c.out >= 0 {
+		if c.out != none {
 			p.remove(c.rank, c.out)
 		}
-		p.add(c.rank, c.in)
+		if c.in != none {
+			p.add(c.rank, c.in)
+		}
 	}
 	p.recount()
 }
@@ -262,6 +275,6 @@
 		for _, e := range experts {
 			p.rankLoad[r] += p.load[e] / float64(p.replicas[e])
 		}
-		p.cost += p.term(p.rankLoad[r])
+		p.cost += p.term(r, p.rankLoad[r])
 	}
 }
