Take requests from slow ranks, and count what explains a failure

Cause: requests that run at a rank when it becomes slow hold up every pass of the group until they end. And the metrics told only outcomes and first events.

Metrics of queues by priority, upstreams by state and their longest silence, held requests, connections, cold requests and repeats against their limits, pauses between events, maps, orders and store calls by outcome, events by number, dropped lines; a test reads them with the scrapers' library.

--- a/core/process/event/event.go
+++ b/core/process/event/event.go
@@ -34,6 +34,10 @@
 
 // Log writes events of one process as JSON lines.
 type Log struct {
+	// Count is called with each event, also with those that are not written; nil
+	// counts nothing. It is set before use.
+	Count func(Event)
+
 	entry *logrus.Entry
 }
 
@@ -47,15 +51,23 @@
 	logger.SetOutput(w)
 	logger.SetLevel(l)
 	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: timeFormat})
-	return &Log{logger.WithFields(logrus.Fields{"role": role, "instance": instance})}, nil
+	return &Log{entry: logger.WithFields(logrus.Fields{"role": role, "instance": instance})}, nil
 }
 
 // Emit writes one event; fields may be nil.
 func (l *Log) Emit(e Event, fields Fields) {
+	l.count(e)
 	l.entry.WithField("event", e.number).WithFields(fields).Log(e.level, e.text)
 }
 
+func (l *Log) count(e Event) {
+	if l.Count != nil {
+		l.Count(e)
+	}
+}
+
 // Error writes one event with the error that caused it.
 func (l *Log) Error(e Event, err error, fields Fields) {
+	l.count(e)
 	l.entry.WithField("event", e.number).WithField("error", err.Error()).WithFields(fields).Log(e.level, e.text)
 }
--- a/core/version/group/group.go
+++ b/core/version/group/group.go
@@ -95,6 +95,11 @@
 	Fenced
 )
 
+// String returns the name used in metrics.
+func (o Outcome) String() string {
+	return [...]string{"none", "accepted", "refused", "unknown", "fenced"}[o]
+}
+
 // Call is what an owner asks of an agent.
 type Call struct {
 	// Term is that of the caller's ownership; an agent refuses lower ones than
--- a/entry/process/experts/change.go
+++ b/entry/process/experts/change.go
@@ -269,9 +269,11 @@
 func (o *Owner) outcome(m Member, order group.Order, reply *group.Reply, err error) error {
 	what := event.Fields{"upstream": m.Upstream, "op": group.Op(order.Op).String(), "version": order.Version, "step": order.Step, "epoch": order.Epoch}
 	if err != nil {
+		o.count(order, group.Unknown)
 		o.Log.Error(event.RankUnreached, err, what)
 		return errors.Wrapf(ErrRefused, "%s: no answer from %s", group.Op(order.Op), m.Upstream)
 	}
+	o.count(order, group.Outcome(reply.Outcome))
 	switch group.Outcome(reply.Outcome) {
 	case group.Accepted:
 		return nil
@@ -285,6 +287,12 @@
 	return errors.Wrapf(ErrRefused, "%s at %s", group.Op(order.Op), m.Upstream)
 }
 
+func (o *Owner) count(order group.Order, outcome group.Outcome) {
+	if o.Count != nil {
+		o.Count(group.Op(order.Op), outcome)
+	}
+}
+
 // orderFirst gives an order to the first rank without its agent. If the machine
 // of the rank that holds a pass stopped, nobody could release it; if this process
 // stops, the next owner can.
--- a/entry/process/experts/owner.go
+++ b/entry/process/experts/owner.go
@@ -111,11 +111,15 @@
 	Members func() []Member
 	// Engine returns the shape of the service's engine, nil when unknown.
 	Engine func() *config.Engine
+	// Count is called with each order and its outcome; nil counts nothing.
+	Count func(op group.Op, outcome group.Outcome)
 	// Heard returns the highest known term, the time since its owner was heard
 	// and the number of agents that say so.
 	Heard func() (int64, clock.Millis, int)
 
 	term    atomic.Int64
+	version atomic.Int64
+	epoch   atomic.Int64
 	started clock.Millis
 	claimAt clock.Millis
 	// claimed is the term of another process that has claimed and not been heard.
@@ -149,6 +153,10 @@
 	pass     clock.Millis
 }
 
+// Map returns the version and the epoch of the last map that this process has
+// planned or learned, 0 when it does not own the maps.
+func (o *Owner) Map() (version, epoch int64) { return o.version.Load(), o.epoch.Load() }
+
 // Term returns the term of this process's ownership, 0 for none.
 func (o *Owner) Term() int64 { return o.term.Load() }
 
@@ -169,6 +177,8 @@
 	if err := o.tend(ctx, engine); err != nil {
 		o.Log.Error(event.MapAbandoned, err, event.Fields{"service": o.Service})
 	}
+	o.version.Store(o.state.version)
+	o.epoch.Store(o.state.epoch)
 }
 
 // owns tells whether this process owns the maps, and claims them when their
--- a/entry/request/balance/balance.go
+++ b/entry/request/balance/balance.go
@@ -244,7 +244,12 @@
 // Repeat reports whether a request of the service may be sent again, and
 // counts it.
 func (b *Balancer) Repeat(now clock.Millis, name string) bool {
-	return b.service(name).budget.Take(now, b.settings.RetryAllowance*budgetPart/float64(b.entries))
+	return b.service(name).budget.Take(now, b.repeatAllowance())
+}
+
+// repeatAllowance is this entry's part of the fixed number of repeats.
+func (b *Balancer) repeatAllowance() float64 {
+	return b.settings.RetryAllowance * budgetPart / float64(b.entries)
 }
 
 // Sent counts the first send of a request.
--- a/entry/request/balance/budget.go
+++ b/entry/request/balance/budget.go
@@ -43,17 +43,23 @@
 // Take reports whether a request may be sent again, and counts it. The
 // allowance is this entry's part of the fixed number of repeats in a window.
 func (b *Budget) Take(now clock.Millis, allowance float64) bool {
+	used, allowed := b.use(now, allowance)
+	if used+1 > allowed {
+		return false
+	}
+	b.again[b.at%bucketsPerWindow]++
+	return true
+}
+
+// use returns how many requests were sent again in the window, and how many may be.
+func (b *Budget) use(now clock.Millis, allowance float64) (used, allowed float64) {
 	b.advance(now)
 	first, again := 0, 0
 	for i := range b.first {
 		first += b.first[i]
 		again += b.again[i]
 	}
-	if float64(again+1) > b.ratio*float64(first)+allowance {
-		return false
-	}
-	b.again[b.at%bucketsPerWindow]++
-	return true
+	return float64(again), b.ratio*float64(first) + allowance
 }
 
 // slidingSecond counts events of the last second.
@@ -69,11 +75,13 @@
 	return true
 }
 
-func (s *slidingSecond) allows(now clock.Millis, limit int) bool {
+func (s *slidingSecond) allows(now clock.Millis, limit int) bool { return s.count(now) < limit }
+
+func (s *slidingSecond) count(now clock.Millis) int {
 	i := 0
 	for i < len(s.times) && now-s.times[i] >= clock.Second {
 		i++
 	}
 	s.times = s.times[i:]
-	return len(s.times) < limit
+	return len(s.times)
 }
--- a/entry/request/balance/pace_test.go
+++ b/entry/request/balance/pace_test.go
@@ -6,6 +6,21 @@
 	"goldcrestshore/core/process/check"
 )
 
+// Guards against a group that waits for the requests which a rank already had when
+// it became slow.
+func TestRequestsLeaveASlowRank(t *testing.T) {
+	b, tickets := holdOne(t)
+	slow := tickets[0]
+	id, _ := slow.Upstream()
+	b.SetPaces(map[string]float64{id: 12})
+	check.Equal(t, "request at the slow rank is to move", b.Stalled(0, slow), true)
+	check.Equal(t, "request at another rank is to move", b.Stalled(0, tickets[1]), false)
+	for range 2 * limit {
+		b.Acquire(0, ticket(0))
+	}
+	check.Equal(t, "request is to move while the others are full", b.Stalled(0, slow), false)
+}
+
 // Guards against requests at a slow rank, for which all ranks of the group wait in
 // every pass.
 func TestSlowRanksGetLess(t *testing.T) {
--- a/entry/request/balance/silence.go
+++ b/entry/request/balance/silence.go
@@ -33,12 +33,24 @@
 	}
 }
 
-// Stalled tells whether the upstream of a ticket is silent together with its
-// agent while others of its group send: its instance stands still or cannot be
-// reached.
+// Stalled tells whether a request had better go on at another upstream. Its own is
+// silent together with its agent while others of the group send: its instance
+// stands still or cannot be reached. Or it is so slow that all others wait for it
+// in every pass, and one of them has room.
 func (b *Balancer) Stalled(now clock.Millis, t *Ticket) bool {
-	s := b.service(t.Service)
-	return t.upstream != nil && s.silent(now, t.upstream) && s.talking(now)
+	s, u := b.service(t.Service), t.upstream
+	if u == nil || s.spec.Engine == nil {
+		return false
+	}
+	if s.silent(now, u) {
+		return s.talking(now)
+	}
+	return s.limit(u) == 0 && b.hasRoom(now, s, t)
+}
+
+// hasRoom tells whether a request could run at an upstream at once.
+func (b *Balancer) hasRoom(now clock.Millis, s *service, t *Ticket) bool {
+	return len(s.queue) == 0 && b.search(now, s, t, false) != nil
 }
 
 // silent tells whether an upstream has sent nothing for a while, its agent
--- /dev/null
+++ b/entry/request/balance/status_test.go
@@ -0,0 +1,46 @@
+package balance
+
+import (
+	"testing"
+
+	"goldcrestshore/core/process/check"
+)
+
+// Guards against metrics that tell another state than that by which requests go.
+func TestStatus(t *testing.T) {
+	const now = 2 * quietTime
+	b, state := fixture(6, nil)
+	var tickets []*Ticket
+	for range 6 {
+		tickets = append(tickets, granted(t, b.Acquire(0, ticket(0))))
+	}
+	at := func(i int) string { id, _ := tickets[i].Upstream(); return id }
+	slow, out, failed := at(1), tickets[2].upstream.entry, tickets[3]
+	silence(b, tickets[0])
+	b.SetPaces(map[string]float64{slow: 2 * slowPace})
+	state.SetOut(map[string]bool{out.DataCentre: true})
+	b.Release(now, failed, Failed)
+	b.Heard(now, tickets[4])
+	waiting := ticket(now)
+	waiting.Priority = 3
+	for i := 0; ; i++ {
+		if _, queued := b.Acquire(now, waiting).(Wait); queued {
+			break
+		}
+		waiting = ticket(now)
+		waiting.Priority = 3
+		check.AtMost(t, "requests until one waits", i, 6*limit)
+	}
+	var got Status
+	for _, s := range b.Status(now) {
+		if s.Service == "model" {
+			got = s
+		}
+	}
+	for state, want := range map[State]int{Silent: 1, Slow: 1, Out: 1, Skipped: 1, Usable: 2, Cold: 0} {
+		check.Equal(t, string(state), got.Upstreams[state], want)
+	}
+	check.Equal(t, "queued at the priority", got.Queued[3], 1)
+	check.Equal(t, "longest silence", got.Oldest, now)
+	check.Equal(t, "limit", got.Limit, 5*limit)
+}
--- a/entry/request/forward/answer.go
+++ b/entry/request/forward/answer.go
@@ -81,6 +81,10 @@
 		if end := eventsEnd(buffer); end > 0 {
 			c.pass(a, buffer[:end])
 			buffer = buffer[:copy(buffer, buffer[end:])]
+			if err == nil && c.shouldMove(c.runs) {
+				c.failure = "stalled"
+				return balance.Failed, false
+			}
 		}
 		switch {
 		case err == io.EOF:
@@ -121,10 +125,15 @@
 			b.Prefilled(c.ticket)
 		}
 	})
+	now := s.Clock.Now()
 	if !c.started {
 		c.begin(a)
-		s.Counters.firstEvent(s.Clock.Now() - r.arrived)
+		s.Counters.firstEvent(now - r.arrived)
 	}
+	if c.events > 0 {
+		s.Counters.nextEvent(now - c.eventAt)
+	}
+	c.eventAt = now
 	if id := lastEventID(events); id != "" {
 		c.lastEvent = id
 	}
--- /dev/null
+++ b/entry/request/forward/counters_test.go
@@ -0,0 +1,83 @@
+package forward
+
+import (
+	"io"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/prometheus/common/expfmt"
+	"github.com/prometheus/common/model"
+
+	"goldcrestshore/core/process/check"
+	"goldcrestshore/core/process/metric"
+	"goldcrestshore/entry/request/balance"
+)
+
+// scrape returns what a scraper reads, parsed by the library of scrapers.
+func scrape(t *testing.T, r *metric.Registry) map[string]float64 {
+	t.Helper()
+	w := httptest.NewRecorder()
+	r.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+	body, err := io.ReadAll(w.Body)
+	check.NoError(t, "body", err)
+	parser := expfmt.NewTextParser(model.LegacyValidation)
+	families, err := parser.TextToMetricFamilies(strings.NewReader(string(body)))
+	check.NoError(t, "parse", err)
+	out := make(map[string]float64)
+	for name, family := range families {
+		for _, m := range family.GetMetric() {
+			key := name
+			for _, l := range m.GetLabel() {
+				if l.GetName() != "role" && l.GetName() != "instance" {
+					key += "," + l.GetName() + "=" + l.GetValue()
+				}
+			}
+			out[key] = m.GetGauge().GetValue() + m.GetCounter().GetValue() + float64(m.GetHistogram().GetSampleCount())
+		}
+	}
+	return out
+}
+
+// Guards against metrics that scrapers cannot read, and against one that is
+// missing when somebody is called at night.
+func TestMetricsAreReadByScrapers(t *testing.T) {
+	r := metric.New("entry", "e")
+	c := NewCounters(r.Scope())
+	c.outcome("answered")
+	c.repeated("stalled")
+	c.firstEvent(120)
+	c.nextEvent(40)
+	c.queued(12, 30)
+	c.Report(balance.Status{
+		Service: "s", Queued: map[int]int{2: 5}, Upstreams: map[balance.State]int{balance.Usable: 3}, Oldest: 1500,
+		Held: 7, Limit: 9, Connections: 2, ConnectionLimit: 4, ColdSent: 1, ColdLimit: 6, Repeats: 8, RepeatsAllowed: 11,
+	})
+	check.NoError(t, "Close", r.Close())
+	time.Sleep(10 * time.Millisecond) // the reporter's last values
+	got := scrape(t, r)
+	for name, want := range map[string]float64{
+		"goldcrest_requests,outcome=answered":          1,
+		"goldcrest_repeats,cause=stalled":              1,
+		"goldcrest_first_event_seconds":                1,
+		"goldcrest_event_gap_seconds":                  1,
+		"goldcrest_queue_seconds,priority=9":           1,
+		"goldcrest_queue_length,priority=2,service=s":  5,
+		"goldcrest_upstreams,service=s,state=usable":   3,
+		"goldcrest_upstreams,service=s,state=silent":   0,
+		"goldcrest_upstream_silence_seconds,service=s": 1.5,
+		"goldcrest_held,service=s":                     7,
+		"goldcrest_held_limit,service=s":               9,
+		"goldcrest_connections,service=s":              2,
+		"goldcrest_connections_limit,service=s":        4,
+		"goldcrest_cold_sent,service=s":                1,
+		"goldcrest_cold_limit,service=s":               6,
+		"goldcrest_repeats_in_window,service=s":        8,
+		"goldcrest_repeats_limit,service=s":            11,
+	} {
+		value, found := got[name]
+		check.Equal(t, name+" is there", found, true)
+		check.Equal(t, name, value, want)
+	}
+}
--- a/entry/request/forward/forward_test.go
+++ b/entry/request/forward/forward_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"goldcrestshore/core/process/check"
 	"goldcrestshore/core/process/clock"
@@ -51,16 +52,18 @@
 		{Name: "once", Host: "h.example", PathPrefix: "/once/", Shares: []config.Share{{Service: "plain", Weight: 1}}, MaxUpstreams: 1, Timeout: 5 * clock.Second},
 		{Name: "again", Host: "h.example", PathPrefix: "/again/", Shares: []config.Share{{Service: "plain", Weight: 1}}, Repeat: config.Idempotent, MaxUpstreams: 2, Timeout: 5 * clock.Second},
 		{Name: "stream", Host: "h.example", PathPrefix: "/stream/", Shares: []config.Share{{Service: "plain", Weight: 1}}, Stream: true, Repeat: config.Resumable, MaxUpstreams: 2, Timeout: 5 * clock.Second},
+		{Name: "model", Host: "h.example", PathPrefix: "/model/", Shares: []config.Share{{Service: "model", Weight: 1}}, Stream: true, Repeat: config.Resumable, MaxUpstreams: 2, Timeout: 5 * clock.Second},
 	}
 	limits := config.Limits{MaxHeaderBytes: 4096, MaxBodyBytes: 100, IdleTimeout: clock.Minute, HeaderTimeout: clock.Second}
 	customers := []config.Customer{{Name: "one", Keys: []string{"k1"}, Priority: -1}}
 	state := fleet.New()
-	state.Adopt(config.New(3, routes, []config.Service{{Name: "plain"}}, customers, limits))
+	state.Adopt(config.New(3, routes, []config.Service{{Name: "plain"}, {Name: "model", Engine: &config.Engine{}}}, customers, limits))
 	address := s.listen(t, scripts)
 	list := make(map[string]*fleet.Upstream)
 	for i := range 3 {
 		id := fmt.Sprint("u", i)
 		list[id] = &fleet.Upstream{ID: id, Service: "plain", Address: address, Slots: 4}
+		list["m"+id] = &fleet.Upstream{ID: "m" + id, Service: "model", Address: address, Slots: 4}
 	}
 	state.SetUpstreams(list)
 	state.SetOut(nil)
@@ -296,6 +299,28 @@
 	}
 }
 
+// Guards against a stream that stays at a rank which has become slow, so that the
+// whole group waits for it in each pass.
+func TestAStreamLeavesASlowRank(t *testing.T) {
+	one, two := "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"
+	var s *site
+	slow := func(q *http.Request) string {
+		paces := map[string]float64{q.Header.Get("X-Target"): 12}
+		s.server.Scheduler.With(func(_ clock.Millis, b *balance.Balancer) { b.SetPaces(paces) })
+		open, _, _ := strings.Cut(events(false, one)(q), "zz")
+		return open // the stream goes on as far as the entry can tell
+	}
+	s = newSite(t, slow, events(true, two))
+	began := time.Now()
+	got := s.call(t, "/model/", nil)
+	check.NoError(t, "call", got.err)
+	check.Equal(t, "body", got.body, one+two)
+	check.AtMost(t, "ms until the end", time.Since(began).Milliseconds(), int64(silence)/2)
+	seen := s.requests()
+	check.Equal(t, "upstreams", len(seen), 2)
+	check.Equal(t, "last event at the second", seen[1].Header.Get("X-Last-Event"), "1")
+}
+
 // Guards against input beyond the limits of the configuration in force.
 func TestLimits(t *testing.T) {
 	for _, tc := range []struct {
--- a/entry/request/forward/run.go
+++ b/entry/request/forward/run.go
@@ -46,6 +46,7 @@
 		case balance.Grant:
 			c.waited = granted - r.arrived
 			c.held, c.limit = d.Held, d.Limit
+			s.Counters.queued(r.priority, c.waited)
 			if ctx.Err() != nil { // the grant came as the caller left
 				s.Scheduler.release(t, balance.Abandoned)
 				c.ended(q, reasonDeadline)
@@ -94,6 +95,8 @@
 	refusals int
 	// failure is the reason of the last failed attempt.
 	failure string
+	// counted is set when the next repeat has been counted already.
+	counted bool
 	waited  clock.Millis
 	held    int
 	limit   int
@@ -104,6 +107,8 @@
 	upstream  string
 	lastEvent string
 	events    int
+	// eventAt is when the last event was passed on.
+	eventAt clock.Millis
 }
 
 // mayRepeat decides whether a failed attempt is followed by another one.
@@ -118,8 +123,11 @@
 	if c.runs >= max(r.route.MaxUpstreams, 1) || c.refusals > maxRefusals {
 		return false
 	}
-	allowed := false
-	c.server.Scheduler.With(func(now clock.Millis, b *balance.Balancer) { allowed = b.Repeat(now, r.service) })
+	allowed := c.counted
+	c.counted = false
+	if !allowed {
+		c.server.Scheduler.With(func(now clock.Millis, b *balance.Balancer) { allowed = b.Repeat(now, r.service) })
+	}
 	if !allowed {
 		c.failure = reasonRetryBudget
 		return false
@@ -128,6 +136,7 @@
 	if c.started {
 		what = event.RequestResumed
 	}
+	c.server.Counters.repeated(c.failure)
 	c.server.Log.Emit(what, event.Fields{"request": r.id, "from": c.upstream, "cause": c.failure, "runs": c.runs, "refusals": c.refusals, "lastEvent": c.lastEvent})
 	c.ticket.GiveUp = min(c.server.Clock.Now()+longestWait, r.deadline-answerMargin)
 	return true
@@ -191,9 +200,7 @@
 	switch {
 	case r.route.Stream:
 		out.HeadTimeout = min(left, silence)
-		if r.repeatable() && c.runs+1 < r.route.MaxUpstreams {
-			out.Stalled = c.stalled
-		}
+		out.Stalled = func() bool { return c.shouldMove(c.runs + 1) }
 	case r.repeatable() && c.runs+1 < r.route.MaxUpstreams:
 		out.HeadTimeout = clock.Millis(float64(left) * headPart)
 	}
@@ -203,11 +210,18 @@
 	return &out
 }
 
-// stalled tells whether the upstream is silent while others are not.
-func (c *call) stalled() bool {
-	stalled := false
-	c.server.Scheduler.With(func(now clock.Millis, b *balance.Balancer) { stalled = b.Stalled(now, c.ticket) })
-	return stalled
+// shouldMove tells whether the request is to be taken from its upstream and sent
+// to another one, and counts the repeat if so. The number of runs includes the
+// present one.
+func (c *call) shouldMove(runs int) bool {
+	r := c.request
+	if !r.repeatable() || runs >= r.route.MaxUpstreams || (c.started && r.route.Repeat != config.Resumable) {
+		return false
+	}
+	c.server.Scheduler.With(func(now clock.Millis, b *balance.Balancer) {
+		c.counted = b.Stalled(now, c.ticket) && b.Repeat(now, r.service)
+	})
+	return c.counted
 }
 
 // defaultMaxIdle is no bound beyond what the upstream announces.
