Bound all request bodies together and read them until the deadline

Cause: each body is bounded by the configuration (4 MiB), all of them together were not: 64 large ones fill an entry's memory. A body that never ends held its connection and memory for good.

Ruled out: a bound on connections (small requests would be refused with large ones).

A body that is not whole by the request's deadline gets 408.

--- a/entry/request/forward/forward_test.go
+++ b/entry/request/forward/forward_test.go
@@ -339,6 +339,37 @@
 	}
 }
 
+// Guards against large bodies of many callers that together take all memory of an
+// entry, and against room that is not returned.
+func TestAllBodiesTogetherAreBounded(t *testing.T) {
+	s := newSite(t, ok("a"))
+	s.server.BodyBytes = 50
+	large := func(q *http.Request) { setBody(q, 80, false) }
+	got := s.call(t, "/once/", large)
+	check.Equal(t, "status", got.status, http.StatusServiceUnavailable)
+	check.Equal(t, "time to return", got.header.Get("Retry-After"), seconds(bodiesRetry))
+	check.Equal(t, "bytes held afterwards", s.server.bodies.held.Load(), 0)
+	got = s.call(t, "/once/", func(q *http.Request) { setBody(q, 40, true) })
+	check.Equal(t, "status of a smaller one", got.status, http.StatusOK)
+	check.Equal(t, "bytes held at the end", s.server.bodies.held.Load(), 0)
+}
+
+// Guards against callers that hold a connection and memory with a body that never
+// ends.
+func TestABodyEndsWithItsDeadline(t *testing.T) {
+	s := newSite(t)
+	c, err := net.Dial("tcp", s.front.Listener.Addr().String())
+	check.NoError(t, "Dial", err)
+	defer c.Close()
+	_, err = io.WriteString(c, "POST /once/ HTTP/1.1\r\nHost: h.example\r\nX-Id: r1\r\nX-Key: k1\r\nX-Deadline: 200\r\nContent-Length: 20\r\n\r\nhalf")
+	check.NoError(t, "write", err)
+	_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	check.NoError(t, "answer", err)
+	defer resp.Body.Close()
+	check.Equal(t, "status", resp.StatusCode, http.StatusRequestTimeout)
+}
+
 func setBody(q *http.Request, n int, withLength bool) {
 	q.Body = io.NopCloser(strings.NewReader(strings.Repeat("b", n)))
 	q.ContentLength = -1
--- a/entry/request/forward/request.go
+++ b/entry/request/forward/request.go
@@ -4,8 +4,10 @@
 	"hash/fnv"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -23,11 +25,16 @@
 	reasonHeadTooBig  = "headTooLarge"
 	reasonBodyTooBig  = "bodyTooLarge"
 	reasonBodyBroken  = "bodyIncomplete"
+	reasonBodyLate    = "bodyLate"
+	reasonBodiesFull  = "bodiesFull"
 	reasonDeadline    = "deadlinePassed"
 	reasonRetryBudget = "retryBudget"
 	reasonUpstream    = "upstreamFailed"
 )
 
+// bodiesRetry is when callers come back whose bodies found no room.
+const bodiesRetry = clock.Second
+
 // startRetry is when callers of a process that has just started come back.
 const startRetry clock.Millis = 500
 
@@ -48,6 +55,15 @@
 	// lastEvent is the id of the last event that the caller has.
 	lastEvent string
 	outgoing  upstream.Request
+	// body counts the body against the limit of all; it is nil before it is read.
+	body *bodyReader
+}
+
+// end returns what the request has taken of the server.
+func (r *request) end() {
+	if r.body != nil {
+		r.body.release()
+	}
 }
 
 func (r *request) routeName() string {
@@ -85,7 +101,8 @@
 	if headBytes(q) > cfg.Limits().MaxHeaderBytes {
 		return r, &refusal{status: http.StatusRequestHeaderFieldsTooLarge, reason: reasonHeadTooBig}
 	}
-	body, refused := readBody(w, q, cfg.Limits().MaxBodyBytes)
+	r.deadline = r.arrived + deadline(q.Header.Get(s.Headers.Deadline), r.route.Timeout)
+	body, refused := s.readBody(w, q, r, cfg.Limits().MaxBodyBytes)
 	if refused != nil {
 		return r, refused
 	}
@@ -113,18 +130,27 @@
 	return n
 }
 
-func readBody(w http.ResponseWriter, q *http.Request, limit int64) ([]byte, *refusal) {
+// readBody reads the body of a request, at most until its deadline.
+func (s *Server) readBody(w http.ResponseWriter, q *http.Request, r *request, limit int64) ([]byte, *refusal) {
 	if q.ContentLength > limit {
 		return nil, &refusal{status: http.StatusRequestEntityTooLarge, reason: reasonBodyTooBig}
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, q.Body, limit))
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add((r.deadline - s.Clock.Now()).Duration())) // a writer without deadlines is one of tests
+	r.body = &bodyReader{from: http.MaxBytesReader(w, q.Body, limit), all: &s.bodies, limit: s.bodyBytes()}
+	body, err := io.ReadAll(r.body)
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, errBodiesFull):
+		return nil, &refusal{status: http.StatusServiceUnavailable, reason: reasonBodiesFull, retryAfter: bodiesRetry}
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, &refusal{status: http.StatusRequestTimeout, reason: reasonBodyLate}
 	case errors.As(err, &tooLarge):
 		return nil, &refusal{status: http.StatusRequestEntityTooLarge, reason: reasonBodyTooBig}
 	case err != nil:
 		return nil, &refusal{status: http.StatusBadRequest, reason: reasonBodyBroken}
 	}
+	_ = control.SetReadDeadline(time.Time{}) // after a failure the rest is not waited for
 	return body, nil
 }
 
@@ -134,7 +160,6 @@
 	r.priority = r.route.Priority
 	r.lastEvent = q.Header.Get(h.LastEvent)
 	r.prompt = promptTokens(q.Header.Get(h.Tokens))
-	r.deadline = r.arrived + deadline(q.Header.Get(h.Deadline), r.route.Timeout)
 	header := upstream.EndToEnd(q.Header)
 	for _, own := range []string{h.Key, h.Customer, h.Target, h.Deadline, "Host", "Expect"} {
 		delete(header, http.CanonicalHeaderKey(own))
--- a/entry/request/forward/server.go
+++ b/entry/request/forward/server.go
@@ -72,7 +72,10 @@
 	Listen string
 	// Grace is the time from the signal to stop until the process is killed.
 	Grace clock.Millis
+	// BodyBytes bounds the bodies of all requests together; 0 means 64 MiB.
+	BodyBytes int64
 
+	bodies   bodies
 	stopping atomic.Bool
 	held     atomic.Int64
 	mu       sync.Mutex
@@ -157,6 +160,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	r, refusal := s.accept(w, q)
+	defer r.end()
 	if refusal != nil {
 		s.refuse(w, r, refusal)
 		return
@@ -166,6 +170,13 @@
 	s.run(ctx, w, q, r)
 }
 
+func (s *Server) bodyBytes() int64 {
+	if s.BodyBytes > 0 {
+		return s.BodyBytes
+	}
+	return defaultBodyBytes
+}
+
 // refusal is an answer of the entry itself.
 type refusal struct {
 	status     int
