--- a/measure/mapswitch/mapswitch_test.go
+++ b/measure/mapswitch/mapswitch_test.go
@@ -1,3 +1,6 @@
+// Package mapswitch_test runs owners of expert maps and the agents of a group in
+// virtual time under faults, and checks that no pass begins while two ranks have
+// different maps.
 package mapswitch_test
 
 import (
@@ -20,6 +23,7 @@
 	"goldcrestshore/core/version/group"
 	"goldcrestshore/entry/process/experts"
 	"goldcrestshore/entry/version/config"
+	"goldcrestshore/standin/process/lockstep"
 )
 
 // callLatency is the time that a call is on its way.
@@ -29,8 +33,10 @@
 
 // cluster is a group with its agents and the processes that may own its maps.
 type cluster struct {
-	*world
-	log    *event.Log
+	*lockstep.Group
+	log *event.Log
+
+	mu     sync.Mutex
 	agents []*orders.Orders
 	owners []*owner
 
@@ -38,7 +44,7 @@
 	term   int64
 	// still is until when each agent stands still, and unreached until when its
 	// rank cannot be reached from outside either.
-	still, unreached [rankCount]time.Time
+	still, unreached [lockstep.Ranks]time.Time
 }
 
 // freeze makes an agent stand still.
@@ -83,19 +89,33 @@
 	t.Helper()
 	log, err := event.NewLog(io.Discard, "error", "test", "test")
 	check.NoError(t, "NewLog", err)
-	c := &cluster{world: newWorld(seed), log: log}
-	for _, r := range c.ranks {
-		c.agents = append(c.agents, c.agent(r))
+	c := &cluster{Group: lockstep.New(seed), log: log}
+	for i := range lockstep.Ranks {
+		c.agents = append(c.agents, c.agent(i))
 	}
 	for i := range owners {
 		c.owners = append(c.owners, c.start(ctx, i))
 	}
-	go c.run(ctx)
+	go c.Run(ctx)
 	return c
 }
 
-func (c *cluster) agent(r *rank) *orders.Orders {
-	return &orders.Orders{Clock: clock.System(), Log: c.log, Rank: r}
+func (c *cluster) agent(i int) *orders.Orders {
+	return &orders.Orders{Clock: clock.System(), Log: c.log, Rank: rank{c.Rank(i)}}
+}
+
+// rank translates the errors of orders.
+type rank struct{ *lockstep.Rank }
+
+func (r rank) Order(ctx context.Context, o group.Order) error {
+	err := r.Rank.Order(ctx, o)
+	switch {
+	case errors.Is(err, lockstep.ErrRefused):
+		return orders.ErrRefused
+	case err != nil:
+		return orders.ErrNoAnswer
+	}
+	return nil
 }
 
 // start runs a process that may own the maps, and its heartbeats.
@@ -103,10 +123,10 @@
 	ctx, stop := context.WithCancel(ctx)
 	o := &owner{c: c, stop: stop, cut: make(map[int]bool)}
 	var members []experts.Member
-	for i := range c.ranks {
+	for i := range lockstep.Ranks {
 		members = append(members, experts.Member{Upstream: fmt.Sprint(i)})
 	}
-	engine := &config.Engine{Layers: layers, Experts: expertCount, SlotsPerRank: slotsPerRank, SpareSlots: spareSlots}
+	engine := &config.Engine{Layers: lockstep.Layers, Experts: lockstep.Experts, SlotsPerRank: lockstep.SlotsPerRank, SpareSlots: lockstep.SpareSlots}
 	o.process = &experts.Owner{
 		Clock: clock.System(), Log: c.log, Self: fmt.Sprint("owner", i), Service: "s", Ranks: o, Claimer: c,
 		Members: func() []experts.Member { return members },
@@ -126,7 +146,7 @@
 func (o *owner) heard() (int64, clock.Millis, int) {
 	o.thaw()
 	term, age, n := int64(0), clock.Millis(0), 0
-	for i := range o.c.ranks {
+	for i := range lockstep.Ranks {
 		if o.isCut(i) {
 			continue
 		}
@@ -172,7 +192,7 @@
 	time.Sleep(callLatency)
 	agent := o.c.agentAt(i)
 	if direct {
-		agent = o.c.agent(o.c.ranks[i])
+		agent = o.c.agent(i)
 	} else if o.isCut(i) {
 		time.Sleep(limit.Duration())
 		return nil, errCut
@@ -221,7 +241,7 @@
 // fault strikes the cluster once.
 func (c *cluster) fault(ctx context.Context, r *rand.Rand) string {
 	o := c.owners[r.IntN(len(c.owners))]
-	i := r.IntN(rankCount)
+	i := r.IntN(lockstep.Ranks)
 	switch r.IntN(8) {
 	case 0:
 		o.mu.Lock()
@@ -238,11 +258,11 @@
 		return "owner is killed and started"
 	case 2:
 		c.mu.Lock()
-		c.agents[i] = c.agent(c.ranks[i])
+		c.agents[i] = c.agent(i)
 		c.mu.Unlock()
 		return "agent is killed and started"
 	case 3:
-		c.restart(i)
+		c.Restart(i)
 		return "rank restarts"
 	case 4:
 		o.mu.Lock()
@@ -261,9 +281,7 @@
 		c.freezeInstance(i, 2*time.Second)
 		return "agent stands still and its rank is not reached"
 	default:
-		c.mu.Lock()
-		c.idle = !c.idle
-		c.mu.Unlock()
+		c.SetIdle(!c.Idle())
 		return "group becomes idle or busy"
 	}
 }
@@ -276,12 +294,10 @@
 		defer finish(cancel)
 		c := newCluster(ctx, t, 1, 3)
 		time.Sleep(30 * time.Second)
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		check.Equal(t, "mixed maps", fmt.Sprint(c.broken), "[]")
-		check.AtMost(t, "stalled ms", c.stalled.Milliseconds(), passTime.Milliseconds())
-		if c.changes < 5*rankCount {
-			t.Errorf("switches of ranks: got %d, want at least %d", c.changes, 5*rankCount)
+		check.Equal(t, "mixed maps", fmt.Sprint(c.Broken()), "[]")
+		check.AtMost(t, "stalled ms", c.Stalled().Milliseconds(), lockstep.PassTime.Milliseconds())
+		if c.Changes() < 5*lockstep.Ranks {
+			t.Errorf("switches of ranks: got %d, want at least %d", c.Changes(), 5*lockstep.Ranks)
 		}
 	})
 }
@@ -293,14 +309,12 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		defer finish(cancel)
 		c := newCluster(ctx, t, 1, 3)
-		c.lateShare = 0.5
+		c.SetLateShare(0.5)
 		time.Sleep(30 * time.Second)
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		check.Equal(t, "mixed maps", fmt.Sprint(c.broken), "[]")
-		check.AtMost(t, "stalled ms", c.stalled.Milliseconds(), (3 * time.Second).Milliseconds())
-		if c.changes < 5*rankCount {
-			t.Errorf("switches of ranks: got %d, want at least %d", c.changes, 5*rankCount)
+		check.Equal(t, "mixed maps", fmt.Sprint(c.Broken()), "[]")
+		check.AtMost(t, "stalled ms", c.Stalled().Milliseconds(), (3 * time.Second).Milliseconds())
+		if c.Changes() < 5*lockstep.Ranks {
+			t.Errorf("switches of ranks: got %d, want at least %d", c.Changes(), 5*lockstep.Ranks)
 		}
 	})
 }
@@ -308,7 +322,7 @@
 // Guards against maps that stay as they are while one agent is away, although its
 // rank works.
 func TestMapsFollowDemandWithoutAnAgent(t *testing.T) {
-	for i := range rankCount {
+	for i := range lockstep.Ranks {
 		t.Run(fmt.Sprint("agent ", i), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(context.Background())
@@ -316,12 +330,10 @@
 				c := newCluster(ctx, t, 1, 3)
 				c.freeze(i, 40*time.Second)
 				time.Sleep(30 * time.Second)
-				c.mu.Lock()
-				defer c.mu.Unlock()
-				check.Equal(t, "mixed maps", fmt.Sprint(c.broken), "[]")
-				check.AtMost(t, "stalled ms", c.stalled.Milliseconds(), (3 * time.Second).Milliseconds())
-				if c.changes < 5*rankCount {
-					t.Errorf("switches of ranks: got %d, want at least %d", c.changes, 5*rankCount)
+				check.Equal(t, "mixed maps", fmt.Sprint(c.Broken()), "[]")
+				check.AtMost(t, "stalled ms", c.Stalled().Milliseconds(), (3 * time.Second).Milliseconds())
+				if c.Changes() < 5*lockstep.Ranks {
+					t.Errorf("switches of ranks: got %d, want at least %d", c.Changes(), 5*lockstep.Ranks)
 				}
 			})
 		})
@@ -345,7 +357,7 @@
 			}
 		}, 2*time.Second)
 	})
-	for i := range rankCount {
+	for i := range lockstep.Ranks {
 		t.Run(fmt.Sprint("agent ", i), func(t *testing.T) {
 			pause(t, func(c *cluster) { c.freeze(i, 4*time.Second) }, 2*time.Second)
 		})
@@ -356,17 +368,15 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer finish(cancel)
 	c := newCluster(ctx, t, 1, 3)
-	for c.heldAt(0) == group.None {
+	for c.Rank(0).Held() == group.None {
 		time.Sleep(100 * time.Microsecond)
 	}
 	strike(c)
 	time.Sleep(10 * time.Second)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	check.Equal(t, "mixed maps", fmt.Sprint(c.broken), "[]")
-	check.AtMost(t, "stalled ms", c.stalled.Milliseconds(), most.Milliseconds())
+	check.Equal(t, "mixed maps", fmt.Sprint(c.Broken()), "[]")
+	check.AtMost(t, "stalled ms", c.Stalled().Milliseconds(), most.Milliseconds())
 	if t.Failed() {
-		t.Log(strings.Join(c.trace, "\n"))
+		t.Log(strings.Join(c.Trace(), "\n"))
 	}
 }
 
@@ -379,35 +389,26 @@
 				ctx, cancel := context.WithCancel(context.Background())
 				defer finish(cancel)
 				c := newCluster(ctx, t, seed, 3)
-				c.lateShare = 0.35
+				c.SetLateShare(0.35)
 				r := rand.New(rand.NewPCG(seed, 3))
 				for range 6 {
 					time.Sleep(time.Second)
-					for c.heldAt(0) == group.None {
+					for c.Rank(0).Held() == group.None {
 						time.Sleep(100 * time.Microsecond)
 					}
 					time.Sleep(time.Duration(r.IntN(3000)) * time.Microsecond)
-					c.freezeInstance(r.IntN(rankCount), time.Duration(500+r.IntN(2000))*time.Millisecond)
+					c.freezeInstance(r.IntN(lockstep.Ranks), time.Duration(500+r.IntN(2000))*time.Millisecond)
 				}
 				time.Sleep(5 * time.Second)
-				c.mu.Lock()
-				defer c.mu.Unlock()
-				check.Equal(t, "mixed maps", fmt.Sprint(c.broken), "[]")
+				check.Equal(t, "mixed maps", fmt.Sprint(c.Broken()), "[]")
 				if t.Failed() {
-					t.Log(strings.Join(c.trace, "\n"))
+					t.Log(strings.Join(c.Trace(), "\n"))
 				}
 			})
 		})
 	}
 }
 
-// heldAt returns the pass that a rank holds.
-func (c *cluster) heldAt(i int) int64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.ranks[i].held
-}
-
 // Guards against a pass that begins while two ranks have different maps, and
 // against a group that stays stopped after faults have ended: owners that stand
 // still or die, agents that restart, ranks that restart, orders that get no
@@ -425,30 +426,22 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer finish(cancel)
 	c := newCluster(ctx, t, seed, 3)
-	c.lateShare = 0.35
+	c.SetLateShare(0.35)
 	r := rand.New(rand.NewPCG(seed, 2))
 	for range 12 {
 		time.Sleep(time.Duration(300+r.IntN(3000)) * time.Millisecond)
-		what := c.fault(ctx, r)
-		c.mu.Lock()
-		c.note("%s", what)
-		c.mu.Unlock()
+		c.Note("%s", c.fault(ctx, r))
 	}
-	c.mu.Lock()
-	c.idle, c.lateShare = false, 0
-	c.mu.Unlock()
+	c.SetIdle(false)
+	c.SetLateShare(0)
 	time.Sleep(25 * time.Second)
-	c.mu.Lock()
-	before := c.step
-	c.mu.Unlock()
+	before := c.Step()
 	time.Sleep(5 * time.Second)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	check.Equal(t, "mixed maps", fmt.Sprint(c.broken), "[]")
-	if c.step-before < 50 {
-		t.Errorf("passes in the last 5 s: got %d, want at least 50", c.step-before)
+	check.Equal(t, "mixed maps", fmt.Sprint(c.Broken()), "[]")
+	if c.Step()-before < 50 {
+		t.Errorf("passes in the last 5 s: got %d, want at least 50", c.Step()-before)
 	}
 	if t.Failed() {
-		t.Log(strings.Join(c.trace, "\n"))
+		t.Log(strings.Join(c.Trace(), "\n"))
 	}
 }
