Keep what cannot be in time from being served first, and waiting at entries

The queue put those first whose objective is nearest, although the first event takes its time from the grant on; and a third of the slots again waited at the replicas, where nothing orders by what can be in time: four more requests wait about 0.5 s there.

Change: a request counts as late when its first event would be late if it were granted now, by the average time from the grant to the first event; the queue is put in order again before each grant. An upstream holds as many requests as it runs at once.

--- a/entry/request/balance/balance.go
+++ b/entry/request/balance/balance.go
@@ -49,6 +49,8 @@
 	Avoid []string
 
 	upstream *upstream
+	// granted is when it got the upstream.
+	granted clock.Millis
 }
 
 // Upstream returns the id and address of the upstream that was granted.
@@ -156,7 +158,7 @@
 		return b.reject(now, s, t, QueueFull, usable)
 	}
 	i := len(s.queue)
-	for i > 0 && before(now, t, s.queue[i-1]) {
+	for i > 0 && s.before(now, t, s.queue[i-1]) {
 		i--
 	}
 	s.queue = slices.Insert(s.queue, i, t)
@@ -172,7 +174,7 @@
 	if u.entry.Cold(now) {
 		u.cold.take(now, 1<<30)
 	}
-	t.upstream = u
+	t.upstream, t.granted = u, now
 	return Grant{Ticket: t, Held: u.load(), Limit: s.limit(u)}
 }
 
@@ -202,6 +204,9 @@
 	u.prompt -= t.Prompt
 	switch o {
 	case Succeeded:
+		if s.spec.Engine == nil {
+			s.answerTime.add(now - t.granted)
+		}
 		u.strikes = 0
 		u.note(false)
 		s.completions.add(now)
@@ -218,13 +223,14 @@
 
 // Prefilled tells that the upstream has read the prompt of a ticket. Since the
 // ranks of a group run together or not at all, none of them is skipped then.
-func (b *Balancer) Prefilled(t *Ticket) {
+func (b *Balancer) Prefilled(now clock.Millis, t *Ticket) {
 	if t.upstream == nil {
 		return
 	}
 	t.upstream.prompt -= t.Prompt
 	t.Prompt = 0
 	s := b.service(t.Service)
+	s.answerTime.add(now - t.granted)
 	if s.down {
 		s.down = false
 		for _, u := range s.upstreams {
--- a/entry/request/balance/queue.go
+++ b/entry/request/balance/queue.go
@@ -7,12 +7,13 @@
 )
 
 // before orders waiting requests: by priority, then those that can still meet
-// their objective, then by arrival.
-func before(now clock.Millis, a, b *Ticket) bool {
+// their objective if they are granted now, then by arrival.
+func (s *service) before(now clock.Millis, a, b *Ticket) bool {
 	if a.Priority != b.Priority {
 		return a.Priority < b.Priority
 	}
-	lateA, lateB := now > a.Due, now > b.Due
+	first := now + s.answerTime.value()
+	lateA, lateB := first > a.Due, first > b.Due
 	if lateA != lateB {
 		return lateB
 	}
@@ -22,7 +23,7 @@
 func (s *service) expectedWait(now clock.Millis, t *Ticket) clock.Millis {
 	ahead := 1
 	for _, q := range s.queue {
-		if !before(now, t, q) {
+		if !s.before(now, t, q) {
 			ahead++
 		}
 	}
@@ -64,6 +65,16 @@
 
 func (b *Balancer) drain(now clock.Millis, s *service) []Decision {
 	var out []Decision
+	// What was in time when it came may be late by now.
+	slices.SortStableFunc(s.queue, func(x, y *Ticket) int {
+		if s.before(now, x, y) {
+			return -1
+		}
+		if s.before(now, y, x) {
+			return 1
+		}
+		return 0
+	})
 	for i := 0; i < len(s.queue); {
 		t := s.queue[i]
 		u := b.choose(now, s, t)
--- a/entry/request/balance/rate.go
+++ b/entry/request/balance/rate.go
@@ -27,3 +27,19 @@
 	r.trim(now)
 	return float64(len(r.times)) * float64(clock.Second) / float64(rateTime)
 }
+
+// average follows a time.
+type average struct{ ms float64 }
+
+// averageWeight is the weight of a new value.
+const averageWeight = 0.1
+
+func (a *average) add(m clock.Millis) {
+	if a.ms == 0 {
+		a.ms = float64(m)
+		return
+	}
+	a.ms += averageWeight * (float64(m) - a.ms)
+}
+
+func (a *average) value() clock.Millis { return clock.Millis(a.ms) }
--- a/entry/request/balance/upstream.go
+++ b/entry/request/balance/upstream.go
@@ -56,6 +56,9 @@
 	upstreams []*upstream
 	queue     []*Ticket
 	budget    *Budget
+	// answerTime is how long the first event, or a whole answer, takes from the
+	// grant on.
+	answerTime average
 	// completions estimates the rate at which requests end.
 	completions rate
 	turn        int
@@ -98,23 +101,18 @@
 	})
 }
 
-// waitingPart is the part of its slots, as a divisor, that may wait at an upstream
-// besides, so that a slot that becomes free is used at once. Those that wait there
-// are ordered by priority, too.
-const waitingPart = 3
-
-// limit returns how many requests one upstream may hold from all entries. A pass
-// of a group lasts as long as that of its slowest rank, which therefore gets less
-// than it could run.
+// limit returns how many requests one upstream may hold from all entries: as many
+// as it runs at once. The rest waits at the entries, where those that can still be
+// in time go first. A pass of a group lasts as long as that of its slowest rank,
+// which therefore gets less than it could run.
 func (s *service) limit(u *upstream) int {
-	most := u.entry.Slots + u.entry.Slots/waitingPart
 	switch {
 	case u.pace <= 1:
-		return most
+		return u.entry.Slots
 	case u.pace >= slowPace && s.mostAreQuick():
 		return 0
 	}
-	return max(1, int(float64(most)/u.pace))
+	return max(1, int(float64(u.entry.Slots)/u.pace))
 }
 
 const (
--- a/entry/request/forward/answer.go
+++ b/entry/request/forward/answer.go
@@ -122,7 +122,7 @@
 	s.Scheduler.With(func(now clock.Millis, b *balance.Balancer) {
 		b.Heard(now, c.ticket)
 		if c.events == 0 {
-			b.Prefilled(c.ticket)
+			b.Prefilled(now, c.ticket)
 		}
 	})
 	now := s.Clock.Now()
