--- a/agent/process/orders/orders.go
+++ b/agent/process/orders/orders.go
@@ -32,10 +32,10 @@
 	settleTime = 6 * clock.Second
 	// copyPause is the time after which the next copy of an order is sent while
 	// no answer has come; the group may stand still meanwhile.
-	copyPause clock.Millis = 40
+	copyPause clock.Millis = 20
 	// quickCopies is the number of copies after which the pause doubles each time,
 	// up to mostCopyPause.
-	quickCopies                = 6
+	quickCopies                = 12
 	mostCopyPause clock.Millis = 320
 )
 
--- a/entry/process/experts/owner.go
+++ b/entry/process/experts/owner.go
@@ -43,9 +43,9 @@
 	cycle clock.Millis = 100
 	// ownerSilence is how long an owner is not heard before another process
 	// takes over; a stalled change stops the whole group.
-	ownerSilence clock.Millis = 700
+	ownerSilence clock.Millis = 450
 	// claimSpread keeps processes from taking over at the same moment.
-	claimSpread clock.Millis = 300
+	claimSpread clock.Millis = 200
 	// startTime is how long a process listens for an owner after its start.
 	startTime clock.Millis = 700
 	// claimPause is the time between two tries to take over.
