--- /dev/null
+++ b/agent/connection/sidecar/sidecar_test.go
@@ -0,0 +1,41 @@
+package sidecar
+
+import (
+	"io"
+	"testing"
+
+	"goldcrestshore/agent/process/orders"
+	"goldcrestshore/core/process/check"
+	"goldcrestshore/core/process/clock"
+	"goldcrestshore/core/process/event"
+	"goldcrestshore/core/version/group"
+)
+
+func newServer(t *testing.T) (*Server, *clock.Clock) {
+	t.Helper()
+	log, err := event.NewLog(io.Discard, "error", "agent", "a")
+	check.NoError(t, "NewLog", err)
+	c := clock.NewManual(10 * clock.Second)
+	return &Server{Clock: c, Log: log, Orders: &orders.Orders{Clock: c, Log: log}, held: make(map[string]holding)}, c
+}
+
+// Guards against limits that are divided by the wrong number of entries, and
+// against requests that count twice or forever.
+func TestLoad(t *testing.T) {
+	s, c := newServer(t)
+	s.load(&group.Holding{Entry: "e1", Held: 3, Peer: "p1", Term: 4})
+	s.load(&group.Holding{Entry: "e2", Held: 2})
+	got := s.load(&group.Holding{Entry: "e1", Held: 5, Peer: "p1"})
+	check.Equal(t, "others of e1", got.Others, 2)
+	check.Equal(t, "entries", got.Entries, 2)
+	check.Equal(t, "peers without the asking one", len(got.Peers), 0)
+	check.Equal(t, "term", got.Term, 4)
+	got = s.load(&group.Holding{Entry: "e2", Held: 2})
+	check.Equal(t, "others of e2", got.Others, 5)
+	check.Equal(t, "peer of the other", got.Peers[0], "p1")
+	c.Advance(heldTime + 1)
+	got = s.load(&group.Holding{Entry: "e2", Held: 2})
+	check.Equal(t, "others after e1 has fallen silent", got.Others, 0)
+	check.Equal(t, "entries after e1 has fallen silent", got.Entries, 1)
+	check.Equal(t, "time since the owner was heard", got.OwnerAgeMillis(), heldTime+1)
+}
