Drop what orders, the queue and the counters did twice

Found by reading the whole change again: after each order an agent read the rank's report, which no owner looks at (NoReport is gone, an order's reply has its outcome alone); the queue was kept in order at each arrival although it is put in order before each grant (Wait.Ahead had no reader); the sliding second had a limit that its only caller switched off; an event read the clock twice; standin/process/group had a copy of clock.Every. Comments of Order.Expected and bucketsPerWindow say what holds.

Behaviour is as before.

--- a/agent/process/orders/orders.go
+++ b/agent/process/orders/orders.go
@@ -120,13 +120,10 @@
 	if s.fenced(c.Term) {
 		return &group.Reply{Outcome: int(group.Fenced)}
 	}
-	reply := &group.Reply{}
 	if c.HasOrder {
-		reply.Outcome = int(s.settle(ctx, c.Order))
-	}
-	if c.HasOrder && c.NoReport {
-		return reply
+		return &group.Reply{Outcome: int(s.settle(ctx, c.Order))}
 	}
+	reply := &group.Reply{}
 	if err := s.inspect(ctx, c, reply); err != nil {
 		reply.Failure = err.Error()
 	}
--- a/core/version/group/group.go
+++ b/core/version/group/group.go
@@ -75,8 +75,8 @@
 	Epoch   int64
 	// Map holds the experts by layer and rank, for Prepare.
 	Map [][][]int
-	// Expected is the rank's Sequence for which the order holds; 0 lets the agent
-	// ask the rank for it.
+	// Expected is the rank's Sequence for which the order holds; whoever sends the
+	// order to the rank fills it in.
 	Expected int64
 }
 
@@ -109,11 +109,10 @@
 	WantCounts bool
 	// WantMap asks for the experts that the rank holds.
 	WantMap bool
-	// HasOrder tells that Order is to be carried out.
+	// HasOrder tells that Order is to be carried out; the reply has its outcome and
+	// no report.
 	HasOrder bool
 	Order    Order
-	// NoReport asks for the outcome of the order alone.
-	NoReport bool
 }
 
 // Reply is an agent's answer.
--- a/core/version/group/group_gen.go
+++ b/core/version/group/group_gen.go
@@ -9,8 +9,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Call) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 6
-	o = append(o, 0x96)
+	// array header, size 5
+	o = append(o, 0x95)
 	o = msgp.AppendInt64(o, z.Term)
 	o = msgp.AppendBool(o, z.WantCounts)
 	o = msgp.AppendBool(o, z.WantMap)
@@ -20,7 +20,6 @@
 		err = msgp.WrapError(err, "Order")
 		return
 	}
-	o = msgp.AppendBool(o, z.NoReport)
 	return
 }
 
@@ -32,8 +31,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 6 {
-		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
 	}
 	z.Term, bts, err = msgp.ReadInt64Bytes(bts)
@@ -61,18 +60,13 @@
 		err = msgp.WrapError(err, "Order")
 		return
 	}
-	z.NoReport, bts, err = msgp.ReadBoolBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "NoReport")
-		return
-	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Call) Msgsize() (s int) {
-	s = 1 + msgp.Int64Size + msgp.BoolSize + msgp.BoolSize + msgp.BoolSize + z.Order.Msgsize() + msgp.BoolSize
+	s = 1 + msgp.Int64Size + msgp.BoolSize + msgp.BoolSize + msgp.BoolSize + z.Order.Msgsize()
 	return
 }
 
--- a/entry/process/experts/change.go
+++ b/entry/process/experts/change.go
@@ -256,7 +256,7 @@
 // order gives an order to one rank through its agent, or to the rank itself when
 // the agent was silent.
 func (o *Owner) order(ctx context.Context, r *rank, order group.Order, limit clock.Millis) error {
-	call := &group.Call{Term: o.term.Load(), HasOrder: true, Order: order, NoReport: r.direct}
+	call := &group.Call{Term: o.term.Load(), HasOrder: true, Order: order}
 	ask := o.Ranks.Call
 	if r.direct {
 		ask = o.Ranks.Direct
@@ -297,7 +297,7 @@
 // of the rank that holds a pass stopped, nobody could release it; if this process
 // stops, the next owner can.
 func (o *Owner) orderFirst(ctx context.Context, ranks []*rank, order group.Order) error {
-	call := &group.Call{Term: o.term.Load(), HasOrder: true, Order: order, NoReport: true}
+	call := &group.Call{Term: o.term.Load(), HasOrder: true, Order: order}
 	reply, err := o.Ranks.Direct(ctx, ranks[0].Member, call, callTime)
 	return o.outcome(ranks[0].Member, order, reply, err)
 }
--- a/entry/process/experts/settle.go
+++ b/entry/process/experts/settle.go
@@ -162,7 +162,7 @@
 // orderAnyway gives an order through the agent, or to the rank itself when the
 // agent does not answer.
 func (o *Owner) orderAnyway(ctx context.Context, r *rank, order group.Order, began clock.Millis) error {
-	call := &group.Call{Term: o.term.Load(), HasOrder: true, Order: order, NoReport: true}
+	call := &group.Call{Term: o.term.Load(), HasOrder: true, Order: order}
 	if !r.direct {
 		reply, err := o.Ranks.Call(ctx, r.Member, call, agentTime)
 		if err == nil {
--- a/entry/request/balance/balance.go
+++ b/entry/request/balance/balance.go
@@ -71,7 +71,7 @@
 }
 
 // Wait leaves a ticket in the queue.
-type Wait struct{ Ahead int }
+type Wait struct{}
 
 // Reject ends a ticket.
 type Reject struct {
@@ -157,12 +157,8 @@
 	if now+wait > t.GiveUp {
 		return b.reject(now, s, t, QueueFull, usable)
 	}
-	i := len(s.queue)
-	for i > 0 && s.before(now, t, s.queue[i-1]) {
-		i--
-	}
-	s.queue = slices.Insert(s.queue, i, t)
-	return Wait{Ahead: i}
+	s.queue = append(s.queue, t) // drain puts it in order
+	return Wait{}
 }
 
 func (b *Balancer) grant(now clock.Millis, s *service, t *Ticket, u *upstream) Grant {
@@ -172,7 +168,7 @@
 	u.held++
 	u.prompt += t.Prompt
 	if u.entry.Cold(now) {
-		u.cold.take(now, 1<<30)
+		u.cold.add(now)
 	}
 	t.upstream, t.granted = u, now
 	return Grant{Ticket: t, Held: u.load(), Limit: s.limit(u)}
--- a/entry/request/balance/budget.go
+++ b/entry/request/balance/budget.go
@@ -2,8 +2,8 @@
 
 import "goldcrestshore/core/process/clock"
 
-// bucketSpan divides the window of a budget; a request counts for at most one
-// span longer than the window.
+// bucketsPerWindow divides the window of a budget; a request counts for at most
+// one bucket longer than the window.
 const bucketsPerWindow = 10
 
 // Budget bounds how often requests of a service are sent again, as a share of
@@ -67,12 +67,9 @@
 	times []clock.Millis
 }
 
-func (s *slidingSecond) take(now clock.Millis, limit int) bool {
-	if !s.allows(now, limit) {
-		return false
-	}
+func (s *slidingSecond) add(now clock.Millis) {
+	s.count(now) // forgets what is older
 	s.times = append(s.times, now)
-	return true
 }
 
 func (s *slidingSecond) allows(now clock.Millis, limit int) bool { return s.count(now) < limit }
--- a/entry/request/balance/upstream.go
+++ b/entry/request/balance/upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 
 	"goldcrestshore/core/process/clock"
 	"goldcrestshore/entry/version/config"
@@ -93,12 +94,7 @@
 		u.entry = entry
 		s.upstreams = append(s.upstreams, u)
 	}
-	slices.SortFunc(s.upstreams, func(a, b *upstream) int {
-		if a.entry.ID < b.entry.ID {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(s.upstreams, func(a, b *upstream) int { return strings.Compare(a.entry.ID, b.entry.ID) })
 }
 
 // limit returns how many requests one upstream may hold from all entries: as many
--- a/entry/request/forward/answer.go
+++ b/entry/request/forward/answer.go
@@ -119,13 +119,13 @@
 // pass writes whole events.
 func (c *call) pass(a *upstream.Answer, events []byte) {
 	s, r := c.server, c.request
-	s.Scheduler.With(func(now clock.Millis, b *balance.Balancer) {
+	now := s.Clock.Now()
+	s.Scheduler.With(func(_ clock.Millis, b *balance.Balancer) {
 		b.Heard(now, c.ticket)
 		if c.events == 0 {
 			b.Prefilled(now, c.ticket)
 		}
 	})
-	now := s.Clock.Now()
 	if !c.started {
 		c.begin(a)
 		s.Counters.firstEvent(now - r.arrived)
--- a/standin/process/group/group.go
+++ b/standin/process/group/group.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"sync"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -91,16 +90,7 @@
 
 // Run ends a step each step time until ctx is done.
 func (g *Group) Run(ctx context.Context) {
-	ticker := time.NewTicker(g.settings.StepTime.Duration())
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			g.Advance()
-		}
-	}
+	clock.Every(ctx, g.settings.StepTime, func() { g.Advance() })
 }
 
 // Advance ends the present step if every rank has entered it, and lets each
