Hold requests while agents report that a group is closed

Change: agents query their rank each 100 ms and report the state of its group in their replies. Entries send nothing to a closed group, let requests wait if it is expected to open in time (stall time plus forming time), and otherwise reject with a Retry-After behind the expected opening. A refusal by a group without activity counts for all ranks whose state is unknown. A 421 ends the use of that record until it changes, and of two records with one address the one that started later holds. An empty queue is checked before an upstream is chosen, since a choice can be a probe.

--- a/agent/connection/sidecar/sidecar.go
+++ b/agent/connection/sidecar/sidecar.go
@@ -92,7 +92,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.inFlight[h.Entry] = entryState{h.InFlight, now, h.Peer}
-	load := &group.Load{Term: term, OwnerAge: int64(age), Slowdown: s.Executor.Slowdown()}
+	load := &group.Load{Term: term, OwnerAge: int64(age), Slowdown: s.Executor.Slowdown(), State: int(s.Executor.GroupState())}
 	for entry, inFlight := range s.inFlight {
 		if now-inFlight.lastHeartbeat > heartbeatMaxAge {
 			delete(s.inFlight, entry)
--- a/agent/process/orders/orders.go
+++ b/agent/process/orders/orders.go
@@ -65,9 +65,8 @@
 	term           int64
 	termReceivedAt clock.Millis
 
-	slowdownMu sync.Mutex
-	slowdown   float64
-	slowdownAt clock.Millis
+	statusMu sync.Mutex
+	status   rankStatus
 }
 
 // RecordTerm records the term of a live owner, 0 for none. It returns the highest
@@ -92,26 +91,6 @@
 	return term < highest
 }
 
-// slowdownMaxAge is how long the slowdown of the last report stays valid.
-const slowdownMaxAge = 2 * clock.Second
-
-func (e *Executor) recordSlowdown(slowdown float64) {
-	e.slowdownMu.Lock()
-	defer e.slowdownMu.Unlock()
-	e.slowdown, e.slowdownAt = slowdown, e.Clock.Now()
-}
-
-// Slowdown returns the factor by which the rank's work takes longer than usual, or 0
-// if no owner has queried the rank within slowdownMaxAge.
-func (e *Executor) Slowdown() float64 {
-	e.slowdownMu.Lock()
-	defer e.slowdownMu.Unlock()
-	if e.Clock.Now()-e.slowdownAt > slowdownMaxAge {
-		return 0
-	}
-	return e.slowdown
-}
-
 // Serve executes a call of an owner and returns the reply.
 func (e *Executor) Serve(ctx context.Context, c *group.Call) *group.Reply {
 	if !e.mutex.lock(ctx) {
@@ -137,7 +116,7 @@
 	if reply.Report, err = e.Rank.Report(ctx); err != nil {
 		return errors.Wrap(err, "report")
 	}
-	e.recordSlowdown(reply.Report.Slowdown)
+	e.recordStatus(&reply.Report)
 	if c.WantCounts {
 		if reply.Counts, err = e.Rank.Counts(ctx); err != nil {
 			return errors.Wrap(err, "counts")
--- a/agent/process/orders/orders_test.go
+++ b/agent/process/orders/orders_test.go
@@ -149,3 +149,26 @@
 		check.Equal(t, "slowdown after slowdownMaxAge", s.Slowdown(), 0.0)
 	})
 }
+
+// Guards against entries that learn nothing of a closed group while no owner queries
+// its ranks, as after a restart of all processes, and against a state that outlives
+// the rank.
+func TestStatusIsQueriedWithoutOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rank := &scriptedRank{report: group.Report{Epoch: 1}}
+		s := newExecutor(t, rank)
+		check.Equal(t, "state before the first query", s.GroupState(), group.StateUnknown)
+		ctx, cancel := context.WithCancel(context.Background())
+		go s.QueryStatus(ctx)
+		time.Sleep(StatusInterval.Duration() + time.Millisecond)
+		check.Equal(t, "state of a closed group", s.GroupState(), group.StateClosed)
+		rank.mu.Lock()
+		rank.report.Open = true
+		rank.mu.Unlock()
+		time.Sleep(2 * StatusInterval.Duration())
+		check.Equal(t, "state after it has opened", s.GroupState(), group.StateOpen)
+		cancel()
+		time.Sleep(stateMaxAge.Duration() + time.Millisecond)
+		check.Equal(t, "state without reports", s.GroupState(), group.StateUnknown)
+	})
+}
--- a/core/version/group/group.go
+++ b/core/version/group/group.go
@@ -7,7 +7,7 @@
 
 //go:generate go tool msgp -tests=false -io=false -file group.go -o group_gen.go
 
-//msgp:ignore Op Outcome
+//msgp:ignore Op Outcome State
 //msgp:tuple Report Order Call Reply EntryHeartbeat Load
 
 // None is the value of a version or step that is not set.
@@ -48,6 +48,20 @@
 	Slowdown float64
 }
 
+// State is what is known of whether a group runs passes.
+type State int
+
+// States of a group.
+const (
+	// StateUnknown means that no rank has reported recently.
+	StateUnknown State = iota
+	// StateOpen means that the group runs passes.
+	StateOpen
+	// StateClosed means that the group waits for a rank or forms again. It runs
+	// nothing until it is open.
+	StateClosed
+)
+
 // Op is the operation of an order.
 type Op int
 
@@ -132,6 +146,14 @@
 	Failure string
 }
 
+// State returns the state of the group that the report states.
+func (r *Report) State() State {
+	if r.Open {
+		return StateOpen
+	}
+	return StateClosed
+}
+
 // EntryHeartbeat is a heartbeat from an entry to an agent.
 type EntryHeartbeat struct {
 	Entry string
@@ -160,7 +182,12 @@
 	// Slowdown is the factor by which the rank's work takes longer than usual, 0 if
 	// unknown.
 	Slowdown float64
+	// State is the State of the rank's group.
+	State int
 }
 
+// GroupState returns State as its type.
+func (l *Load) GroupState() State { return State(l.State) }
+
 // OwnerAgeMillis returns OwnerAge as a duration.
 func (l *Load) OwnerAgeMillis() clock.Millis { return clock.Millis(l.OwnerAge) }
--- a/core/version/group/group_gen.go
+++ b/core/version/group/group_gen.go
@@ -127,8 +127,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Load) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 6
-	o = append(o, 0x96)
+	// array header, size 7
+	o = append(o, 0x97)
 	o = msgp.AppendInt(o, z.OthersInFlight)
 	o = msgp.AppendInt(o, z.Entries)
 	o = msgp.AppendInt64(o, z.Term)
@@ -138,6 +138,7 @@
 		o = msgp.AppendString(o, z.Peers[za0001])
 	}
 	o = msgp.AppendFloat64(o, z.Slowdown)
+	o = msgp.AppendInt(o, z.State)
 	return
 }
 
@@ -149,8 +150,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 6 {
-		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
+	if zb0001 != 7 {
+		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
 		return
 	}
 	z.OthersInFlight, bts, err = msgp.ReadIntBytes(bts)
@@ -196,6 +197,11 @@
 		err = msgp.WrapError(err, "Slowdown")
 		return
 	}
+	z.State, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "State")
+		return
+	}
 	o = bts
 	return
 }
@@ -206,7 +212,7 @@
 	for za0001 := range z.Peers {
 		s += msgp.StringPrefixSize + len(z.Peers[za0001])
 	}
-	s += msgp.Float64Size
+	s += msgp.Float64Size + msgp.IntSize
 	return
 }
 
--- a/entry/request/balance/balance.go
+++ b/entry/request/balance/balance.go
@@ -19,6 +19,9 @@
 	RetryRatio     float64
 	RetryAllowance float64
 	RetryWindow    clock.Millis
+	// StallTime is how long the upstreams of a group wait for one that has failed
+	// before the group closes.
+	StallTime clock.Millis
 	// Policy selects how upstreams are chosen.
 	Policy Policy
 }
@@ -149,11 +152,13 @@
 // it now.
 func (b *Balancer) Acquire(now clock.Millis, t *Ticket) Decision {
 	s := b.service(t.Service)
-	if u := b.choose(now, s, t); u != nil && len(s.queue) == 0 {
-		return b.grant(now, s, t, u)
+	if len(s.queue) == 0 {
+		if u := b.choose(now, s, t); u != nil {
+			return b.grant(now, s, t, u)
+		}
 	}
 	usable := b.usable(now, s)
-	if usable == 0 {
+	if usable == 0 && !s.opensBefore(now, t.WaitDeadline) {
 		return b.reject(now, s, t, NoUpstream, usable)
 	}
 	wait := s.expectedWait(now, t)
@@ -191,6 +196,9 @@
 	// Abandoned means that the caller disconnected; it does not count for or
 	// against the upstream.
 	Abandoned
+	// Misdirected means that another upstream than the registered one is at the
+	// address; the request was not run.
+	Misdirected
 )
 
 // Release frees the upstream of a ticket and grants the free capacity to waiting
@@ -216,6 +224,12 @@
 		u.recordOutcome(true)
 		u.skipUntil = now + s.skipDuration(u.consecutiveFailures)
 		t.Avoid = append(t.Avoid, u.info.ID)
+		if o == Refused {
+			s.recordRefusal(now, u)
+		}
+	case Misdirected:
+		u.deniedUntil = now + deniedDuration
+		t.Avoid = append(t.Avoid, u.info.ID)
 	case Abandoned:
 		s.completions.add(now)
 	}
@@ -223,21 +237,17 @@
 }
 
 // PrefillDone records that the upstream has processed the prompt of a ticket. If
-// the group was down, no upstream is skipped any longer, since the ranks of a
-// group run together or not at all.
+// the group was down, it is open again.
 func (b *Balancer) PrefillDone(now clock.Millis, t *Ticket) {
 	if t.upstream == nil {
 		return
 	}
+	s := b.service(t.Service)
 	t.upstream.promptTokens -= t.PromptTokens
 	t.PromptTokens = 0
-	s := b.service(t.Service)
 	s.responseLatency.add(now - t.granted)
 	if s.down {
-		s.down = false
-		for _, u := range s.upstreams {
-			u.skipUntil, u.consecutiveFailures = 0, 0
-		}
+		s.reopen()
 	}
 }
 
--- a/entry/request/balance/choose.go
+++ b/entry/request/balance/choose.go
@@ -5,19 +5,26 @@
 	"slices"
 
 	"goldcrestshore/core/process/clock"
+	"goldcrestshore/core/version/group"
 )
 
 // usable returns the number of upstreams that are in service and not skipped.
 func (b *Balancer) usable(now clock.Millis, s *service) int {
 	n := 0
 	for _, u := range s.upstreams {
-		if b.view.Usable(u.info) && now >= u.skipUntil {
+		if b.inService(now, u) && now >= u.skipUntil {
 			n++
 		}
 	}
 	return n
 }
 
+// inService reports whether u may get requests, apart from being skipped: its
+// registration holds and its group is not known to be closed.
+func (b *Balancer) inService(now clock.Millis, u *upstream) bool {
+	return b.view.Usable(u.info) && now >= u.deniedUntil && u.groupState != group.StateClosed
+}
+
 // choose returns the upstream with the lowest cost that can take the ticket, or
 // nil if there is none. While all upstreams in service are skipped, it returns one
 // of them per probeInterval, as a probe.
@@ -65,7 +72,7 @@
 // eligible reports whether u can take t now, apart from being skipped.
 func (b *Balancer) eligible(now clock.Millis, s *service, u *upstream, t *Ticket) bool {
 	switch {
-	case !b.view.Usable(u.info):
+	case !b.inService(now, u):
 		return false
 	case u.load() >= s.limit(u), u.inFlight >= b.connectionLimit(s):
 		return false
--- a/entry/request/balance/queue.go
+++ b/entry/request/balance/queue.go
@@ -54,7 +54,11 @@
 // run from half of maxRetryAfter to maxRetryAfter.
 func (s *service) retryAfter(now clock.Millis) clock.Millis {
 	s.rejections++
-	if s.down {
+	if opening := s.opensAt - now; s.reportedClosed() && opening > 0 {
+		spread := maxRetryAfter / 4
+		return opening + spread*clock.Millis(s.rejections*7%retryAfterSteps)/retryAfterSteps
+	}
+	if s.down || s.reportedClosed() {
 		// Faults that stop all ranks of a group last for seconds.
 		return maxRetryAfter - (maxRetryAfter/8)*clock.Millis(s.rejections*7%retryAfterSteps)/retryAfterSteps
 	}
@@ -101,7 +105,7 @@
 		t := s.queue[i]
 		reason := TooLate
 		switch {
-		case s.down && usable == 0:
+		case usable == 0 && (s.down || s.reportedClosed()) && !s.opensBefore(now, t.WaitDeadline):
 			reason = NoUpstream // waiting is useless while the group is down
 		case now < t.WaitDeadline:
 			i++
--- a/entry/request/balance/status.go
+++ b/entry/request/balance/status.go
@@ -1,6 +1,9 @@
 package balance
 
-import "goldcrestshore/core/process/clock"
+import (
+	"goldcrestshore/core/process/clock"
+	"goldcrestshore/core/version/group"
+)
 
 // State is the assumed state of an upstream.
 type State string
@@ -18,12 +21,15 @@
 	Unresponsive State = "silent"
 	// Slow upstreams get no requests while most others are fast.
 	Slow State = "slow"
-	// OutOfService upstreams are draining, or their data centre is out of service.
+	// Closed upstreams belong to a group that runs nothing until it has formed again.
+	Closed State = "closed"
+	// OutOfService upstreams are draining, superseded or not at their address, or
+	// their data centre is out of service.
 	OutOfService State = "out"
 )
 
 // States lists all states, so that states without upstreams are reported too.
-var States = []State{Usable, Cold, Skipped, Unresponsive, Slow, OutOfService}
+var States = []State{Usable, Cold, Skipped, Unresponsive, Slow, Closed, OutOfService}
 
 // Status is the state of one service, for metrics.
 type Status struct {
@@ -88,8 +94,10 @@
 
 func (b *Balancer) state(now clock.Millis, s *service, u *upstream) State {
 	switch {
-	case !b.view.Usable(u.info):
+	case !b.view.Usable(u.info), now < u.deniedUntil:
 		return OutOfService
+	case u.groupState == group.StateClosed:
+		return Closed
 	case now < u.skipUntil:
 		return Skipped
 	case s.unresponsive(now, u):
--- a/entry/request/balance/upstream.go
+++ b/entry/request/balance/upstream.go
@@ -5,6 +5,7 @@
 	"strings"
 
 	"goldcrestshore/core/process/clock"
+	"goldcrestshore/core/version/group"
 	"goldcrestshore/entry/version/config"
 	"goldcrestshore/entry/version/fleet"
 )
@@ -31,6 +32,11 @@
 	agentUnresponsive bool
 	// failureRate is the moving average share of failed attempts, from 0 to 1.
 	failureRate float64
+	// groupState is the state of the upstream's group as its agent reports it.
+	groupState group.State
+	// deniedUntil is the time until which the upstream gets nothing, because
+	// another one answers at its address.
+	deniedUntil clock.Millis
 }
 
 // failureWeight is the weight of a new outcome in the failure rate.
@@ -76,9 +82,13 @@
 	rejections int
 	// agentsReliable is set while most agents of the service are responsive.
 	agentsReliable bool
-	// down is set while all upstreams are skipped: from the first probe until a
-	// prefill succeeds.
+	// down is set while the group is assumed to run nothing: from a refusal by an
+	// inactive group or the first probe of skipped upstreams until an agent reports
+	// it open or a prefill succeeds.
 	down bool
+	// opensAt is when a closed group is expected to open, 0 while it is not known to be
+	// closed.
+	opensAt clock.Millis
 	// nextProbe is when a skipped upstream may be tried again while all are
 	// skipped.
 	nextProbe clock.Millis
@@ -103,6 +113,9 @@
 		if u == nil {
 			u = &upstream{}
 		}
+		if u.info != info {
+			u.deniedUntil = 0 // a new registration may be right
+		}
 		u.info = info
 		s.upstreams = append(s.upstreams, u)
 	}
--- a/entry/request/forward/run.go
+++ b/entry/request/forward/run.go
@@ -242,7 +242,12 @@
 	s, r := c.server, c.request
 	signed := resp.Header.Get(s.Headers.Signature) != ""
 	switch {
-	case resp.Status == http.StatusMisdirectedRequest || resp.Header.Get(s.Headers.NotRun) != "":
+	case resp.Status == http.StatusMisdirectedRequest:
+		c.refusals++
+		c.failure = "refused421"
+		drainResponse(resp)
+		return balance.Misdirected, false
+	case resp.Header.Get(s.Headers.NotRun) != "":
 		c.refusals++
 		c.failure = "refused" + strconv.Itoa(resp.Status)
 		drainResponse(resp)
@@ -275,7 +280,9 @@
 
 // respondFailed responds to a request that is not attempted again.
 func (c *call) respondFailed(q *http.Request, reason string) {
-	f := &refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: defaultRetryAfter, fields: event.Fields{"upstream": c.upstream, "cause": c.failure, "sends": c.attempts}}
+	var retryAfter clock.Millis
+	c.server.Scheduler.WithBalancer(func(now clock.Millis, b *balance.Balancer) { retryAfter = b.RetryAfter(now, c.request.service) })
+	f := &refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: retryAfter, fields: event.Fields{"upstream": c.upstream, "cause": c.failure, "sends": c.attempts}}
 	switch {
 	case c.possibleRuns > 0 && reason == reasonDeadlinePassed:
 		f.status = http.StatusGatewayTimeout
--- a/entry/version/config/config.go
+++ b/entry/version/config/config.go
@@ -71,6 +71,9 @@
 	// rate at which a rank copies them in megabits per second.
 	ExpertMB float64
 	LinkMbps float64
+	// FormTime is how long a group takes to open once all its ranks are present, 0
+	// if unknown.
+	FormTime clock.Millis
 }
 
 // CopyMillis returns how long a rank takes to copy one expert, 0 if unknown.
--- a/entry/version/fleet/fleet.go
+++ b/entry/version/fleet/fleet.go
@@ -23,6 +23,9 @@
 	ColdRemaining clock.Millis
 	// FirstSeenAt is when the registration was first read with this content.
 	FirstSeenAt clock.Millis
+	// StartTime is when it started, in Unix milliseconds by its own clock, 0 if
+	// unknown.
+	StartTime int64
 }
 
 // Cold reports whether the upstream is still cold.
@@ -32,9 +35,11 @@
 
 // View is a snapshot of the state. It is immutable.
 type View struct {
-	config           *config.Config
-	upstreams        map[string]*Upstream
-	drained          map[string]bool
+	config    *config.Config
+	upstreams map[string]*Upstream
+	drained   map[string]bool
+	// newest holds, by address, the registration that started last.
+	newest           map[string]*Upstream
 	drainFlagsLoaded bool
 }
 
@@ -52,7 +57,17 @@
 func (v *View) Complete() bool { return v.config != nil && v.upstreams != nil && v.drainFlagsLoaded }
 
 // Usable reports whether new work may go to the upstream.
-func (v *View) Usable(u *Upstream) bool { return !u.Draining && !v.drained[u.DataCentre] }
+func (v *View) Usable(u *Upstream) bool {
+	return !u.Draining && !v.drained[u.DataCentre] && !v.Superseded(u)
+}
+
+// Superseded reports whether another upstream that is part of the configuration has
+// started later at the same address. The registration of an upstream that crashed
+// remains until its heartbeats have been missed.
+func (v *View) Superseded(u *Upstream) bool {
+	newest := v.newest[u.Address]
+	return newest != nil && newest.StartTime > u.StartTime && v.config != nil && v.config.Service(newest.Service) != nil
+}
 
 // State holds the latest view. It is safe for concurrent use.
 type State struct {
@@ -158,6 +173,18 @@
 	return *a == c
 }
 
+// newestByAddress returns, by address, the upstream with the highest known start
+// time.
+func newestByAddress(upstreams map[string]*Upstream) map[string]*Upstream {
+	newest := make(map[string]*Upstream, len(upstreams))
+	for _, u := range upstreams {
+		if old := newest[u.Address]; u.StartTime > 0 && (old == nil || u.StartTime > old.StartTime) {
+			newest[u.Address] = u
+		}
+	}
+	return newest
+}
+
 func cloned[V any](m map[string]V) map[string]V {
 	if m == nil {
 		return make(map[string]V)
@@ -174,6 +201,7 @@
 	if !change(&next) {
 		return false
 	}
+	next.newest = newestByAddress(next.upstreams)
 	s.view = &next
 	for _, f := range s.listeners {
 		f(s.view)
--- a/entry/version/fleet/fleet_test.go
+++ b/entry/version/fleet/fleet_test.go
@@ -54,3 +54,27 @@
 	check.Equal(t, "cold", u.Cold(3099), true)
 	check.Equal(t, "warm", u.Cold(3100), false)
 }
+
+// Guards against requests to an upstream that crashed and whose address is already
+// used by its successor, while its registration has not lapsed yet.
+func TestSupersededRegistration(t *testing.T) {
+	s := New()
+	s.SetConfig(config.New(1, nil, []config.Service{{Name: "model"}}, nil, config.Limits{}))
+	s.SetDrained(nil)
+	old := &Upstream{ID: "old", Service: "model", Address: "a", StartTime: 1000}
+	s.SetUpstreams(map[string]*Upstream{"old": old})
+	check.Equal(t, "usable alone", s.View().Usable(old), true)
+	t.Run("by an unknown service", func(t *testing.T) {
+		s.SetUpstream(&Upstream{ID: "other", Service: "unknown", Address: "a", StartTime: 3000})
+		check.Equal(t, "usable", s.View().Usable(old), true)
+		s.RemoveUpstream("other")
+	})
+	t.Run("by a later start", func(t *testing.T) {
+		successor := &Upstream{ID: "new", Service: "model", Address: "a", StartTime: 2000}
+		s.SetUpstream(successor)
+		check.Equal(t, "old usable", s.View().Usable(old), false)
+		check.Equal(t, "successor usable", s.View().Usable(successor), true)
+		s.RemoveUpstream("new")
+		check.Equal(t, "old usable after the successor left", s.View().Usable(old), true)
+	})
+}
