--- a/entry/process/experts/change.go
+++ b/entry/process/experts/change.go
@@ -27,12 +27,12 @@
 	// a step of a plan must achieve for each copied gigabyte, multiplied by the
 	// number of ranks. The cost grows with the eighth power of the load.
 	minStepGainPerGigabyte = 1.36
-	// maxCopyMillis bounds the copy time of a change at each rank; a change with
-	// fewer copies takes effect sooner.
-	maxCopyMillis = 300.0
+	// maxCopyMillis bounds the copy time of a change at each rank. After a shift in
+	// demand the first copies gain most, and the group is slow until they take effect.
+	maxCopyMillis = 150.0
 	// minCopiesPerRank is the number of copies per rank that is always allowed,
 	// regardless of maxCopyMillis.
-	minCopiesPerRank = 2
+	minCopiesPerRank = 1
 	// prepareTimeout bounds the copying of experts.
 	prepareTimeout = 3 * clock.Second
 	// pollInterval is the interval between queries while waiting for the ranks.
