Bound what servers in trouble send, and judge streams by their events

Only a complete event extends the timeout of a stream, which follows the patience of callers. A connection is not used again for the ID that it served last. The listener accepts what waits before it closes. Ruled out: repeats after a lost answer; the table of attempts already covers them.

--- a/agent/request/upstream/client.go
+++ b/agent/request/upstream/client.go
@@ -33,6 +33,9 @@
 
 const (
 	dialTimeout = 1 * time.Second
+	// maxHeadBytes bounds the head of a response: an upstream in trouble may send bytes
+	// without end.
+	maxHeadBytes = 64 << 10
 	// idleConnections bounds the kept-alive connections to the upstream.
 	idleConnections = 64
 	copyBufferBytes = 4 << 10
@@ -85,11 +88,11 @@
 	dial := (&net.Dialer{Timeout: dialTimeout}).DialContext
 	idempotent := &http.Transport{
 		DialContext: dial, MaxIdleConnsPerHost: idleConnections, DisableCompression: true,
-		ReadBufferSize: transportBufferBytes, WriteBufferSize: transportBufferBytes,
+		ReadBufferSize: transportBufferBytes, WriteBufferSize: transportBufferBytes, MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	nonIdempotent := &http.Transport{
 		DialContext: dial, DisableKeepAlives: true, DisableCompression: true,
-		ReadBufferSize: transportBufferBytes, WriteBufferSize: transportBufferBytes,
+		ReadBufferSize: transportBufferBytes, WriteBufferSize: transportBufferBytes, MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	return &Client{
 		address:       address,
--- a/core/connection/platform/platform.go
+++ b/core/connection/platform/platform.go
@@ -69,6 +69,8 @@
 	// maxResponseBytes bounds a response. A list of 6,350 instances of about 200
 	// bytes, or of several values of 1 MB in base64, is far smaller.
 	maxResponseBytes = 64 << 20
+	// maxHeadBytes bounds the head of a response.
+	maxHeadBytes = 64 << 10
 	// maxIdleConnections allows for the duties that make calls at the same time.
 	maxIdleConnections = 4
 )
@@ -96,7 +98,7 @@
 	// httpc logs each call through the global logger of go-zero, which would mix
 	// with the numbered events of the process.
 	logx.Disable()
-	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleConnections, DisableCompression: true}
+	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleConnections, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes}
 	if !strings.Contains(address, "://") {
 		address = "http://" + address
 	}
--- a/entry/connection/upstream/conn.go
+++ b/entry/connection/upstream/conn.go
@@ -29,7 +29,12 @@
 // conn is a persistent connection to an upstream.
 type conn struct {
 	net.Conn
+	// source is read through reader; it bounds the bytes of a head.
+	source *boundedReader
 	reader *bufio.Reader
+	// lastID is the ID of the last request. A second copy of its response may still
+	// arrive, and could not be told from the response to a request with the same ID.
+	lastID string
 	// idleSince is when the connection was last added to the idle ones.
 	idleSince clock.Millis
 	// idleTimeout is how long the upstream keeps the connection open.
@@ -38,7 +43,8 @@
 
 func newConn(c net.Conn) *conn {
 	setSocketOptions(c)
-	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBufferBytes), idleTimeout: defaultIdleTimeout}
+	source := &boundedReader{source: c, remaining: unbounded}
+	return &conn{Conn: c, source: source, reader: bufio.NewReaderSize(source, readBufferBytes), idleTimeout: defaultIdleTimeout}
 }
 
 // setSocketOptions bounds the time until an unresponsive connection is detected.
--- a/entry/connection/upstream/exchange.go
+++ b/entry/connection/upstream/exchange.go
@@ -75,8 +75,14 @@
 	stopAbort func() bool
 	close     bool
 	ended     bool
+	// closeDelimited is true if the body ends with the connection.
+	closeDelimited bool
 }
 
+// CloseDelimited reports whether the body has neither a length nor chunks and ends with
+// the connection. Its end then does not show that it is complete.
+func (r *ResponseReader) CloseDelimited() bool { return r.closeDelimited }
+
 // Read reads the body. Any error but io.EOF means that the response is
 // incomplete.
 func (r *ResponseReader) Read(b []byte) (int, error) {
@@ -125,9 +131,13 @@
 }
 
 // Exchange sends a request and returns its response once the head has arrived.
-// The connection is reset if ctx ends before the body was read.
+// The connection is reset if ctx ends before the body was read. A request without an
+// ID gets a connection of its own, since any late response would pass for its own.
 func (p *Pool) Exchange(ctx context.Context, address string, r *Request) (*ResponseReader, error) {
-	c := p.get(address, r.MaxIdleTime)
+	var c *conn
+	if r.ID != "" {
+		c = p.get(address, r.MaxIdleTime, r.ID)
+	}
 	if c == nil {
 		var err error
 		if c, err = p.dial(ctx, address); err != nil {
@@ -138,6 +148,7 @@
 		p.put(address, c)
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
+	c.lastID = r.ID
 	stopAbort := context.AfterFunc(ctx, c.abort)
 	resp, err := p.send(c, r)
 	if err != nil {
@@ -176,7 +187,7 @@
 		if err := awaitResponse(c, r); err != nil {
 			return nil, fmt.Errorf("%w: %w", ErrBroken, err)
 		}
-		resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+		resp, err := readHead(c, r)
 		if err != nil {
 			return nil, fmt.Errorf("%w: %w: %w", ErrBroken, ErrMalformed, err)
 		}
@@ -186,29 +197,43 @@
 		if id := resp.Header.Get(r.IDHeader); r.ID == "" || id == r.ID {
 			return newResponseReader(resp), nil
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.Close {
+		if err := discardBody(resp.Body); err != nil || resp.Close {
 			break
 		}
 	}
 	return nil, fmt.Errorf("%w: %w: response belongs to another request", ErrBroken, ErrMalformed)
 }
 
+// readHead reads the head of a response whose first byte has arrived. It bounds the
+// bytes of the head and the time until its end; the read deadline then holds for a body
+// that is discarded, too.
+func readHead(c *conn, r *Request) (*http.Response, error) {
+	_ = c.SetReadDeadline(time.Now().Add(headCompletionTimeout.Duration())) // a closed connection fails the read
+	c.source.remaining = maxHeadBytes
+	defer func() { c.source.remaining = unbounded }()
+	return http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+}
+
 // awaitResponse waits for the first byte of a response.
 func awaitResponse(c *conn, r *Request) error {
+	var headDeadline time.Time // zero for none
+	if r.HeadTimeout > 0 {
+		headDeadline = time.Now().Add(r.HeadTimeout.Duration())
+	}
 	if r.ShouldFailOver == nil {
+		_ = c.SetReadDeadline(headDeadline) // a closed connection fails the read
 		_, err := c.reader.Peek(1)
 		return err
 	}
-	headDeadline := time.Now().Add(r.HeadTimeout.Duration())
 	for {
 		checkDeadline := time.Now().Add(stallCheckInterval.Duration())
-		if checkDeadline.After(headDeadline) {
+		if r.HeadTimeout > 0 && checkDeadline.After(headDeadline) {
 			checkDeadline = headDeadline
 		}
-		_ = c.SetReadDeadline(checkDeadline) // a closed connection fails the read
+		_ = c.SetReadDeadline(checkDeadline)
 		_, err := c.reader.Peek(1)
-		if !errors.Is(err, os.ErrDeadlineExceeded) || !time.Now().Before(headDeadline) {
-			_ = c.SetReadDeadline(headDeadline)
+		expired := r.HeadTimeout > 0 && !time.Now().Before(headDeadline)
+		if !errors.Is(err, os.ErrDeadlineExceeded) || expired {
 			return err
 		}
 		if r.ShouldFailOver() {
@@ -218,7 +243,10 @@
 }
 
 func newResponseReader(resp *http.Response) *ResponseReader {
-	return &ResponseReader{Status: resp.StatusCode, Header: resp.Header, body: resp.Body, close: resp.Close}
+	return &ResponseReader{
+		Status: resp.StatusCode, Header: resp.Header, body: resp.Body, close: resp.Close,
+		closeDelimited: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0,
+	}
 }
 
 // hopByHopHeaders apply to a single connection and are not forwarded.
--- a/entry/connection/upstream/pool.go
+++ b/entry/connection/upstream/pool.go
@@ -55,16 +55,16 @@
 	return p.dialed
 }
 
-// get returns a reusable connection that has been idle for at most maxIdleTime,
-// or nil if there is none.
-func (p *Pool) get(address string, maxIdleTime clock.Millis) *conn {
+// get returns a reusable connection that has been idle for at most maxIdleTime, and
+// whose last request had another ID, or nil if there is none.
+func (p *Pool) get(address string, maxIdleTime clock.Millis, id string) *conn {
 	for {
 		c := p.popIdle(address)
 		if c == nil {
 			return nil
 		}
 		idleTime := p.Clock.Now() - c.idleSince
-		if idleTime <= min(c.idleTimeout, maxIdleTime) && c.reusable() {
+		if idleTime <= min(c.idleTimeout, maxIdleTime) && c.lastID != id && c.reusable() {
 			return c
 		}
 		_ = c.Close()
--- a/entry/request/forward/forward_test.go
+++ b/entry/request/forward/forward_test.go
@@ -113,14 +113,33 @@
 		s.mu.Lock()
 		s.received = append(s.received, q)
 		s.mu.Unlock()
-		response := (<-pending)(q)
-		_, _ = io.WriteString(c, response)
-		if response == "" {
+		response, closes := strings.CutSuffix((<-pending)(q), closeMark)
+		writeWithPauses(c, response)
+		if response == "" || closes {
 			return
 		}
 	}
 }
 
+const (
+	// closeMark at the end of a response closes the connection after it.
+	closeMark = "<close>"
+	// pauseMark encloses a duration for which the upstream pauses within a response.
+	pauseMark = "<pause>"
+)
+
+// writeWithPauses writes a response and pauses where it says so.
+func writeWithPauses(w io.Writer, response string) {
+	for i, part := range strings.Split(response, pauseMark) {
+		if i%2 == 0 {
+			_, _ = io.WriteString(w, part) // the entry reports a broken connection
+			continue
+		}
+		pause, _ := time.ParseDuration(part) // written by the test itself
+		time.Sleep(pause)
+	}
+}
+
 // requests returns the requests that have reached upstreams.
 func (s *testEntry) requests() []*http.Request {
 	s.mu.Lock()
@@ -317,7 +336,7 @@
 	got := s.call(t, "/model/", nil)
 	check.NoError(t, "call", got.err)
 	check.Equal(t, "body", got.body, one+two)
-	check.AtMost(t, "ms until the end", time.Since(start).Milliseconds(), int64(streamIdleTimeout)/2)
+	check.AtMost(t, "ms until the end", time.Since(start).Milliseconds(), int64(minStreamPatience-patienceMargin)/2)
 	seen := s.requests()
 	check.Equal(t, "requests at upstreams", len(seen), 2)
 	check.Equal(t, "last event id at the second upstream", seen[1].Header.Get("X-Last-Event"), "1")
--- a/entry/request/forward/response.go
+++ b/entry/request/forward/response.go
@@ -20,8 +20,9 @@
 	maxBufferedResponseBytes = 8 << 20
 	// streamBufferBytes is the initial size of the buffer for incomplete events.
 	streamBufferBytes = 2 << 10
-	// maxEventBytes bounds a single event of a stream.
-	maxEventBytes = 1 << 20
+	// maxEventBytes bounds a single event of a stream. All streams of an entry
+	// together must not exceed its memory limit.
+	maxEventBytes = 128 << 10
 )
 
 // drainResponse reads the rest of a response that is not forwarded.
@@ -34,7 +35,10 @@
 // can be retried at another upstream if the response breaks off. It reports
 // whether the response was forwarded.
 func (c *call) forwardBuffered(resp *upstream.ResponseReader) (balance.Outcome, bool) {
-	body, err := io.ReadAll(io.LimitReader(resp, maxBufferedResponseBytes))
+	s := c.server
+	reader := &bodyReader{source: io.LimitReader(resp, maxBufferedResponseBytes), memory: &s.bodyMemory, limit: s.maxTotalBodyBytes()}
+	defer reader.release()
+	body, err := io.ReadAll(reader)
 	if err != nil || len(body) == maxBufferedResponseBytes {
 		c.failure = "torn"
 		return balance.Failed, false
@@ -72,17 +76,24 @@
 
 // forwardStream forwards each event of a stream once it is complete, so that
 // after a failure another upstream can resume after the last event. It reports
-// whether the whole stream was forwarded.
+// whether the whole stream was forwarded. Only a complete event extends the read
+// timeout: bytes that never complete one, and comments, don't keep a stalled stream
+// open.
 func (c *call) forwardStream(resp *upstream.ResponseReader) (balance.Outcome, bool) {
 	buffer := make([]byte, 0, streamBufferBytes)
+	idleTimeout := streamIdleTimeout(c.request.route)
+	resp.SetReadTimeout(idleTimeout)
 	for {
-		resp.SetReadTimeout(streamIdleTimeout)
 		if cap(buffer)-len(buffer) < streamBufferBytes/2 {
 			buffer = append(make([]byte, 0, 2*cap(buffer)), buffer...)
 		}
 		n, err := resp.Read(buffer[len(buffer):cap(buffer)])
 		buffer = buffer[:len(buffer)+n]
 		if end := completeEventsLen(buffer); end > 0 {
+			if hasEvent(buffer[:end]) {
+				resp.SetReadTimeout(idleTimeout)
+				c.recordEvents()
+			}
 			c.forwardEvents(resp, buffer[:end])
 			buffer = buffer[:copy(buffer, buffer[end:])]
 			if err == nil && c.shouldFailOver(c.possibleRuns) {
@@ -103,8 +114,13 @@
 	}
 }
 
-// finishStream forwards what follows the last event of a complete stream.
+// finishStream forwards what follows the last event of a complete stream. A stream that
+// ends with its connection within an event, or before the first one, has broken off.
 func (c *call) finishStream(resp *upstream.ResponseReader, rest []byte) (balance.Outcome, bool) {
+	if resp.CloseDelimited() && (len(rest) > 0 || c.events == 0) {
+		c.failure = "streamBroken"
+		return balance.Failed, false
+	}
 	if !c.responseStarted {
 		c.writeHead(resp)
 	}
@@ -120,8 +136,8 @@
 	c.writer.WriteHeader(resp.Status)
 }
 
-// forwardEvents writes complete events to the caller and records their latency.
-func (c *call) forwardEvents(resp *upstream.ResponseReader, events []byte) {
+// recordEvents records the arrival of complete events.
+func (c *call) recordEvents() {
 	s, r := c.server, c.request
 	now := s.Clock.Now()
 	s.Scheduler.WithBalancer(func(_ clock.Millis, b *balance.Balancer) {
@@ -130,18 +146,23 @@
 			b.PrefillDone(now, c.ticket)
 		}
 	})
-	if !c.responseStarted {
-		c.writeHead(resp)
+	if c.events == 0 {
 		s.Metrics.recordFirstEvent(now - r.arrived)
-	}
-	if c.events > 0 {
+	} else {
 		s.Metrics.recordEventGap(now - c.lastEventAt)
 	}
 	c.lastEventAt = now
+	c.events++
+}
+
+// forwardEvents writes complete events and comments to the caller.
+func (c *call) forwardEvents(resp *upstream.ResponseReader, events []byte) {
+	if !c.responseStarted {
+		c.writeHead(resp)
+	}
 	if id := parseLastEventID(events); id != "" {
 		c.lastEventID = id
 	}
-	c.events++
 	_, _ = c.writer.Write(events) // the request's context ends when the caller disconnects
 	if f, ok := c.writer.(http.Flusher); ok {
 		f.Flush()
@@ -162,6 +183,16 @@
 	return i + len(eventSeparator)
 }
 
+// hasEvent reports whether complete events include more than comments.
+func hasEvent(events []byte) bool {
+	for line := range bytes.Lines(events) {
+		if line = bytes.TrimSpace(line); len(line) > 0 && line[0] != ':' {
+			return true
+		}
+	}
+	return false
+}
+
 // parseLastEventID returns the id of the last event that has one, or "" if none has.
 func parseLastEventID(events []byte) string {
 	for len(events) > 0 {
--- a/entry/request/forward/run.go
+++ b/entry/request/forward/run.go
@@ -26,9 +26,15 @@
 	// nonRetryableMaxIdle bounds how long a connection may have been idle before
 	// it is reused for a request that must not be sent twice.
 	nonRetryableMaxIdle clock.Millis = 400
-	// streamIdleTimeout is how long an upstream may take to send the head of a
-	// stream or the next bytes of it.
-	streamIdleTimeout clock.Millis = 1700
+	// minStreamPatience, patienceObjectives and patienceGaps give how long callers wait
+	// for the next event of a stream: the longest of a fixed time and multiples of the
+	// route's objectives for the first event and for the gap between events.
+	minStreamPatience  = 2 * clock.Second
+	patienceObjectives = 4
+	patienceGaps       = 8
+	// patienceMargin is the part of that time in which another upstream may resume the
+	// stream.
+	patienceMargin clock.Millis = 300
 	// headTimeoutFraction is the fraction of the remaining time after which a
 	// retryable request without a response is sent to another upstream.
 	headTimeoutFraction = 0.45
@@ -38,6 +44,12 @@
 	maxRefusals = 1
 )
 
+// streamIdleTimeout returns how long an upstream may take to send the head of a stream
+// or the next event of it.
+func streamIdleTimeout(r *config.Route) clock.Millis {
+	return max(minStreamPatience, patienceObjectives*r.Objective, patienceGaps*r.EventGapObjective) - patienceMargin
+}
+
 // forwardRequest sends a request to one upstream after another until one has
 // responded or no further attempt is allowed.
 func (s *Server) forwardRequest(ctx context.Context, w http.ResponseWriter, q *http.Request, r *request) {
@@ -206,7 +218,7 @@
 	out.MaxIdleTime = defaultMaxIdle
 	switch {
 	case r.route.Stream:
-		out.HeadTimeout = min(remaining, streamIdleTimeout)
+		out.HeadTimeout = min(remaining, streamIdleTimeout(r.route))
 		out.ShouldFailOver = func() bool { return c.shouldFailOver(c.possibleRuns + 1) }
 	case r.retryable() && c.possibleRuns+1 < r.route.MaxUpstreams:
 		out.HeadTimeout = clock.Millis(float64(remaining) * headTimeoutFraction)
--- a/entry/request/forward/server.go
+++ b/entry/request/forward/server.go
@@ -99,9 +99,13 @@
 // within the grace period.
 func (s *Server) Run(ctx context.Context) error {
 	s.conns = make(map[net.Conn]connState)
-	server := &http.Server{Addr: s.Listen, Handler: s, MaxHeaderBytes: serverMaxHeaderBytes, ConnState: s.trackConn}
+	listener, err := listenDraining(s.Listen)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: s, MaxHeaderBytes: serverMaxHeaderBytes, ConnState: s.trackConn}
 	serveErr := make(chan error, 1)
-	go func() { serveErr <- server.ListenAndServe() }()
+	go func() { serveErr <- server.Serve(listener) }()
 	idleCheck, stopIdleCheck := context.WithCancel(context.Background())
 	defer stopIdleCheck()
 	go clock.Every(idleCheck, idleCheckInterval, s.closeIdle)
@@ -110,17 +114,18 @@
 		return errors.Wrap(err, "serve callers")
 	case <-ctx.Done():
 	}
-	return s.shutdown(server)
+	return s.shutdown(server, listener)
 }
 
 // shutdown stops the server gracefully. It first reports that the server is not
-// ready, so that the load balancer stops using it, then stops accepting
-// connections and waits for the requests in flight.
-func (s *Server) shutdown(server *http.Server) error {
+// ready, so that the load balancer stops using it, then accepts the connections that
+// wait, closes the listener and waits for the requests in flight.
+func (s *Server) shutdown(server *http.Server, listener *drainingListener) error {
 	s.stopping.Store(true)
 	s.Log.Emit(event.ProcessStopping, event.Fields{"held": s.inFlight.Load()})
 	deadline := time.Now().Add((s.GracePeriod - shutdownMargin).Duration())
 	time.Sleep(min(shutdownDelay, s.GracePeriod/2).Duration())
+	listener.drain()
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	err := server.Shutdown(ctx)
@@ -140,7 +145,8 @@
 }
 
 // closeIdle closes connections on which no request has arrived within the idle
-// timeout of the current configuration.
+// timeout of the current configuration. A connection counts as idle until the head of a
+// request is complete.
 func (s *Server) closeIdle() {
 	s.Pool.Expire()
 	cfg := s.State.View().Config()
--- /dev/null
+++ b/entry/request/forward/trouble_test.go
@@ -0,0 +1,151 @@
+package forward
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"goldcrestshore/core/process/check"
+	"goldcrestshore/entry/version/config"
+)
+
+const (
+	eventOne   = "id: 1\ndata: a\n\n"
+	eventTwo   = "id: 2\ndata: b\n\n"
+	eventThree = "id: 3\ndata: c\n\n"
+)
+
+// respondUntilClose returns a stream without a length or chunks that ends with its
+// connection.
+func respondUntilClose(body string) responder {
+	return func(q *http.Request) string {
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Signature: by-%s\r\nConnection: close\r\n\r\n%s", q.Header.Get("X-Id"), q.Header.Get("X-Target"), body)
+	}
+}
+
+// Guards against a response that broke off halfway and reaches the caller as a complete
+// success, for each way in which a body can end.
+func TestEndsOfStreams(t *testing.T) {
+	withLength := func(length int, body string) responder {
+		return func(q *http.Request) string {
+			return strings.Replace(respondUntilClose(body)(q), "Connection: close", fmt.Sprint("Content-Length: ", length), 1)
+		}
+	}
+	all := eventOne + eventTwo + eventThree
+	for _, tc := range []struct {
+		name       string
+		responders []responder
+		upstreams  int
+	}{
+		{"length, whole", []responder{withLength(len(all), all)}, 1},
+		{"length, cut between events", []responder{withLength(len(all), eventOne), respondEvents(true, eventTwo, eventThree)}, 2},
+		{"length, cut in an event", []responder{withLength(len(all), eventOne+"id: 2"), respondEvents(true, eventTwo, eventThree)}, 2},
+		{"chunks, cut in the last event", []responder{respondEvents(false, eventOne, eventTwo, "id: 3\nda"), respondEvents(true, eventThree)}, 2},
+		{"connection, whole", []responder{respondUntilClose(all)}, 1},
+		{"connection, cut in an event", []responder{respondUntilClose(eventOne + "id: 2\nda"), respondEvents(true, eventTwo, eventThree)}, 2},
+		{"connection, cut before the first event", []responder{respondUntilClose(""), respondEvents(true, eventOne, eventTwo, eventThree)}, 2},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := newTestEntry(t, closing(tc.responders)...)
+			got := s.call(t, "/stream/", nil)
+			check.NoError(t, "call", got.err)
+			check.Equal(t, "body", got.body, all)
+			check.Equal(t, "requests at upstreams", len(s.requests()), tc.upstreams)
+		})
+	}
+	t.Run("connection, cut in an event of a stream that may not be resumed", func(t *testing.T) {
+		s := newTestEntry(t, closing([]responder{respondUntilClose(eventOne + "id: 2\nda")})...)
+		setRetry(s, "stream", config.AtMostOnce)
+		got := s.call(t, "/stream/", nil)
+		check.Equal(t, "response looks complete", got.err == nil, false)
+		check.Equal(t, "body", got.body, eventOne)
+	})
+}
+
+// closing marks the responses of responders so that the connection closes after each.
+func closing(responders []responder) []responder {
+	out := make([]responder, len(responders))
+	for i, f := range responders {
+		out[i] = func(q *http.Request) string { return f(q) + closeMark }
+	}
+	return out
+}
+
+// setRetry changes the retry policy of a route.
+func setRetry(s *testEntry, route string, retry config.Retry) {
+	s.server.State.View().Config().Match("h.example", "/"+route+"/").Retry = retry
+}
+
+// slowly returns a stream that sends each part after an interval and then stays open.
+func slowly(interval time.Duration, complete bool, parts ...string) responder {
+	return func(q *http.Request) string {
+		head, _, _ := strings.Cut(respondEvents(true)(q), "0\r\n\r\n")
+		out := head
+		for _, p := range parts {
+			out += pauseMark + interval.String() + pauseMark + fmt.Sprintf("%x\r\n%s\r\n", len(p), p)
+		}
+		if complete {
+			out += "0\r\n\r\n"
+		}
+		return out
+	}
+}
+
+// Guards against slow but sound streams that are cut, and against stalled ones that
+// send a byte or a comment now and then and never end.
+func TestProgressOfStreams(t *testing.T) {
+	const interval = 700 * time.Millisecond
+	t.Run("slow but sound", func(t *testing.T) {
+		s := newTestEntry(t, slowly(interval, true, eventOne, eventTwo, eventThree))
+		got := s.call(t, "/stream/", nil)
+		check.NoError(t, "call", got.err)
+		check.Equal(t, "body", got.body, eventOne+eventTwo+eventThree)
+		check.Equal(t, "requests at upstreams", len(s.requests()), 1)
+	})
+	for name, part := range map[string]string{"a byte now and then": "i", "a comment now and then": ": wait\n\n"} {
+		t.Run(name, func(t *testing.T) {
+			s := newTestEntry(t, slowly(interval, false, eventOne, part, part, part, part, part), respondEvents(true, eventTwo, eventThree))
+			start := time.Now()
+			got := s.call(t, "/stream/", func(q *http.Request) { q.Header.Set("X-Deadline", "8000") })
+			check.NoError(t, "call", got.err)
+			check.Equal(t, "events", strings.ReplaceAll(got.body, ": wait\n\n", ""), eventOne+eventTwo+eventThree)
+			check.AtMost(t, "ms until the end", time.Since(start).Milliseconds(), int64(interval.Milliseconds())+int64(minStreamPatience))
+		})
+	}
+	t.Run("timeout follows the route", func(t *testing.T) {
+		check.Equal(t, "short objectives", streamIdleTimeout(&config.Route{Objective: 400, EventGapObjective: 120}), minStreamPatience-patienceMargin)
+		check.Equal(t, "long gaps", streamIdleTimeout(&config.Route{Objective: 400, EventGapObjective: 500}), 4000-patienceMargin)
+	})
+}
+
+// Guards against responses in trouble that fill the memory of an entry, and against a
+// refusal that claims that such a request has not run.
+func TestEndlessBodies(t *testing.T) {
+	endless := func(head string) responder {
+		return func(q *http.Request) string {
+			out := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Signature: s\r\n%s\r\n", q.Header.Get("X-Id"), head)
+			return out + strings.Repeat(strings.Repeat("a", 1<<20), 9)
+		}
+	}
+	t.Run("plain response", func(t *testing.T) {
+		s := newTestEntry(t, closing([]responder{endless("")})...)
+		got := s.call(t, "/once/", nil)
+		check.Equal(t, "status", got.status, http.StatusBadGateway)
+		check.Equal(t, "body bytes in use at the end", s.server.bodyMemory.inUse.Load(), 0)
+	})
+	t.Run("beyond the memory of all bodies", func(t *testing.T) {
+		s := newTestEntry(t, respondOK(strings.Repeat("a", 200)))
+		s.server.MaxTotalBodyBytes = 50
+		got := s.call(t, "/once/", nil)
+		check.Equal(t, "status", got.status, http.StatusBadGateway)
+		check.Equal(t, "body bytes in use at the end", s.server.bodyMemory.inUse.Load(), 0)
+	})
+	t.Run("event without end", func(t *testing.T) {
+		s := newTestEntry(t, closing([]responder{endless(""), respondEvents(true, eventOne)})...)
+		got := s.call(t, "/stream/", nil)
+		check.NoError(t, "call", got.err)
+		check.Equal(t, "body", got.body, eventOne)
+	})
+}
