Share cold and connection limits below one, and send callers of drained services away for longer

Cause: each entry took at least one cold request a second and one connection, so that entries that outnumber the limit exceed it together. A service whose only upstream is in a drained data centre told callers to return after 0.3 to 0.6 s, since requests had completed shortly before, and rejected them again. Change: an entry with a share below one request a second sends one in several seconds; the connections of all entries count where they outnumber the limit. Without a usable upstream callers get 2.2 to 2.5 s.

--- a/entry/request/balance/balance.go
+++ b/entry/request/balance/balance.go
@@ -177,6 +177,7 @@
 	u.promptTokens += t.PromptTokens
 	if u.info.Cold(now) {
 		u.coldSends.add(now)
+		u.lastColdSend = now
 	}
 	t.upstream, t.granted = u, now
 	return Grant{Ticket: t, InFlight: u.load(), Limit: s.limit(u)}
--- a/entry/request/balance/balance_test.go
+++ b/entry/request/balance/balance_test.go
@@ -107,6 +107,38 @@
 	check.Equal(t, "grants in the next second", len(b.Tick(1000)), 1)
 }
 
+// Guards against entries that together exceed the limits of an upstream because they
+// outnumber what it can take.
+func TestMoreEntriesThanTheLimit(t *testing.T) {
+	t.Run("cold requests", func(t *testing.T) {
+		b, _ := fixture(1, func(u *fleet.Upstream) { u.ColdRemaining = 60 * clock.Second })
+		b.SetEntries(20) // two entries for each of the 10 requests per second
+		granted(t, b.Acquire(1, ticket(1)))
+		waiting(t, b.Acquire(1001, ticket(1001)))
+		check.Equal(t, "grants after two seconds", len(b.Tick(2001)), 1)
+	})
+	t.Run("connections", func(t *testing.T) {
+		b, _ := fixture(1, nil)
+		b.SetEntries(5)
+		b.service("model").spec.MaxConnections = 2
+		b.SetOthersInFlight(map[string]int{"model0": 2})
+		waiting(t, b.Acquire(0, ticket(0)))
+	})
+}
+
+// Guards, for a service whose only upstreams are in a drained data centre, against
+// callers that are told to return at once and are rejected again.
+func TestServiceWithoutUpstream(t *testing.T) {
+	b, state := fixture(1, nil)
+	for now := range clock.Millis(10) {
+		b.Release(now, granted(t, b.Acquire(now, ticket(now))), Succeeded)
+	}
+	state.MarkDrained("dc0", true)
+	r := rejected(t, b.Acquire(20, ticket(20)))
+	check.AtMost(t, "shortest Retry-After", 2*clock.Second, r.RetryAfter)
+	check.AtMost(t, "shortest Retry-After after a failed attempt", 2*clock.Second, b.RetryAfter(20, "model"))
+}
+
 // Guards against a failed upstream that gets the same request again, or all new
 // requests because it is idle.
 func TestFailedUpstreamIsSkipped(t *testing.T) {
--- a/entry/request/balance/choose.go
+++ b/entry/request/balance/choose.go
@@ -74,16 +74,23 @@
 	switch {
 	case !b.inService(now, u):
 		return false
-	case u.load() >= s.limit(u), u.inFlight >= b.connectionLimit(s):
+	case u.load() >= s.limit(u), !b.connectionAllows(s, u):
 		return false
 	case slices.Contains(t.Avoid, u.info.ID), s.unresponsive(now, u):
 		return false
 	case u.info.Cold(now):
-		return u.coldSends.allows(now, b.coldLimit(s))
+		return b.coldAllows(now, s, u)
 	}
 	return true
 }
 
+// connectionAllows reports whether u accepts another connection of this entry. Where
+// entries outnumber the connections, those of all entries together count.
+func (b *Balancer) connectionAllows(s *service, u *upstream) bool {
+	limit := s.spec.MaxConnections
+	return limit == 0 || (u.inFlight < b.connectionLimit(s) && u.load() < limit)
+}
+
 // connectionLimit returns this entry's share of the connections that an upstream
 // accepts. Each request uses one connection.
 func (b *Balancer) connectionLimit(s *service) int {
@@ -94,9 +101,21 @@
 }
 
 // coldLimit returns this entry's share of the requests per second that a cold
-// upstream can take.
-func (b *Balancer) coldLimit(s *service) int {
-	return max(1, int(s.spec.ColdRequestsPerSecond)/b.entries)
+// upstream can take, at least one over all entries. The share is below 1 if there are
+// more entries than requests.
+func (b *Balancer) coldLimit(s *service) float64 {
+	return max(s.spec.ColdRequestsPerSecond, 1) / float64(b.entries)
+}
+
+// coldAllows reports whether a cold upstream may get another request of this entry. An
+// entry with a share below one request per second sends one in several seconds.
+func (b *Balancer) coldAllows(now clock.Millis, s *service, u *upstream) bool {
+	limit := b.coldLimit(s)
+	if limit >= 1 {
+		return u.coldSends.allows(now, int(limit))
+	}
+	interval := clock.Millis(float64(clock.Second) / limit)
+	return u.lastColdSend == 0 || now-u.lastColdSend >= interval
 }
 
 // prefer reports whether u is better than best: by cost, then by the prompt tokens
--- a/entry/request/balance/queue.go
+++ b/entry/request/balance/queue.go
@@ -37,7 +37,7 @@
 }
 
 func (b *Balancer) reject(now clock.Millis, s *service, t *Ticket, reason Reason, usable int) Reject {
-	return Reject{Ticket: t, Reason: reason, RetryAfter: s.retryAfter(now), Queued: len(s.queue), Usable: usable}
+	return Reject{Ticket: t, Reason: reason, RetryAfter: s.retryAfter(now, usable), Queued: len(s.queue), Usable: usable}
 }
 
 // Bounds of the delay after which a rejected caller should retry.
@@ -51,15 +51,16 @@
 
 // retryAfter spreads the retries of rejected callers: the delays run from the time
 // that the queue needs to empty to twice that time. Without recent completions they
-// run from half of maxRetryAfter to maxRetryAfter.
-func (s *service) retryAfter(now clock.Millis) clock.Millis {
+// run from half of maxRetryAfter to maxRetryAfter. Without a usable upstream they are
+// near maxRetryAfter, or behind the expected opening of a closed group.
+func (s *service) retryAfter(now clock.Millis, usable int) clock.Millis {
 	s.rejections++
 	if opening := s.opensAt - now; s.reportedClosed() && opening > 0 {
 		spread := maxRetryAfter / 4
 		return opening + spread*clock.Millis(s.rejections*7%retryAfterSteps)/retryAfterSteps
 	}
-	if s.down || s.reportedClosed() {
-		// Faults that stop all ranks of a group last for seconds.
+	if s.down || usable == 0 {
+		// Faults that stop all ranks of a group last for seconds, and so do drains.
 		return maxRetryAfter - (maxRetryAfter/8)*clock.Millis(s.rejections*7%retryAfterSteps)/retryAfterSteps
 	}
 	wait := maxRetryAfter / 2
--- a/entry/request/balance/status.go
+++ b/entry/request/balance/status.go
@@ -51,7 +51,8 @@
 	// ColdSent is the highest number of requests that this entry sent to one cold
 	// upstream in the last second, and ColdLimit its share of those that one can
 	// take.
-	ColdSent, ColdLimit int
+	ColdSent  int
+	ColdLimit float64
 	// Retries and RetriesAllowed are the number of retries in the window of the
 	// retry budget, and the number allowed.
 	Retries, RetriesAllowed float64
--- a/entry/request/balance/upstream.go
+++ b/entry/request/balance/upstream.go
@@ -20,7 +20,9 @@
 	// promptTokens is the number of prompt tokens that wait for prefill.
 	promptTokens int
 	// coldSends counts the requests sent while the upstream is cold.
-	coldSends           slidingSecond
+	coldSends slidingSecond
+	// lastColdSend is when the last of them was sent, 0 for never.
+	lastColdSend        clock.Millis
 	skipUntil           clock.Millis
 	consecutiveFailures int
 	// lastActive is when the upstream last sent something, or got a request while
--- a/entry/request/forward/metrics.go
+++ b/entry/request/forward/metrics.go
@@ -96,7 +96,7 @@
 		"connections":              float64(s.Connections),
 		"connections_limit":        float64(s.ConnectionLimit),
 		"cold_sent":                float64(s.ColdSent),
-		"cold_limit":               float64(s.ColdLimit),
+		"cold_limit":               s.ColdLimit,
 		"repeats_in_window":        s.Retries,
 		"repeats_limit":            s.RetriesAllowed,
 	} {
