--- a/entry/request/balance/choose.go
+++ b/entry/request/balance/choose.go
@@ -1,7 +1,6 @@
 package balance
 
 import (
-	"math"
 	"slices"
 
 	"goldcrestshore/core/process/clock"
@@ -84,40 +83,6 @@
 	return true
 }
 
-// connectionAllows reports whether u accepts another connection of this entry. Where
-// entries outnumber the connections, those of all entries together count.
-func (b *Balancer) connectionAllows(s *service, u *upstream) bool {
-	limit := s.spec.MaxConnections
-	return limit == 0 || (u.inFlight < b.connectionLimit(s) && u.load() < limit)
-}
-
-// connectionLimit returns this entry's share of the connections that an upstream
-// accepts. Each request uses one connection.
-func (b *Balancer) connectionLimit(s *service) int {
-	if s.spec.MaxConnections == 0 {
-		return math.MaxInt
-	}
-	return max(1, s.spec.MaxConnections/b.entries)
-}
-
-// coldLimit returns this entry's share of the requests per second that a cold
-// upstream can take, at least one over all entries. The share is below 1 if there are
-// more entries than requests.
-func (b *Balancer) coldLimit(s *service) float64 {
-	return max(s.spec.ColdRequestsPerSecond, 1) / float64(b.entries)
-}
-
-// coldAllows reports whether a cold upstream may get another request of this entry. An
-// entry with a share below one request per second sends one in several seconds.
-func (b *Balancer) coldAllows(now clock.Millis, s *service, u *upstream) bool {
-	limit := b.coldLimit(s)
-	if limit >= 1 {
-		return u.coldSends.allows(now, int(limit))
-	}
-	interval := clock.Millis(float64(clock.Second) / limit)
-	return u.lastColdSend == 0 || now-u.lastColdSend >= interval
-}
-
 // prefer reports whether u is better than best: by cost, then by the prompt tokens
 // that wait for prefill, then by being in the data centre of this entry.
 func (b *Balancer) prefer(u, best *upstream) bool {
--- a/entry/request/balance/group.go
+++ b/entry/request/balance/group.go
@@ -94,10 +94,3 @@
 		}
 	}
 }
-
-// RetryAfter returns the delay after which the caller of a request to the service
-// should retry if the request cannot be run now.
-func (b *Balancer) RetryAfter(now clock.Millis, name string) clock.Millis {
-	s := b.service(name)
-	return s.retryAfter(now, b.usable(now, s))
-}
--- /dev/null
+++ b/entry/request/balance/limits.go
@@ -0,0 +1,74 @@
+package balance
+
+import (
+	"math"
+
+	"goldcrestshore/core/process/clock"
+)
+
+// limit returns how many requests of all entries may be in flight at one upstream:
+// as many as it runs at once. The others wait at the entries, where those that can
+// still meet their objective go first. A forward pass of a group takes as long as
+// that of its slowest rank, which therefore gets fewer requests than it could run.
+func (s *service) limit(u *upstream) int {
+	switch {
+	case u.slowdown <= 1:
+		return u.info.Slots
+	case u.slowdown >= slowMinSlowdown && s.mostAreFast():
+		return 0
+	}
+	return max(1, int(float64(u.info.Slots)/u.slowdown))
+}
+
+const (
+	// slowMinSlowdown is the slowdown from which on a rank gets no requests while
+	// most others are fast: one request there would cost all others more than its
+	// benefit.
+	slowMinSlowdown = 3.0
+	// fastMaxSlowdown is the slowdown below which a rank counts as fast.
+	fastMaxSlowdown = 1.5
+)
+
+func (s *service) mostAreFast() bool {
+	fast := 0
+	for _, u := range s.upstreams {
+		if u.slowdown < fastMaxSlowdown {
+			fast++
+		}
+	}
+	return 2*fast > len(s.upstreams)
+}
+
+// connectionAllows reports whether u accepts another connection of this entry. Where
+// entries outnumber the connections, those of all entries together count.
+func (b *Balancer) connectionAllows(s *service, u *upstream) bool {
+	limit := s.spec.MaxConnections
+	return limit == 0 || (u.inFlight < b.connectionLimit(s) && u.load() < limit)
+}
+
+// connectionLimit returns this entry's share of the connections that an upstream
+// accepts. Each request uses one connection.
+func (b *Balancer) connectionLimit(s *service) int {
+	if s.spec.MaxConnections == 0 {
+		return math.MaxInt
+	}
+	return max(1, s.spec.MaxConnections/b.entries)
+}
+
+// coldLimit returns this entry's share of the requests per second that a cold
+// upstream can take, at least one over all entries. The share is below 1 if there are
+// more entries than requests.
+func (b *Balancer) coldLimit(s *service) float64 {
+	return max(s.spec.ColdRequestsPerSecond, 1) / float64(b.entries)
+}
+
+// coldAllows reports whether a cold upstream may get another request of this entry. An
+// entry with a share below one request per second sends one in several seconds.
+func (b *Balancer) coldAllows(now clock.Millis, s *service, u *upstream) bool {
+	limit := b.coldLimit(s)
+	if limit >= 1 {
+		return u.coldSends.allows(now, int(limit))
+	}
+	interval := clock.Millis(float64(clock.Second) / limit)
+	return u.lastColdSend == 0 || now-u.lastColdSend >= interval
+}
--- a/entry/request/balance/queue.go
+++ b/entry/request/balance/queue.go
@@ -36,41 +36,6 @@
 	return clock.Millis(float64(ahead) / perSecond * float64(clock.Second))
 }
 
-func (b *Balancer) reject(now clock.Millis, s *service, t *Ticket, reason Reason, usable int) Reject {
-	return Reject{Ticket: t, Reason: reason, RetryAfter: s.retryAfter(now, usable), Queued: len(s.queue), Usable: usable}
-}
-
-// Bounds of the delay after which a rejected caller should retry.
-const (
-	minRetryAfter clock.Millis = 300
-	maxRetryAfter clock.Millis = 2500
-)
-
-// retryAfterSteps is the number of distinct delays that rejected callers get.
-const retryAfterSteps = 16
-
-// retryAfter spreads the retries of rejected callers: the delays run from the time
-// that the queue needs to empty to twice that time. Without recent completions they
-// run from half of maxRetryAfter to maxRetryAfter. Without a usable upstream they are
-// near maxRetryAfter, or behind the expected opening of a closed group.
-func (s *service) retryAfter(now clock.Millis, usable int) clock.Millis {
-	s.rejections++
-	if opening := s.opensAt - now; s.reportedClosed() && opening > 0 {
-		spread := maxRetryAfter / 4
-		return opening + spread*clock.Millis(s.rejections*7%retryAfterSteps)/retryAfterSteps
-	}
-	if s.down || usable == 0 {
-		// Faults that stop all ranks of a group last for seconds, and so do drains.
-		return maxRetryAfter - (maxRetryAfter/8)*clock.Millis(s.rejections*7%retryAfterSteps)/retryAfterSteps
-	}
-	wait := maxRetryAfter / 2
-	if perSecond := s.completions.perSecond(now); perSecond > 0 {
-		needed := clock.Millis(float64(len(s.queue)) / perSecond * float64(clock.Second))
-		wait = min(max(needed, minRetryAfter), maxRetryAfter/2)
-	}
-	return wait + wait*clock.Millis(s.rejections*7%retryAfterSteps)/retryAfterSteps
-}
-
 // dispatch grants upstreams to waiting requests in the order of the queue.
 func (b *Balancer) dispatch(now clock.Millis, s *service) []Decision {
 	var out []Decision
--- a/entry/request/balance/upstream.go
+++ b/entry/request/balance/upstream.go
@@ -124,39 +124,6 @@
 	slices.SortFunc(s.upstreams, func(a, b *upstream) int { return strings.Compare(a.info.ID, b.info.ID) })
 }
 
-// limit returns how many requests of all entries may be in flight at one upstream:
-// as many as it runs at once. The others wait at the entries, where those that can
-// still meet their objective go first. A forward pass of a group takes as long as
-// that of its slowest rank, which therefore gets fewer requests than it could run.
-func (s *service) limit(u *upstream) int {
-	switch {
-	case u.slowdown <= 1:
-		return u.info.Slots
-	case u.slowdown >= slowMinSlowdown && s.mostAreFast():
-		return 0
-	}
-	return max(1, int(float64(u.info.Slots)/u.slowdown))
-}
-
-const (
-	// slowMinSlowdown is the slowdown from which on a rank gets no requests while
-	// most others are fast: one request there would cost all others more than its
-	// benefit.
-	slowMinSlowdown = 3.0
-	// fastMaxSlowdown is the slowdown below which a rank counts as fast.
-	fastMaxSlowdown = 1.5
-)
-
-func (s *service) mostAreFast() bool {
-	fast := 0
-	for _, u := range s.upstreams {
-		if u.slowdown < fastMaxSlowdown {
-			fast++
-		}
-	}
-	return 2*fast > len(s.upstreams)
-}
-
 // Bounds of the time for which a failed upstream gets no new requests. The time
 // doubles with each consecutive failure.
 const (
