--- a/entry/request/claim/owner.go
+++ b/entry/request/claim/owner.go
@@ -105,7 +105,7 @@
 type Owner struct {
 	// WriteInterval is the minimum average interval between two writes of this
 	// shard. The default of 50 ms limits all shards together to 160 writes/s;
-	// the claims' share of the platform's rate is 190 writes/s
+	// the claims' share of the platform's rate is 175 writes/s
 	// (core/process/limiter), of which snapshots take a part.
 	WriteInterval clock.Millis
 	// Burst is the number of writes that may follow each other without a delay,
