Undo earlier owners of maps and whole counts, and make single copies only where they are slow

Change: model services are looked for each second and claimed after 0.7 s, as before; no wait for whole counts; a change makes one copy a rank only if a copy takes 60 ms or more.

--- a/entry/process/experts/change.go
+++ b/entry/process/experts/change.go
@@ -27,12 +27,16 @@
 	// a step of a plan must achieve for each copied gigabyte, multiplied by the
 	// number of ranks. The cost grows with the eighth power of the load.
 	minStepGainPerGigabyte = 1.36
-	// maxCopyMillis bounds the copy time of a change at each rank. After a shift in
-	// demand the first copies gain most, and the group is slow until they take effect.
-	maxCopyMillis = 150.0
-	// minCopiesPerRank is the number of copies per rank that is always allowed,
-	// regardless of maxCopyMillis.
-	minCopiesPerRank = 1
+	// maxCopyMillis bounds the copy time of a change at each rank; a change with
+	// fewer copies takes effect sooner.
+	maxCopyMillis = 300.0
+	// slowCopyMillis is the time of one copy from which on a change makes a single copy
+	// at each rank: the first copies gain most, and each further one delays the change
+	// by more than its orders do.
+	slowCopyMillis = 60.0
+	// minCopiesPerRank is the number of copies per rank that is allowed regardless of
+	// maxCopyMillis if their time is unknown.
+	minCopiesPerRank = 2
 	// prepareTimeout bounds the copying of experts.
 	prepareTimeout = 3 * clock.Second
 	// pollInterval is the interval between queries while waiting for the ranks.
@@ -116,10 +120,14 @@
 
 // maxCopiesPerRank returns how many experts a change may copy to a rank.
 func maxCopiesPerRank(e *config.Engine) int {
-	if e.CopyMillis() <= 0 {
+	copyMillis := e.CopyMillis()
+	switch {
+	case copyMillis <= 0:
 		return minCopiesPerRank
+	case copyMillis >= slowCopyMillis:
+		return 1
 	}
-	return max(minCopiesPerRank, int(maxCopyMillis/e.CopyMillis()))
+	return int(maxCopyMillis / copyMillis)
 }
 
 // applyMap switches all ranks to a new map.
--- a/entry/process/experts/demand.go
+++ b/entry/process/experts/demand.go
@@ -36,13 +36,11 @@
 			sum[i/engine.Experts][i%engine.Experts] += float64(max(n-previous.counts[i], 0))
 		}
 	}
-	shifted := demandShifted(s, sum)
-	if shifted || s.shifting {
+	if demandShifted(s, sum) {
 		s.demand.Replace(now, sum)
 	} else {
 		s.demand.Add(now, sum)
 	}
-	s.shifting = shifted && !s.shifting
 	step := ranks[0].report.Step
 	if step > s.lastStep && s.lastStepAt > 0 {
 		s.passDuration = (now - s.lastStepAt) / clock.Millis(step-s.lastStep)
--- a/entry/process/experts/owner.go
+++ b/entry/process/experts/owner.go
@@ -50,9 +50,8 @@
 	// the maps simultaneously.
 	claimJitter clock.Millis = 200
 	// startupDelay is how long a new process waits for heartbeats of an owner
-	// before it may claim the maps: three heartbeats. While nobody owns the maps,
-	// the demand shifts away from the map in use.
-	startupDelay clock.Millis = 400
+	// before it may claim the maps.
+	startupDelay clock.Millis = 700
 	// claimRetryInterval is the minimum interval between attempts to claim the
 	// maps.
 	claimRetryInterval clock.Millis = 450
@@ -157,11 +156,8 @@
 	// switchStep is the pass at which the map of the last change takes effect.
 	switchStep int64
 	// maxHeldStep is the latest pass that this or an earlier owner may have held.
-	maxHeldStep int64
-	demand      placement.Estimator
-	// shifting is true while the latest counts are the first ones after a shift in
-	// demand. They mix the demand before and after it.
-	shifting     bool
+	maxHeldStep  int64
+	demand       placement.Estimator
 	lastCounts   map[string]rankCounts
 	lastStep     int64
 	lastStepAt   clock.Millis
@@ -266,7 +262,7 @@
 	if !o.state.mapKnown {
 		return o.loadMap(ranks)
 	}
-	if !mostViaAgents(ranks) || o.state.shifting {
+	if !mostViaAgents(ranks) {
 		return nil
 	}
 	return o.rebalance(ctx, ranks, engine)
