--- a/entry/connection/upstream/trouble_test.go
+++ b/entry/connection/upstream/trouble_test.go
@@ -28,10 +28,11 @@
 		for c, err := l.Accept(); err == nil; c, err = l.Accept() {
 			go func() {
 				defer c.Close()
+				bytes := []byte(chunk) // converted once, since the test counts allocations
 				_, err := io.WriteString(c, prefix)
 				for err == nil {
 					time.Sleep(interval)
-					_, err = io.WriteString(c, chunk)
+					_, err = c.Write(bytes)
 				}
 			}()
 		}
