Log how a response of an upstream ended

Change: the line has the framing of the body, the error of the last read, the events so far and the bytes of an unfinished event. CloseDelimited becomes Framing. Figures: TestBrokenStreamIsDescribed; the tests of forward and upstream pass.

--- a/entry/connection/upstream/exchange.go
+++ b/entry/connection/upstream/exchange.go
@@ -75,13 +75,25 @@
 	stopAbort func() bool
 	close     bool
 	ended     bool
-	// closeDelimited is true if the body ends with the connection.
-	closeDelimited bool
+	framing   Framing
 }
 
-// CloseDelimited reports whether the body has neither a length nor chunks and ends with
-// the connection. Its end then does not show that it is complete.
-func (r *ResponseReader) CloseDelimited() bool { return r.closeDelimited }
+// Framing is how a response marks the end of its body.
+type Framing string
+
+// Framings of a body.
+const (
+	// FramedByLength means that the length of the body is known from its head.
+	FramedByLength Framing = "length"
+	// FramedByChunks means that the last chunk ends the body.
+	FramedByChunks Framing = "chunks"
+	// FramedByClose means that the body ends with the connection. Its end then does not
+	// show that it is complete.
+	FramedByClose Framing = "close"
+)
+
+// Framing returns how the end of the body is marked.
+func (r *ResponseReader) Framing() Framing { return r.framing }
 
 // Read reads the body. Any error but io.EOF means that the response is
 // incomplete.
@@ -244,9 +256,18 @@
 
 func newResponseReader(resp *http.Response) *ResponseReader {
 	return &ResponseReader{
-		Status: resp.StatusCode, Header: resp.Header, body: resp.Body, close: resp.Close,
-		closeDelimited: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0,
+		Status: resp.StatusCode, Header: resp.Header, body: resp.Body, close: resp.Close, framing: framingOf(resp),
+	}
+}
+
+func framingOf(resp *http.Response) Framing {
+	switch {
+	case len(resp.TransferEncoding) > 0:
+		return FramedByChunks
+	case resp.ContentLength >= 0:
+		return FramedByLength
 	}
+	return FramedByClose
 }
 
 // hopByHopHeaders apply to a single connection and are not forwarded.
--- a/entry/request/forward/response.go
+++ b/entry/request/forward/response.go
@@ -7,6 +7,7 @@
 	"strconv"
 
 	"goldcrestshore/core/process/clock"
+	"goldcrestshore/core/process/event"
 	"goldcrestshore/entry/connection/upstream"
 	"goldcrestshore/entry/request/balance"
 )
@@ -25,6 +26,29 @@
 	maxEventBytes = 128 << 10
 )
 
+// interruption describes a response that ended before it was complete.
+type interruption struct {
+	framing upstream.Framing
+	// unfinishedBytes is the number of bytes after the last complete event, or of the
+	// whole body if the response is no stream.
+	unfinishedBytes int
+	// err is the error of the last read, io.EOF if the upstream closed the connection in
+	// good order, or nil if the framing states that the body is complete.
+	err error
+}
+
+// addTo adds the description to the fields of a log line, unless no response broke off.
+func (i interruption) addTo(fields event.Fields) {
+	if i.framing == "" {
+		return
+	}
+	fields["framing"] = string(i.framing)
+	fields["unfinishedBytes"] = i.unfinishedBytes
+	if i.err != nil {
+		fields["error"] = i.err.Error()
+	}
+}
+
 // drainResponse reads the rest of a response that is not forwarded.
 func drainResponse(resp *upstream.ResponseReader) {
 	resp.SetReadTimeout(clock.Second)
@@ -41,6 +65,7 @@
 	body, err := io.ReadAll(reader)
 	if err != nil || len(body) == maxBufferedResponseBytes {
 		c.failure = "torn"
+		c.interruption = interruption{resp.Framing(), len(body), err}
 		return balance.Failed, false
 	}
 	outcome := balance.Succeeded
@@ -106,6 +131,7 @@
 			return c.finishStream(resp, buffer)
 		case err != nil:
 			c.failure = "streamBroken"
+			c.interruption = interruption{resp.Framing(), len(buffer), err}
 			return balance.Failed, false
 		case len(buffer) > maxEventBytes:
 			c.failure = "eventTooLarge"
@@ -117,14 +143,16 @@
 // finishStream forwards what follows the last event of a complete stream. A stream that
 // ends with its connection within an event, or before the first one, has broken off.
 func (c *call) finishStream(resp *upstream.ResponseReader, rest []byte) (balance.Outcome, bool) {
-	if resp.CloseDelimited() && (len(rest) > 0 || c.events == 0) {
+	if resp.Framing() == upstream.FramedByClose && (len(rest) > 0 || c.events == 0) {
 		c.failure = "streamBroken"
+		c.interruption = interruption{resp.Framing(), len(rest), io.EOF}
 		return balance.Failed, false
 	}
 	if !c.responseStarted {
 		c.writeHead(resp)
 	}
 	if len(rest) > 0 {
+		c.interruption = interruption{resp.Framing(), len(rest), nil}
 		_, _ = c.writer.Write(rest) // the server closes the connection of a caller that disconnected
 	}
 	c.recordResponse()
--- a/entry/request/forward/run.go
+++ b/entry/request/forward/run.go
@@ -112,6 +112,9 @@
 	refusals int
 	// failure is the cause of the last failed attempt.
 	failure string
+	// interruption describes how the response of the last attempt broke off; its
+	// framing is empty if none did.
+	interruption interruption
 	// retryCounted is set when the next retry is already counted against the
 	// retry budget.
 	retryCounted  bool
@@ -167,6 +170,7 @@
 	s, r := c.server, c.request
 	id, address := c.ticket.Upstream()
 	c.upstream = id
+	c.interruption = interruption{}
 	if c.attempts == 0 {
 		s.Scheduler.WithBalancer(func(now clock.Millis, b *balance.Balancer) { b.RecordFirstSend(now, r.service) })
 	}
@@ -191,12 +195,20 @@
 		outcome = balance.Abandoned
 	}
 	if outcome == balance.Failed {
-		s.Log.Emit(event.UpstreamSkipped, event.Fields{"request": r.id, "upstream": id, "cause": c.failure, "error": errorText(err)})
+		c.logFailure(err)
 	}
 	s.Scheduler.release(c.ticket, outcome)
 	return done
 }
 
+// logFailure logs an attempt that the upstream failed. err is the error of the exchange,
+// nil if a response has begun.
+func (c *call) logFailure(err error) {
+	fields := event.Fields{"request": c.request.id, "upstream": c.upstream, "cause": c.failure, "error": errorText(err), "events": c.events}
+	c.interruption.addTo(fields)
+	c.server.Log.Emit(event.UpstreamSkipped, fields)
+}
+
 func errorText(err error) string {
 	if err == nil {
 		return ""
@@ -329,8 +341,10 @@
 	s, r := c.server, c.request
 	total := s.Clock.Now() - r.arrived
 	s.Metrics.countOutcome("answered")
-	s.Log.Emit(event.RequestCompleted, event.Fields{
+	fields := event.Fields{
 		"request": r.id, "route": r.routeName(), "status": c.status, "upstream": c.upstream, "ms": total,
 		"waitedMs": c.queueWait, "held": c.inFlight, "limit": c.inFlightLimit, "sends": c.attempts, "events": c.events, "config": r.configVersion,
-	})
+	}
+	c.interruption.addTo(fields)
+	s.Log.Emit(event.RequestCompleted, fields)
 }
--- a/entry/request/forward/trouble_test.go
+++ b/entry/request/forward/trouble_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"bytes"
 	"fmt"
 	"net/http"
 	"strings"
@@ -8,6 +9,7 @@
 	"time"
 
 	"goldcrestshore/core/process/check"
+	"goldcrestshore/core/process/event"
 	"goldcrestshore/entry/version/config"
 )
 
@@ -149,3 +151,27 @@
 		check.Equal(t, "body", got.body, eventOne)
 	})
 }
+
+// Guards against log lines that do not tell how a stream broke off.
+func TestBrokenStreamIsDescribed(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		broken responder
+		want   string
+	}{
+		{"connection closed within an event", respondUntilClose(eventOne + "id: 2"), `"framing":"close"`},
+		{"chunks break off", respondEvents(false, eventOne, "id: 2"), `"framing":"chunks"`},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := newTestEntry(t, closing([]responder{tc.broken, respondEvents(true, eventTwo, eventThree)})...)
+			var lines bytes.Buffer
+			log, err := event.NewLog(&lines, "warning", "entry", "e")
+			check.NoError(t, "NewLog", err)
+			s.server.Log = log
+			check.NoError(t, "call", s.call(t, "/stream/", nil).err)
+			for _, want := range []string{tc.want, `"unfinishedBytes":5`, `"events":1`} {
+				check.Equal(t, "line has "+want, strings.Contains(lines.String(), want), true)
+			}
+		})
+	}
+}
