Add a failing test of a resumed stream that ends without an event

Cause: finishStream takes an end with the connection for a break only if the whole answer has no event yet. Events of an earlier upstream make the empty part of a later one look whole.

--- a/entry/request/forward/trouble_test.go
+++ b/entry/request/forward/trouble_test.go
@@ -66,6 +66,16 @@
 	})
 }
 
+// Guards against a stream that looks complete to its caller because its first part had
+// events, although the upstream that resumed it closed the connection without one.
+func TestResumedPartWithoutEvents(t *testing.T) {
+	s := newTestEntry(t, closing([]responder{respondEvents(false, eventOne, eventTwo), respondUntilClose("")})...)
+	got := s.call(t, "/stream/", nil)
+	check.Equal(t, "response looks complete", got.err == nil, false)
+	check.Equal(t, "body", got.body, eventOne+eventTwo)
+	check.Equal(t, "requests at upstreams", len(s.requests()), 2)
+}
+
 // closing marks the responses of responders so that the connection closes after each.
 func closing(responders []responder) []responder {
 	out := make([]responder, len(responders))
