Take a resumed part of a stream without events for broken

Cause: whether a stream that ends with its connection had any event was asked of the whole answer, not of the upstream that closed the connection. Change: events are counted for each attempt, too. Conclusion: an end without length or chunks counts as the end of the answer only if that upstream has sent an event and nothing after its last one.

--- a/entry/request/forward/response.go
+++ b/entry/request/forward/response.go
@@ -141,9 +141,10 @@
 }
 
 // finishStream forwards what follows the last event of a complete stream. A stream that
-// ends with its connection within an event, or before the first one, has broken off.
+// ends with its connection within an event, or before the first one of this upstream, has
+// broken off.
 func (c *call) finishStream(resp *upstream.ResponseReader, rest []byte) (balance.Outcome, bool) {
-	if resp.Framing() == upstream.FramedByClose && (len(rest) > 0 || c.events == 0) {
+	if resp.Framing() == upstream.FramedByClose && (len(rest) > 0 || c.attemptEvents == 0) {
 		c.failure = "streamBroken"
 		c.interruption = interruption{resp.Framing(), len(rest), io.EOF}
 		return balance.Failed, false
@@ -181,6 +182,7 @@
 	}
 	c.lastEventAt = now
 	c.events++
+	c.attemptEvents++
 }
 
 // forwardEvents writes complete events and comments to the caller.
--- a/entry/request/forward/run.go
+++ b/entry/request/forward/run.go
@@ -127,7 +127,10 @@
 	status          int
 	upstream        string
 	lastEventID     string
-	events          int
+	// events is the number of events forwarded, attemptEvents those of the current
+	// attempt.
+	events        int
+	attemptEvents int
 	// lastEventAt is when the last event was forwarded.
 	lastEventAt clock.Millis
 }
@@ -171,6 +174,7 @@
 	id, address := c.ticket.Upstream()
 	c.upstream = id
 	c.interruption = interruption{}
+	c.attemptEvents = 0
 	if c.attempts == 0 {
 		s.Scheduler.WithBalancer(func(now clock.Millis, b *balance.Balancer) { b.RecordFirstSend(now, r.service) })
 	}
