Find the ends of events whatever ends their lines

What callers saw: events of an upstream that ends lines with carriage returns were held back until the stream ended, or until 128 KiB or the timeout broke it. Cause: only two line feeds in a row counted as the end of an event. Change: carriage returns end lines, too, as the format of event streams has it.

--- a/entry/request/forward/response.go
+++ b/entry/request/forward/response.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"iter"
 	"net/http"
 	"strconv"
 
@@ -199,24 +200,32 @@
 	}
 }
 
-var (
-	eventSeparator = []byte("\n\n")
-	idPrefix       = []byte("id:")
-)
+// blankLines are the line ends, twice in a row, that end an event. Lines may end with a
+// line feed, a carriage return or both.
+var blankLines = [][]byte{[]byte("\n\n"), []byte("\n\r\n"), []byte("\r\r")}
+
+var idPrefix = []byte("id:")
 
 // completeEventsLen returns the length of the complete events at the start of b.
 func completeEventsLen(b []byte) int {
-	i := bytes.LastIndex(b, eventSeparator)
-	if i < 0 {
-		return 0
+	n := 0
+	for _, blank := range blankLines {
+		if i := bytes.LastIndex(b, blank); i >= 0 {
+			n = max(n, i+len(blank))
+		}
 	}
-	return i + len(eventSeparator)
+	return n
+}
+
+// eventLines returns the lines of events that are not blank, without their ends.
+func eventLines(events []byte) iter.Seq[[]byte] {
+	return bytes.FieldsFuncSeq(events, func(r rune) bool { return r == '\n' || r == '\r' })
 }
 
-// hasEvent reports whether complete events include more than comments.
+// hasEvent reports whether events include more than comments.
 func hasEvent(events []byte) bool {
-	for line := range bytes.Lines(events) {
-		if line = bytes.TrimSpace(line); len(line) > 0 && line[0] != ':' {
+	for line := range eventLines(events) {
+		if line[0] != ':' {
 			return true
 		}
 	}
@@ -225,13 +234,11 @@
 
 // parseLastEventID returns the id of the last event that has one, or "" if none has.
 func parseLastEventID(events []byte) string {
-	for len(events) > 0 {
-		i := bytes.LastIndexByte(events[:len(events)-1], '\n')
-		line := bytes.TrimSpace(events[i+1:])
+	id := ""
+	for line := range eventLines(events) {
 		if rest, found := bytes.CutPrefix(line, idPrefix); found {
-			return string(bytes.TrimSpace(rest))
+			id = string(bytes.TrimSpace(rest))
 		}
-		events = events[:i+1]
 	}
-	return ""
+	return id
 }
