Forward answers that are no event streams as a whole on routes of streams

What callers saw: 502 in place of a sound answer of another type that ended with its connection. Cause: every 200 on a route of streams was read as events; one without an event and without a length counted as broken off. Change: answers with another Content-Type are buffered and forwarded like those of plain routes. Evidence: TestOtherAnswersOnStreamRoutes failed before for the answer without a length.

--- a/entry/request/forward/response.go
+++ b/entry/request/forward/response.go
@@ -6,6 +6,7 @@
 	"iter"
 	"net/http"
 	"strconv"
+	"strings"
 
 	"goldcrestshore/core/process/clock"
 	"goldcrestshore/core/process/event"
@@ -200,6 +201,14 @@
 	}
 }
 
+const eventStreamType = "text/event-stream"
+
+// mayBeEventStream reports whether a response has the type of an event stream or none.
+func mayBeEventStream(h http.Header) bool {
+	contentType := h.Get("Content-Type")
+	return contentType == "" || strings.HasPrefix(strings.ToLower(contentType), eventStreamType)
+}
+
 // blankLines are the line ends, twice in a row, that end an event. Lines may end with a
 // line feed, a carriage return or both.
 var blankLines = [][]byte{[]byte("\n\n"), []byte("\n\r\n"), []byte("\r\r")}
--- a/entry/request/forward/run.go
+++ b/entry/request/forward/run.go
@@ -290,7 +290,7 @@
 		return balance.Failed, false
 	}
 	c.possibleRuns++
-	if r.route.Stream && resp.Status == http.StatusOK {
+	if r.route.Stream && resp.Status == http.StatusOK && mayBeEventStream(resp.Header) {
 		return c.forwardStream(resp)
 	}
 	return c.forwardBuffered(resp)
--- a/entry/request/forward/trouble_test.go
+++ b/entry/request/forward/trouble_test.go
@@ -76,6 +76,27 @@
 	check.Equal(t, "requests at upstreams", len(s.requests()), 2)
 }
 
+// Guards against a sound answer on a route of streams that is no event stream, and is
+// taken for a broken one because it has no events.
+func TestOtherAnswersOnStreamRoutes(t *testing.T) {
+	const body = `{"result":"none"}`
+	for name, framing := range map[string]string{
+		"length":     fmt.Sprint("Content-Length: ", len(body)),
+		"connection": "Connection: close",
+	} {
+		t.Run(name, func(t *testing.T) {
+			respond := func(q *http.Request) string {
+				return strings.Replace(respondUntilClose(body)(q), "Connection: close", "Content-Type: application/json\r\n"+framing, 1)
+			}
+			s := newTestEntry(t, closing([]responder{respond})...)
+			got := s.call(t, "/stream/", nil)
+			check.NoError(t, "call", got.err)
+			check.Equal(t, "status", got.status, http.StatusOK)
+			check.Equal(t, "body", got.body, body)
+		})
+	}
+}
+
 // closing marks the responses of responders so that the connection closes after each.
 func closing(responders []responder) []responder {
 	out := make([]responder, len(responders))
