Take a stream for broken if it ends within an event, whatever its framing

Cause: a length or a last chunk was believed, although the bytes before it were no whole event. A process that fails may still end its body in good order. Change: endsTooSoon decides for all framings; such a stream is resumed or aborted. Evidence: two new cases of TestEndsOfStreams failed before (one request at upstreams, the cut event delivered). Conclusion: a stream is complete only if it ends between two events.

--- a/entry/request/forward/response.go
+++ b/entry/request/forward/response.go
@@ -142,11 +142,10 @@
 	}
 }
 
-// finishStream forwards what follows the last event of a complete stream. A stream that
-// ends with its connection within an event, or before the first one of this upstream, has
-// broken off.
+// finishStream forwards what follows the last event of a complete stream, unless the
+// stream has broken off.
 func (c *call) finishStream(resp *upstream.ResponseReader, rest []byte) (balance.Outcome, bool) {
-	if resp.Framing() == upstream.FramedByClose && (len(rest) > 0 || c.attemptEvents == 0) {
+	if c.endsTooSoon(resp, rest) {
 		c.failure = "streamBroken"
 		c.interruption = interruption{resp.Framing(), len(rest), io.EOF}
 		return balance.Failed, false
@@ -155,13 +154,23 @@
 		c.writeHead(resp)
 	}
 	if len(rest) > 0 {
-		c.interruption = interruption{resp.Framing(), len(rest), nil}
 		_, _ = c.writer.Write(rest) // the server closes the connection of a caller that disconnected
 	}
 	c.recordResponse()
 	return balance.Succeeded, true
 }
 
+// endsTooSoon reports whether a stream whose body has ended in good order with rest has
+// broken off nevertheless: a process that fails may still end its body. It has if it ends
+// within an event. Without a length or chunks it also has if it ends within a comment, or
+// if this upstream has sent no event.
+func (c *call) endsTooSoon(resp *upstream.ResponseReader, rest []byte) bool {
+	if resp.Framing() == upstream.FramedByClose {
+		return len(rest) > 0 || c.attemptEvents == 0
+	}
+	return hasEvent(rest)
+}
+
 func (c *call) writeHead(resp *upstream.ResponseReader) {
 	c.copyHeader(resp)
 	c.writer.WriteHeader(resp.Status)
--- a/entry/request/forward/trouble_test.go
+++ b/entry/request/forward/trouble_test.go
@@ -45,6 +45,8 @@
 		{"length, cut between events", []responder{withLength(len(all), eventOne), respondEvents(true, eventTwo, eventThree)}, 2},
 		{"length, cut in an event", []responder{withLength(len(all), eventOne+"id: 2"), respondEvents(true, eventTwo, eventThree)}, 2},
 		{"chunks, cut in the last event", []responder{respondEvents(false, eventOne, eventTwo, "id: 3\nda"), respondEvents(true, eventThree)}, 2},
+		{"length, whole, ends in an event", []responder{withLength(len(eventOne)+8, eventOne+"id: 2\nda"), respondEvents(true, eventTwo, eventThree)}, 2},
+		{"chunks, whole, end in an event", []responder{respondEvents(true, eventOne, "id: 2\nda"), respondEvents(true, eventTwo, eventThree)}, 2},
 		{"connection, whole", []responder{respondUntilClose(all)}, 1},
 		{"connection, cut in an event", []responder{respondUntilClose(eventOne + "id: 2\nda"), respondEvents(true, eventTwo, eventThree)}, 2},
 		{"connection, cut before the first event", []responder{respondUntilClose(""), respondEvents(true, eventOne, eventTwo, eventThree)}, 2},
