Reset the connection of an HTTP/1.0 caller whose response broke off

What callers saw: a caller of HTTP/1.0 got a response that broke off and ended like a whole one. Cause: an aborted response leaves out its last chunk; HTTP/1.0 has no chunks, and there the end of the connection is the end of the body. Change: package http1 aborts responses for both interfaces to callers, with a reset where the protocol has no chunks. Evidence: TestAbortedResponseLooksIncomplete failed for HTTP/1.0 before.

--- a/entry/request/caller/server.go
+++ b/entry/request/caller/server.go
@@ -20,6 +20,7 @@
 	"goldcrestshore/core/process/event"
 	"goldcrestshore/core/request/outcome"
 	"goldcrestshore/core/version/relay"
+	"goldcrestshore/entry/connection/http1"
 )
 
 const (
@@ -205,9 +206,7 @@
 		s.count("answers_aborted", "")
 		s.Log.Error(event.ResponseAborted, err, event.Fields{"service": r.Service().Name(), "written": resp.Written()})
 	}
-	// Close the connection without the terminator of the body, so that the
-	// caller detects the incomplete response.
-	panic(http.ErrAbortHandler)
+	http1.Abort(w, req)
 }
 
 func (s *Server) refuse(w http.ResponseWriter, err error) {
--- a/entry/request/forward/run.go
+++ b/entry/request/forward/run.go
@@ -10,6 +10,7 @@
 
 	"goldcrestshore/core/process/clock"
 	"goldcrestshore/core/process/event"
+	"goldcrestshore/entry/connection/http1"
 	"goldcrestshore/entry/connection/upstream"
 	"goldcrestshore/entry/request/balance"
 	"goldcrestshore/entry/version/config"
@@ -327,7 +328,7 @@
 	if q.Context().Err() != nil {
 		s.Metrics.countOutcome("left")
 		s.Log.Emit(event.RequestCancelled, event.Fields{"request": r.id, "ms": s.Clock.Now() - r.arrived, "upstream": c.upstream, "events": c.events})
-		panic(http.ErrAbortHandler)
+		http1.Abort(c.writer, q)
 	}
 	if !c.responseStarted {
 		s.refuse(c.writer, r, f)
@@ -335,9 +336,7 @@
 	}
 	s.Metrics.countOutcome("aborted")
 	s.Log.Emit(event.ResponseAborted, event.Fields{"request": r.id, "ms": s.Clock.Now() - r.arrived, "upstream": c.upstream, "events": c.events, "cause": f.reason, "failure": c.failure, "lastEvent": c.lastEventID})
-	// Closes the connection without the terminator of the body, so that the
-	// caller detects an incomplete response.
-	panic(http.ErrAbortHandler)
+	http1.Abort(c.writer, q)
 }
 
 // recordResponse counts and logs a request whose response was forwarded.
