Resume a stream only after an event with an id

What callers saw: events twice, if an upstream whose events have no id broke off. Cause: without an id the stream was begun anew at another upstream, although events had been forwarded; after events with and without an id, those since the last id came again. Change: a stream is resumed only if its last event has an id. Evidence: TestEventsWithoutIDAreNotResumed failed before in both cases.

--- a/entry/request/forward/forward_test.go
+++ b/entry/request/forward/forward_test.go
@@ -404,10 +404,12 @@
 func TestEventBoundaries(t *testing.T) {
 	check.Equal(t, "carriage returns and line feeds", completeEventsLen([]byte("id: 1\r\n\r\nid: 2\r\n")), 9)
 	check.Equal(t, "carriage returns", completeEventsLen([]byte("id: 1\r\rid: 2\r")), 7)
-	check.Equal(t, "last id before carriage returns", parseLastEventID([]byte("id: 7\rdata: x\r\r")), "7")
+	check.Equal(t, "last id before carriage returns", parseEventID(lastEvent([]byte("id: 7\rdata: x\r\r"))), "7")
 	check.Equal(t, "comment before carriage returns", hasEvent([]byte(": wait\r\r")), false)
 	check.Equal(t, "complete events", completeEventsLen([]byte("id: 1\n\nid: 2\n\nid")), 14)
 	check.Equal(t, "no complete event", completeEventsLen([]byte("id: 1\n")), 0)
-	check.Equal(t, "last id", parseLastEventID([]byte("id: 1\ndata: x\n\nid: 22\ndata: id: 9\n\n")), "22")
-	check.Equal(t, "no id", parseLastEventID([]byte("data: x\n\n")), "")
+	check.Equal(t, "last id", parseEventID(lastEvent([]byte("id: 1\ndata: x\n\nid: 22\ndata: id: 9\n\n"))), "22")
+	check.Equal(t, "no id", parseEventID(lastEvent([]byte("data: x\n\n"))), "")
+	check.Equal(t, "last id before a comment", parseEventID(lastEvent([]byte("id: 3\n\n: wait\n\n"))), "3")
+	check.Equal(t, "only a comment", len(lastEvent([]byte(": wait\n\n"))), 0)
 }
--- a/entry/request/forward/response.go
+++ b/entry/request/forward/response.go
@@ -201,8 +201,8 @@
 	if !c.responseStarted {
 		c.writeHead(resp)
 	}
-	if id := parseLastEventID(events); id != "" {
-		c.lastEventID = id
+	if last := lastEvent(events); last != nil {
+		c.lastEventID = parseEventID(last)
 	}
 	_, _ = c.writer.Write(events) // the request's context ends when the caller disconnects
 	if f, ok := c.writer.(http.Flusher); ok {
@@ -250,10 +250,24 @@
 	return false
 }
 
-// parseLastEventID returns the id of the last event that has one, or "" if none has.
-func parseLastEventID(events []byte) string {
+// lastEvent returns the last of the complete events that is more than comments, without
+// the blank line at its end, or nil if there is none.
+func lastEvent(events []byte) []byte {
+	for len(events) > 0 {
+		events = bytes.TrimRight(events, "\r\n")
+		start := completeEventsLen(events)
+		if hasEvent(events[start:]) {
+			return events[start:]
+		}
+		events = events[:start]
+	}
+	return nil
+}
+
+// parseEventID returns the id of an event, or "" if it has none.
+func parseEventID(event []byte) string {
 	id := ""
-	for line := range eventLines(events) {
+	for line := range eventLines(event) {
 		if rest, found := bytes.CutPrefix(line, idPrefix); found {
 			id = string(bytes.TrimSpace(rest))
 		}
--- a/entry/request/forward/run.go
+++ b/entry/request/forward/run.go
@@ -143,7 +143,7 @@
 	if c.possibleRuns > 0 && !r.retryable() {
 		return false
 	}
-	if c.responseStarted && r.route.Retry != config.Resumable {
+	if c.responseStarted && !c.resumable() {
 		return false
 	}
 	if c.possibleRuns >= max(r.route.MaxUpstreams, 1) || c.refusals > maxRefusals {
@@ -251,7 +251,7 @@
 // budget. possibleRuns includes the current attempt.
 func (c *call) shouldFailOver(possibleRuns int) bool {
 	r := c.request
-	if !r.retryable() || possibleRuns >= r.route.MaxUpstreams || (c.responseStarted && r.route.Retry != config.Resumable) {
+	if !r.retryable() || possibleRuns >= r.route.MaxUpstreams || (c.responseStarted && !c.resumable()) {
 		return false
 	}
 	c.server.Scheduler.WithBalancer(func(now clock.Millis, b *balance.Balancer) {
@@ -260,6 +260,12 @@
 	return c.retryCounted
 }
 
+// resumable reports whether another upstream may continue the stream: that is the case if
+// the route allows it and the last event forwarded has an id to continue after.
+func (c *call) resumable() bool {
+	return c.request.route.Retry == config.Resumable && (c.events == 0 || c.lastEventID != "")
+}
+
 // defaultMaxIdle is long enough that the idle timeout which the upstream announces
 // decides whether a connection is reused.
 const defaultMaxIdle = clock.Minute
--- a/entry/request/forward/trouble_test.go
+++ b/entry/request/forward/trouble_test.go
@@ -78,6 +78,21 @@
 	check.Equal(t, "requests at upstreams", len(s.requests()), 2)
 }
 
+// Guards against events that come twice because a stream whose events have no id is begun
+// anew at another upstream.
+func TestEventsWithoutIDAreNotResumed(t *testing.T) {
+	const withoutID = "data: a\n\n"
+	for name, before := range map[string]string{"from the start": "", "after an event with an id": eventOne} {
+		t.Run(name, func(t *testing.T) {
+			s := newTestEntry(t, respondEvents(false, before+withoutID), respondEvents(true, before+withoutID, eventTwo))
+			got := s.call(t, "/stream/", nil)
+			check.Equal(t, "response looks complete", got.err == nil, false)
+			check.Equal(t, "body", got.body, before+withoutID)
+			check.Equal(t, "requests at upstreams", len(s.requests()), 1)
+		})
+	}
+}
+
 // Guards against a sound answer on a route of streams that is no event stream, and is
 // taken for a broken one because it has no events.
 func TestOtherAnswersOnStreamRoutes(t *testing.T) {
