--- /dev/null
+++ b/entry/request/forward/crash.go
@@ -0,0 +1,49 @@
+package forward
+
+import (
+	"context"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"goldcrestshore/core/process/event"
+	"goldcrestshore/core/request/fingerprint"
+	"goldcrestshore/entry/connection/upstream"
+	"goldcrestshore/entry/version/config"
+)
+
+const (
+	// maxPromptParts bounds the parts of a prompt that are fingerprinted.
+	maxPromptParts = 16
+	// soundEvents is the number of writes of events after which a request has shown that
+	// it does not crash the upstream that begins to respond to it.
+	soundEvents = 2
+)
+
+// fingerprints returns the fingerprints of the parts of a prompt but the last, and of the
+// whole request of a customer.
+func fingerprints(service string, customer *config.Customer, r *upstream.Request, promptParts string) []fingerprint.Fingerprint {
+	name := ""
+	if customer != nil {
+		name = customer.Name
+	}
+	parts := strings.Split(promptParts, ",")
+	parts = parts[:min(len(parts)-1, maxPromptParts)]
+	out := make([]fingerprint.Fingerprint, 0, len(parts)+1)
+	for _, part := range parts {
+		id, _, _ := strings.Cut(part, ":")
+		out = append(out, fingerprint.OfValues(service, strings.TrimSpace(id)))
+	}
+	return append(out, fingerprint.OfValues(service, r.Method, r.Target, name, promptParts, string(r.Body)))
+}
+
+// detectCrash logs a request that may have crashed the upstream at address. That is one
+// whose response broke off before it had shown to be sound, while the upstream refuses
+// connections. err is the error of the exchange, nil if a response has begun.
+func (c *call) detectCrash(ctx context.Context, address string, err error) {
+	brokeOff := c.interruption.framing != "" || (errors.Is(err, upstream.ErrBroken) && !errors.Is(err, upstream.ErrStalled))
+	if !brokeOff || c.attemptEvents >= soundEvents || !upstream.RefusesConnections(ctx, address) {
+		return
+	}
+	c.server.Log.Emit(event.RequestSuspect, event.Fields{"request": c.request.id, "upstream": c.upstream, "events": c.attemptEvents, "fingerprints": c.request.fingerprints})
+}
--- a/entry/request/forward/forward_test.go
+++ b/entry/request/forward/forward_test.go
@@ -24,7 +24,7 @@
 
 var headers = Headers{
 	RequestID: "X-Id", Deadline: "X-Deadline", Key: "X-Key", Customer: "X-Customer", Target: "X-Target",
-	Signature: "X-Signature", NotRun: "X-Not-Run", LastEventID: "X-Last-Event", Tokens: "X-Tokens",
+	Signature: "X-Signature", NotRun: "X-Not-Run", LastEventID: "X-Last-Event", Tokens: "X-Tokens", PromptParts: "X-Prompt",
 }
 
 // testEntry is an entry with upstreams whose responses the test defines.
--- a/entry/request/forward/request.go
+++ b/entry/request/forward/request.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"goldcrestshore/core/process/clock"
+	"goldcrestshore/core/request/fingerprint"
 	"goldcrestshore/entry/connection/upstream"
 	"goldcrestshore/entry/version/config"
 )
@@ -55,6 +56,9 @@
 	service       string
 	priority      int
 	promptTokens  int
+	// fingerprints identify the parts of the prompt that other requests may share, in
+	// order, and last the request itself.
+	fingerprints []fingerprint.Fingerprint
 	// lastEventID is the id of the last event that the caller received.
 	lastEventID string
 	// upstreamRequest is the request that upstreams receive, without the headers
@@ -184,6 +188,7 @@
 		Method: q.Method, Target: target, Host: q.Host, Header: header, Body: body,
 		IDHeader: h.RequestID, ID: r.id,
 	}
+	r.fingerprints = fingerprints(r.service, customer, &r.upstreamRequest, header.Get(h.PromptParts))
 }
 
 // hashFraction maps a request id to [0,1), so that requests with the same id go
--- a/entry/request/forward/run.go
+++ b/entry/request/forward/run.go
@@ -201,6 +201,7 @@
 	}
 	if outcome == balance.Failed {
 		c.logFailure(err)
+		c.detectCrash(ctx, address, err)
 	}
 	s.Scheduler.release(c.ticket, outcome)
 	return done
--- a/entry/request/forward/server.go
+++ b/entry/request/forward/server.go
@@ -41,6 +41,9 @@
 	// Tokens gives the number of prompt tokens and the maximum number of output
 	// tokens.
 	Tokens string
+	// PromptParts lists the parts of the prompt in order, as ID:TOKENS separated by
+	// commas. Requests share parts; the last one belongs to a single request or session.
+	PromptParts string
 }
 
 const (
