Quarantine what requests that crash upstreams have in common

Cause: nothing on the users' platform recognised such requests; the suspects of the product's own interface know whole requests only, and no two of these are alike. Change: package quarantine decides by the fingerprints of the parts of prompts and of whole requests, package quarantines shares its state between entries through an object of the store, forward reports crashes and refuses or ends requests in quarantine. TestCauses, TestEntriesShareCrashes and others cover sound requests beside, restarts, a store that is down, bounds and ends. Conclusion: two crashes are the price of telling the cause from what was in flight beside it.

--- /dev/null
+++ b/entry/process/quarantines/service.go
@@ -0,0 +1,154 @@
+// Package quarantines applies the quarantine of package quarantine at an entry and shares
+// its state with the other entries through an object of the platform's store.
+package quarantines
+
+import (
+	"context"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+
+	"goldcrestshore/core/process/clock"
+	"goldcrestshore/core/process/event"
+	"goldcrestshore/entry/request/quarantine"
+)
+
+// Errors, for use with errors.Is.
+var (
+	// ErrQuarantined is the cause of the end of a context of Track.
+	ErrQuarantined = errors.New("request is quarantined")
+	// ErrConflict means that another entry has changed the stored state.
+	ErrConflict = errors.New("state of the quarantine has another revision")
+)
+
+// Store holds the shared state in one object.
+type Store interface {
+	// Load returns the content and the revision of the object, or revision 0 if there is
+	// none.
+	Load(ctx context.Context) (raw []byte, revision int64, err error)
+	// Save replaces the object that has the revision, or creates it at revision 0. It fails
+	// with ErrConflict if the object has another one.
+	Save(ctx context.Context, raw []byte, revision int64) error
+}
+
+// Service holds the quarantine of an entry. Exported fields must be set before use. It is
+// safe for concurrent use.
+type Service struct {
+	Clock *clock.Clock
+	Log   *event.Log
+	Store Store
+
+	mu      sync.Mutex
+	tracker quarantine.Tracker
+	running map[*runningRequest]bool
+	// dirty has an element when there is something to share or to decide.
+	dirty chan struct{}
+}
+
+// runningRequest is a request whose context ends when it is quarantined.
+type runningRequest struct {
+	fingerprints []quarantine.Fingerprint
+	cancel       context.CancelCauseFunc
+}
+
+// Arrived counts a request and reports whether it is refused, and for how long.
+func (s *Service) Arrived(request []quarantine.Fingerprint) (remaining clock.Millis, blocked bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.tracker.Arrived(s.Clock.Now(), request)
+}
+
+// Remaining returns how long requests like this one are still refused, or 0.
+func (s *Service) Remaining(request []quarantine.Fingerprint) clock.Millis {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	remaining, _ := s.tracker.Blocked(s.Clock.Now(), request)
+	return remaining
+}
+
+// Track returns a context that ends with the cause ErrQuarantined when the request is
+// quarantined. The caller must call stop once the request has ended.
+func (s *Service) Track(ctx context.Context, request []quarantine.Fingerprint) (tracked context.Context, stop func()) {
+	tracked, cancel := context.WithCancelCause(ctx)
+	r := &runningRequest{request, cancel}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.running == nil {
+		s.running = make(map[*runningRequest]bool)
+	}
+	s.running[r] = true
+	if _, blocked := s.tracker.Blocked(s.Clock.Now(), request); blocked {
+		cancel(ErrQuarantined) // since Arrived
+	}
+	return tracked, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.running, r)
+		cancel(nil)
+	}
+}
+
+// Succeeded records that an upstream has responded to a request without crashing.
+func (s *Service) Succeeded(request []quarantine.Fingerprint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tracker.Succeeded(s.Clock.Now(), request)
+}
+
+// Crashed records that an incarnation of an upstream has crashed while it was running a
+// request.
+func (s *Service) Crashed(upstream string, startTime int64, request []quarantine.Fingerprint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.tracker.Crashed(s.Clock.Now(), upstream, startTime, request) {
+		s.endQuarantined()
+		s.wake()
+	}
+}
+
+// Received merges the stored state, which another entry may have changed. Content that is
+// malformed is logged and skipped.
+func (s *Service) Received(raw []byte) {
+	state, err := quarantine.Decode(raw)
+	if err != nil {
+		s.Log.Error(event.ObjectSkipped, err, nil)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tracker.Merge(s.Clock.Now(), state)
+	s.endQuarantined()
+	if s.tracker.DecideAt() != 0 {
+		s.wake()
+	}
+}
+
+// endQuarantined logs new quarantines and ends the contexts of the requests that are in
+// quarantine now. It must be called with mu held.
+func (s *Service) endQuarantined() {
+	if added := s.tracker.TakeAdded(); len(added) > 0 {
+		s.Log.Emit(event.RequestQuarantined, event.Fields{"fingerprints": added})
+	}
+	now := s.Clock.Now()
+	for r := range s.running {
+		if _, blocked := s.tracker.Blocked(now, r.fingerprints); blocked {
+			r.cancel(ErrQuarantined)
+		}
+	}
+}
+
+// wake makes Run share the state. It must be called with mu held.
+func (s *Service) wake() {
+	select {
+	case s.dirtySignal() <- struct{}{}:
+	default: // Run has not taken the last signal yet
+	}
+}
+
+// dirtySignal returns the channel that wakes Run. It must be called with mu held.
+func (s *Service) dirtySignal() chan struct{} {
+	if s.dirty == nil {
+		s.dirty = make(chan struct{}, 1)
+	}
+	return s.dirty
+}
--- /dev/null
+++ b/entry/process/quarantines/service_test.go
@@ -0,0 +1,183 @@
+package quarantines
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"goldcrestshore/core/process/check"
+	"goldcrestshore/core/process/clock"
+	"goldcrestshore/core/process/event"
+	"goldcrestshore/entry/request/quarantine"
+)
+
+// The parts of a prompt: caller is shared with sound requests, part crashes upstreams.
+const (
+	caller quarantine.Fingerprint = 1 + iota
+	part
+)
+
+var errDown = errors.New("store is down")
+
+// memoryStore keeps the state in memory.
+type memoryStore struct {
+	mu       sync.Mutex
+	raw      []byte
+	revision int64
+	down     bool
+	// onChange receives each new state, as a watch would.
+	onChange func(raw []byte)
+}
+
+func (s *memoryStore) Load(context.Context) ([]byte, int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return nil, 0, errDown
+	}
+	return s.raw, s.revision, nil
+}
+
+func (s *memoryStore) Save(_ context.Context, raw []byte, revision int64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.down:
+		return errDown
+	case revision != s.revision:
+		return ErrConflict
+	}
+	s.raw, s.revision = raw, revision+1
+	if s.onChange != nil {
+		go s.onChange(raw)
+	}
+	return nil
+}
+
+func (s *memoryStore) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+// crashes returns the number of crashes that are stored.
+func (s *memoryStore) crashes() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state, err := quarantine.Decode(s.raw)
+	if err != nil {
+		return 0
+	}
+	return len(state.Crashes)
+}
+
+// newService returns the quarantine of an entry that has served requests for a minute, and
+// runs it until the test ends.
+func newService(t *testing.T, c *clock.Clock, store Store) *Service {
+	t.Helper()
+	log, err := event.NewLog(io.Discard, "error", "entry", "e")
+	check.NoError(t, "NewLog", err)
+	s := &Service{Clock: c, Log: log, Store: store}
+	s.Succeeded([]quarantine.Fingerprint{99})
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { s.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
+	return s
+}
+
+func await(t *testing.T, what string, reached func() bool) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); !reached(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%s: not reached", what)
+		}
+	}
+}
+
+// requestWithPart returns a request that no other is like but for its parts.
+func requestWithPart(n int) []quarantine.Fingerprint {
+	return []quarantine.Fingerprint{caller, part, quarantine.Fingerprint(1000 + n)}
+}
+
+// Guards against entries that each let a request through until they have seen two crashes
+// themselves, against a quarantine that an entry forgets when it is restarted, and against
+// crashes that are lost because the store was down or several entries wrote at once.
+func TestEntriesShareCrashes(t *testing.T) {
+	const entryCount = 5
+	c := clock.NewManual(clock.Hour)
+	store := &memoryStore{}
+	var entries []*Service
+	store.onChange = func(raw []byte) {
+		for _, e := range entries {
+			e.Received(raw)
+		}
+	}
+	for range entryCount {
+		entries = append(entries, newService(t, c, store))
+	}
+	c.Advance(clock.Minute)
+	entries[entryCount-1].Succeeded([]quarantine.Fingerprint{caller})
+	store.setDown(true)
+	entries[0].Crashed("u0", 1, requestWithPart(0))
+	time.Sleep(2 * maxConflictDelay.Duration())
+	store.setDown(false)
+	for i, e := range entries[1 : entryCount-1] {
+		e.Arrived([]quarantine.Fingerprint{caller, quarantine.Fingerprint(2000 + i)})
+		e.Crashed(fmt.Sprint("u", i+1), 1, requestWithPart(i+1))
+	}
+	await(t, "all crashes stored", func() bool { return store.crashes() == entryCount-1 })
+	c.Advance(clock.Second)
+	for i, e := range entries {
+		await(t, fmt.Sprint("part refused by entry ", i), func() bool { return e.Remaining(requestWithPart(100+i)) > 0 })
+		check.Equal(t, fmt.Sprint("sound request of entry ", i), e.Remaining([]quarantine.Fingerprint{caller, quarantine.Fingerprint(3000 + i)}), 0)
+	}
+	t.Run("after a restart", func(t *testing.T) {
+		restarted := newService(t, c, store)
+		raw, _, err := store.Load(context.Background())
+		check.NoError(t, "Load", err)
+		restarted.Received(raw)
+		check.Equal(t, "part refused", restarted.Remaining(requestWithPart(200)) > 0, true)
+	})
+}
+
+// Guards against a request that waits or runs on although requests like it have been
+// quarantined meanwhile.
+func TestQuarantineEndsRunningRequests(t *testing.T) {
+	c := clock.NewManual(clock.Hour)
+	s := newService(t, c, &memoryStore{})
+	c.Advance(clock.Minute)
+	poisoned, stop := s.Track(context.Background(), requestWithPart(1))
+	defer stop()
+	sound, stopSound := s.Track(context.Background(), []quarantine.Fingerprint{caller, 7})
+	defer stopSound()
+	s.Succeeded([]quarantine.Fingerprint{caller})
+	s.Crashed("u0", 1, requestWithPart(2))
+	check.NoError(t, "after one crash", poisoned.Err())
+	s.Crashed("u1", 1, requestWithPart(3))
+	check.Is(t, "after two crashes", context.Cause(poisoned), ErrQuarantined)
+	check.NoError(t, "sound request", sound.Err())
+	late, stopLate := s.Track(context.Background(), requestWithPart(4))
+	defer stopLate()
+	check.Is(t, "tracked later", context.Cause(late), ErrQuarantined)
+}
+
+// Guards against a stored state that another writer has damaged and that keeps entries from
+// sharing theirs.
+func TestMalformedStateIsReplaced(t *testing.T) {
+	c := clock.NewManual(clock.Hour)
+	store := &memoryStore{raw: []byte("{"), revision: 3}
+	s := newService(t, c, store)
+	c.Advance(clock.Minute)
+	s.Received([]byte("{"))
+	s.Crashed("u0", 1, requestWithPart(1))
+	await(t, "crash stored", func() bool { return store.crashes() == 1 })
+}
--- /dev/null
+++ b/entry/process/quarantines/share.go
@@ -0,0 +1,107 @@
+package quarantines
+
+import (
+	"bytes"
+	"context"
+	"math/rand/v2"
+
+	"github.com/cockroachdb/errors"
+
+	"goldcrestshore/core/process/clock"
+	"goldcrestshore/core/process/event"
+	"goldcrestshore/entry/request/quarantine"
+)
+
+const (
+	// minBackoff and maxBackoff bound the delay after a failed call to the store.
+	minBackoff clock.Millis = 250
+	maxBackoff              = 4 * clock.Second
+	// maxConflictDelay spreads the entries that report the same crash.
+	maxConflictDelay clock.Millis = 20
+)
+
+// Run shares the state with the other entries, and decides what is due, until ctx is done.
+func (s *Service) Run(ctx context.Context) {
+	s.mu.Lock()
+	dirty := s.dirtySignal()
+	s.mu.Unlock()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-dirty:
+		}
+		s.share(ctx)
+		if s.awaitDecision(ctx) {
+			s.share(ctx)
+		}
+	}
+}
+
+// awaitDecision waits until the cause of the last crashes is decided, and reports whether
+// there was anything to decide.
+func (s *Service) awaitDecision(ctx context.Context) bool {
+	s.mu.Lock()
+	due := s.tracker.DecideAt()
+	s.mu.Unlock()
+	if due == 0 || !clock.Sleep(ctx, max(due-s.Clock.Now(), 0)) {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tracker.Decide(s.Clock.Now())
+	s.endQuarantined()
+	return true
+}
+
+// share merges the state into the stored one, until that succeeds or ctx is done.
+func (s *Service) share(ctx context.Context) {
+	backoff := minBackoff
+	for {
+		err := s.shareOnce(ctx)
+		delay := rand.N(maxConflictDelay)
+		switch {
+		case err == nil || ctx.Err() != nil:
+			return
+		case !errors.Is(err, ErrConflict):
+			s.Log.Error(event.PlatformFailed, err, nil)
+			delay = backoff
+			backoff = min(2*backoff, maxBackoff)
+		}
+		if !clock.Sleep(ctx, delay) {
+			return
+		}
+	}
+}
+
+func (s *Service) shareOnce(ctx context.Context) error {
+	raw, revision, err := s.Store.Load(ctx)
+	if err != nil {
+		return err
+	}
+	var stored quarantine.State
+	if revision != 0 {
+		if stored, err = quarantine.Decode(raw); err != nil {
+			s.Log.Error(event.ObjectSkipped, err, nil) // the object is replaced
+		}
+	}
+	before, err := stored.Encode()
+	if err != nil {
+		return err
+	}
+	after, err := s.merged(stored).Encode()
+	if err != nil || bytes.Equal(before, after) {
+		return err
+	}
+	return s.Store.Save(ctx, after, revision)
+}
+
+// merged merges a stored state and returns the state of the entry.
+func (s *Service) merged(stored quarantine.State) quarantine.State {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.Clock.Now()
+	s.tracker.Merge(now, stored)
+	s.endQuarantined()
+	return s.tracker.State(now)
+}
--- a/entry/request/forward/crash.go
+++ b/entry/request/forward/crash.go
@@ -37,13 +37,27 @@
 	return append(out, fingerprint.OfValues(service, r.Method, r.Target, name, promptParts, string(r.Body)))
 }
 
-// detectCrash logs a request that may have crashed the upstream at address. That is one
-// whose response broke off before it had shown to be sound, while the upstream refuses
-// connections. err is the error of the exchange, nil if a response has begun.
+// recordSound records that the upstream has not crashed although it responds to the
+// request.
+func (c *call) recordSound() {
+	if c.server.Quarantine != nil {
+		c.server.Quarantine.Succeeded(c.request.fingerprints)
+	}
+}
+
+// detectCrash logs and records a request that may have crashed the upstream at address.
+// That is one whose response broke off before it had shown to be sound, while the upstream
+// refuses connections and was not about to leave. err is the error of the exchange, nil if
+// a response has begun.
 func (c *call) detectCrash(ctx context.Context, address string, err error) {
+	s, r := c.server, c.request
 	brokeOff := c.interruption.framing != "" || (errors.Is(err, upstream.ErrBroken) && !errors.Is(err, upstream.ErrStalled))
 	if !brokeOff || c.attemptEvents >= soundEvents || !upstream.RefusesConnections(ctx, address) {
 		return
 	}
-	c.server.Log.Emit(event.RequestSuspect, event.Fields{"request": c.request.id, "upstream": c.upstream, "events": c.attemptEvents, "fingerprints": c.request.fingerprints})
+	s.Log.Emit(event.RequestSuspect, event.Fields{"request": r.id, "upstream": c.upstream, "events": c.attemptEvents, "fingerprints": r.fingerprints})
+	registered := s.State.View().Upstreams()[c.upstream]
+	if s.Quarantine != nil && registered != nil && !registered.Draining {
+		s.Quarantine.Crashed(c.upstream, registered.StartTime, r.fingerprints)
+	}
 }
--- a/entry/request/forward/crash_test.go
+++ b/entry/request/forward/crash_test.go
@@ -12,10 +12,23 @@
 	"testing"
 
 	"goldcrestshore/core/process/check"
+	"goldcrestshore/core/process/clock"
 	"goldcrestshore/core/process/event"
+	"goldcrestshore/core/request/fingerprint"
+	"goldcrestshore/entry/process/quarantines"
 	"goldcrestshore/entry/version/fleet"
 )
 
+// warmQuarantine returns the quarantine of an entry that has served requests for a minute.
+// Its clock stands still.
+func warmQuarantine(log *event.Log) *quarantines.Service {
+	c := clock.NewManual(clock.Hour)
+	service := &quarantines.Service{Clock: c, Log: log}
+	service.Succeeded([]fingerprint.Fingerprint{1})
+	c.Advance(clock.Minute)
+	return service
+}
+
 // crashPart is the part of a prompt that crashes the upstreams of crashableUpstreams.
 const crashPart = "c0"
 
--- a/entry/request/forward/forward_test.go
+++ b/entry/request/forward/forward_test.go
@@ -72,7 +72,7 @@
 	scheduler.SetView(state.View())
 	s.server = &Server{
 		Clock: c, Log: log, Headers: headers, State: state, Scheduler: scheduler, Pool: &upstream.Pool{Clock: c},
-		Current: func(clock.Millis) bool { return s.viewCurrent },
+		Current: func(clock.Millis) bool { return s.viewCurrent }, Quarantine: warmQuarantine(log),
 	}
 	s.httpServer = httptest.NewServer(s.server)
 	t.Cleanup(s.httpServer.Close)
--- a/entry/request/forward/request.go
+++ b/entry/request/forward/request.go
@@ -31,6 +31,7 @@
 	reasonDeadlinePassed = "deadlinePassed"
 	reasonRetryBudget    = "retryBudget"
 	reasonUpstreamFailed = "upstreamFailed"
+	reasonQuarantined    = "quarantined"
 )
 
 // bodyMemoryRetryAfter is the Retry-After of a request refused because the bodies
@@ -118,6 +119,11 @@
 		return r, refused
 	}
 	s.prepareUpstreamRequest(r, q, cfg, customer, target, body)
+	if s.Quarantine != nil {
+		if remaining, blocked := s.Quarantine.Arrived(r.fingerprints); blocked {
+			return r, &refusal{status: http.StatusServiceUnavailable, reason: reasonQuarantined, retryAfter: remaining}
+		}
+	}
 	return r, nil
 }
 
--- a/entry/request/forward/response.go
+++ b/entry/request/forward/response.go
@@ -194,6 +194,9 @@
 	c.lastEventAt = now
 	c.events++
 	c.attemptEvents++
+	if c.attemptEvents == soundEvents {
+		c.recordSound()
+	}
 }
 
 // forwardEvents writes complete events and comments to the caller.
--- a/entry/request/forward/run.go
+++ b/entry/request/forward/run.go
@@ -12,6 +12,7 @@
 	"goldcrestshore/core/process/event"
 	"goldcrestshore/entry/connection/http1"
 	"goldcrestshore/entry/connection/upstream"
+	"goldcrestshore/entry/process/quarantines"
 	"goldcrestshore/entry/request/balance"
 	"goldcrestshore/entry/version/config"
 )
@@ -66,21 +67,21 @@
 			s.Metrics.recordQueueWait(r.priority, c.queueWait)
 			if ctx.Err() != nil { // the context ended as the upstream was granted
 				s.Scheduler.release(t, balance.Abandoned)
-				c.respondFailed(q, reasonDeadlinePassed)
+				c.respondStopped(ctx, q)
 				return
 			}
 		case balance.Reject:
 			c.respondRejected(q, d)
 			return
 		default:
-			c.respondFailed(q, reasonDeadlinePassed)
+			c.respondStopped(ctx, q)
 			return
 		}
 		if c.attempt(ctx) {
 			return
 		}
 		if ctx.Err() != nil {
-			c.respondFailed(q, reasonDeadlinePassed)
+			c.respondStopped(ctx, q)
 			return
 		}
 		if !c.mayRetry() {
@@ -201,9 +202,11 @@
 	}
 	if outcome == balance.Failed {
 		c.logFailure(err)
-		c.detectCrash(ctx, address, err)
 	}
 	s.Scheduler.release(c.ticket, outcome)
+	if outcome == balance.Failed {
+		c.detectCrash(ctx, address, err)
+	}
 	return done
 }
 
@@ -314,10 +317,23 @@
 	c.refuseOrAbort(q, &refusal{status: http.StatusServiceUnavailable, reason: string(d.Reason), retryAfter: d.RetryAfter, fields: fields})
 }
 
+// respondStopped responds to a request whose context has ended.
+func (c *call) respondStopped(ctx context.Context, q *http.Request) {
+	reason := reasonDeadlinePassed
+	if errors.Is(context.Cause(ctx), quarantines.ErrQuarantined) {
+		reason = reasonQuarantined
+	}
+	c.respondFailed(q, reason)
+}
+
 // respondFailed responds to a request that is not attempted again.
 func (c *call) respondFailed(q *http.Request, reason string) {
 	var retryAfter clock.Millis
-	c.server.Scheduler.WithBalancer(func(now clock.Millis, b *balance.Balancer) { retryAfter = b.RetryAfter(now, c.request.service) })
+	if reason == reasonQuarantined {
+		retryAfter = c.server.Quarantine.Remaining(c.request.fingerprints)
+	} else {
+		c.server.Scheduler.WithBalancer(func(now clock.Millis, b *balance.Balancer) { retryAfter = b.RetryAfter(now, c.request.service) })
+	}
 	f := &refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: retryAfter, fields: event.Fields{"upstream": c.upstream, "cause": c.failure, "sends": c.attempts}}
 	switch {
 	case c.possibleRuns > 0 && reason == reasonDeadlinePassed:
@@ -349,6 +365,7 @@
 // recordResponse counts and logs a request whose response was forwarded.
 func (c *call) recordResponse() {
 	s, r := c.server, c.request
+	c.recordSound()
 	total := s.Clock.Now() - r.arrived
 	s.Metrics.countOutcome("answered")
 	fields := event.Fields{
--- a/entry/request/forward/server.go
+++ b/entry/request/forward/server.go
@@ -16,6 +16,7 @@
 	"goldcrestshore/core/process/clock"
 	"goldcrestshore/core/process/event"
 	"goldcrestshore/entry/connection/upstream"
+	"goldcrestshore/entry/process/quarantines"
 	"goldcrestshore/entry/version/fleet"
 )
 
@@ -73,6 +74,8 @@
 	Pool      *upstream.Pool
 	// Current reports whether the view is up to date with the store.
 	Current func(now clock.Millis) bool
+	// Quarantine refuses requests like those that have crashed upstreams; it may be nil.
+	Quarantine *quarantines.Service
 	// Metrics records the outcomes of requests; it may be nil.
 	Metrics *Metrics
 	// Listen is the address that callers connect to, as ip:port.
@@ -183,6 +186,11 @@
 	}
 	ctx, cancel := context.WithTimeout(q.Context(), (r.deadline - s.Clock.Now()).Duration())
 	defer cancel()
+	if s.Quarantine != nil {
+		tracked, stop := s.Quarantine.Track(ctx, r.fingerprints)
+		defer stop()
+		ctx = tracked
+	}
 	s.forwardRequest(ctx, w, q, r)
 }
 
--- /dev/null
+++ b/entry/request/quarantine/cause.go
@@ -0,0 +1,141 @@
+package quarantine
+
+import (
+	"slices"
+
+	"goldcrestshore/core/process/clock"
+)
+
+const (
+	// outageGap is the time between two crashes from which on they belong to two outages.
+	// Upstreams that fail together for a cause from outside crash at the same moment.
+	outageGap = clock.Second
+	// rarityFactor is how many times as frequent as another suspect a fingerprint must be
+	// to count as the more harmless one.
+	rarityFactor = 4
+)
+
+// suspect is a fingerprint that may be the cause of several crashes.
+type suspect struct {
+	fingerprint Fingerprint
+	// crashes are the crashes under the fingerprint, in the order of their time.
+	crashes []Crash
+}
+
+// lastCrash returns the time of the last crash.
+func (s suspect) lastCrash() clock.Millis { return s.crashes[len(s.crashes)-1].At }
+
+// findCauses returns the likely causes of crashes, which are in the order of their time.
+func findCauses(crashes []Crash, h *history) []suspect {
+	suspects := findSuspects(crashes, h)
+	var causes []suspect
+	for _, s := range suspects {
+		if !slices.ContainsFunc(suspects, func(other suspect) bool { return other.moreLikely(s, h) }) {
+			causes = append(causes, s)
+		}
+	}
+	return causes
+}
+
+// findSuspects returns the fingerprints under which enough upstreams have crashed and with
+// which no request has succeeded lately. Of an outage only fingerprints count under which
+// most of its upstreams crashed.
+func findSuspects(crashes []Crash, h *history) []suspect {
+	under := make(map[Fingerprint][]Crash)
+	for _, outage := range outages(crashes) {
+		for f, of := range crashesByFingerprint(outage) {
+			if 2*len(of) > len(outage) && !h.succeeded(f) {
+				under[f] = append(under[f], of...)
+			}
+		}
+	}
+	var suspects []suspect
+	for f, of := range under {
+		if len(of) >= crashesToQuarantine {
+			suspects = append(suspects, suspect{f, of})
+		}
+	}
+	return suspects
+}
+
+// outages divides crashes, in the order of their time, where outageGap lies between two.
+func outages(crashes []Crash) [][]Crash {
+	var out [][]Crash
+	for i, c := range crashes {
+		if i == 0 || c.At-crashes[i-1].At >= outageGap {
+			out = append(out, nil)
+		}
+		out[len(out)-1] = append(out[len(out)-1], c)
+	}
+	return out
+}
+
+func crashesByFingerprint(crashes []Crash) map[Fingerprint][]Crash {
+	out := make(map[Fingerprint][]Crash)
+	for _, c := range crashes {
+		for _, f := range distinct(c.Requests) {
+			out[f] = append(out[f], c)
+		}
+	}
+	return out
+}
+
+// moreLikely reports whether s explains the crashes under other and is the more likely
+// cause of them: because it is much rarer, or because the two always occur together and it
+// is rarer or, if they are equally rare, the more specific one.
+func (s suspect) moreLikely(other suspect, h *history) bool {
+	if s.fingerprint == other.fingerprint || !s.explains(other) {
+		return false
+	}
+	mine, others := h.arrivals(s.fingerprint), h.arrivals(other.fingerprint)
+	if others >= rarityFactor*max(mine, 1) {
+		return true
+	}
+	request, together := other.alwaysWith(s.fingerprint)
+	if !together {
+		return false
+	}
+	return mine < others || (mine == others && moreSpecific(request, s.fingerprint, other.fingerprint))
+}
+
+// explains reports whether all crashes under other are crashes under s.
+func (s suspect) explains(other suspect) bool {
+	for _, c := range other.crashes {
+		if !slices.ContainsFunc(s.crashes, func(mine Crash) bool { return mine.incarnation() == c.incarnation() }) {
+			return false
+		}
+	}
+	return true
+}
+
+// alwaysWith reports whether all requests with the fingerprint of s have f, too, and
+// returns one of them.
+func (s suspect) alwaysWith(f Fingerprint) (request []Fingerprint, together bool) {
+	for _, c := range s.crashes {
+		for _, r := range c.Requests {
+			if !slices.Contains(r, s.fingerprint) {
+				continue
+			}
+			if !slices.Contains(r, f) {
+				return nil, false
+			}
+			request = r
+		}
+	}
+	return request, true
+}
+
+// moreSpecific reports whether f is the more specific fingerprint of a request: later parts
+// of a prompt are shared by fewer requests. The fingerprint of the whole request, its last
+// one, comes after all parts, since a part may crash upstreams in other requests as well.
+func moreSpecific(request []Fingerprint, f, other Fingerprint) bool {
+	whole := len(request) - 1
+	i, j := slices.Index(request, f), slices.Index(request, other)
+	switch {
+	case j == whole:
+		return true
+	case i == whole:
+		return false
+	}
+	return i > j
+}
--- /dev/null
+++ b/entry/request/quarantine/quarantine.go
@@ -0,0 +1,72 @@
+// Package quarantine decides which requests are refused because requests like them have
+// crashed upstreams. It does no I/O and starts no goroutines; callers pass the current
+// time to each call.
+//
+// Requests are compared by their fingerprints: those of the parts of their prompts that
+// other requests may share, in order, and that of the request itself. A fingerprint is
+// quarantined once two upstreams have crashed under requests that had it, unless requests
+// with it have succeeded lately. Of fingerprints that always occur together only the rarest
+// is quarantined, so that requests which share the others are still served.
+package quarantine
+
+import (
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
+
+	"goldcrestshore/core/process/clock"
+	"goldcrestshore/core/request/fingerprint"
+)
+
+// Fingerprint identifies a request or a part that requests share.
+type Fingerprint = fingerprint.Fingerprint
+
+// ErrMalformed means that a stored state can't be decoded.
+var ErrMalformed = errors.New("malformed state of the quarantine")
+
+// Bounds of the state, so that its encoding fits an object of the platform's store.
+const (
+	maxCrashes          = 32
+	maxRequestsPerCrash = 16
+	maxBlocks           = 256
+)
+
+// State is what entries share. It is stored as JSON.
+type State struct {
+	Crashes []Crash `json:"crashes,omitempty"`
+	Blocks  []Block `json:"blocks,omitempty"`
+}
+
+// Crash is the crash of one incarnation of an upstream.
+type Crash struct {
+	Upstream string `json:"upstream"`
+	// StartTime is when the incarnation started, in Unix milliseconds.
+	StartTime int64        `json:"startTime"`
+	At        clock.Millis `json:"atMs"`
+	// Requests holds the fingerprints of each request that may have caused the crash.
+	Requests [][]Fingerprint `json:"requests"`
+}
+
+// Block is a fingerprint in quarantine.
+type Block struct {
+	Fingerprint Fingerprint `json:"fingerprint"`
+	// Until is the end of the quarantine.
+	Until clock.Millis `json:"untilMs"`
+	// Renewals is how often an upstream has crashed after the end of the quarantine.
+	Renewals int `json:"renewals"`
+}
+
+// Encode returns the state in its stored format.
+func (s State) Encode() ([]byte, error) {
+	raw, err := json.Marshal(s)
+	return raw, errors.Wrap(err, "encode state of the quarantine")
+}
+
+// Decode returns a stored state. Its error wraps ErrMalformed.
+func Decode(raw []byte) (State, error) {
+	var s State
+	if err := json.Unmarshal(raw, &s); err != nil {
+		return State{}, errors.CombineErrors(ErrMalformed, err)
+	}
+	return s, nil
+}
--- /dev/null
+++ b/entry/request/quarantine/tracker.go
@@ -0,0 +1,270 @@
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"goldcrestshore/core/process/clock"
+)
+
+const (
+	// crashesToQuarantine is the number of crashes under a fingerprint after which it is
+	// quarantined. After one, it cannot be told from others that were in flight.
+	crashesToQuarantine = 2
+	// crashTTL is how long a crash counts.
+	crashTTL = 10 * clock.Minute
+	// firstQuarantine is the duration of a quarantine after the last crash. It doubles, up
+	// to maxQuarantine, with each renewal.
+	firstQuarantine = 5 * clock.Minute
+	maxQuarantine   = clock.Hour
+	// maxDoublings keeps the duration from overflowing.
+	maxDoublings = 10
+	// settleTime is the time after a crash until its cause is decided, so that the crashes
+	// of upstreams that fail together are known. Until then requests like those that may be
+	// the cause are refused.
+	settleTime clock.Millis = 150
+	// blockTTL is how long after its end a quarantine is remembered. A single crash
+	// within that time renews it.
+	blockTTL = 10 * clock.Minute
+	// warmupTime is how long after its first success an entry knows which fingerprints are
+	// sound, and coldTime how long it waits for that success. Before, it blames none: after
+	// a restart of all entries even the most frequent one has no success yet.
+	warmupTime = 10 * clock.Second
+	coldTime   = 30 * clock.Second
+)
+
+// Tracker holds the state of the quarantine as one entry knows it. The zero value is
+// ready to use. It is not safe for concurrent use.
+type Tracker struct {
+	crashes map[incarnation]Crash
+	blocks  map[Fingerprint]Block
+	history history
+	// undecided holds the fingerprints that are refused until decideAt. decideAt is 0 if
+	// there is nothing to decide.
+	undecided map[Fingerprint]bool
+	decideAt  clock.Millis
+	// added holds the fingerprints whose quarantine has begun since the last call of
+	// TakeAdded.
+	added []Fingerprint
+	// firstArrival and firstSuccess are 0 before the first one.
+	firstArrival, firstSuccess clock.Millis
+}
+
+// incarnation identifies one start of an upstream.
+type incarnation struct {
+	upstream  string
+	startTime int64
+}
+
+func (c Crash) incarnation() incarnation { return incarnation{c.Upstream, c.StartTime} }
+
+// Arrived counts a request and reports, like Blocked, whether it is refused.
+func (t *Tracker) Arrived(now clock.Millis, request []Fingerprint) (remaining clock.Millis, blocked bool) {
+	if t.firstArrival == 0 {
+		t.firstArrival = now
+	}
+	for _, f := range request {
+		t.history.update(now, f, func(a *activity) { a.arrivals++ })
+	}
+	return t.Blocked(now, request)
+}
+
+// Blocked reports whether a request is refused, and how long its quarantine still lasts. A
+// fingerprint with which requests of this entry have succeeded lately is not refused: it
+// occurred together with the one that crashes upstreams.
+func (t *Tracker) Blocked(now clock.Millis, request []Fingerprint) (remaining clock.Millis, blocked bool) {
+	t.Decide(now)
+	t.history.expire(now)
+	for _, f := range request {
+		if t.history.succeeded(f) {
+			continue
+		}
+		remaining = max(remaining, t.blocks[f].Until-now)
+		if t.undecided[f] {
+			remaining = max(remaining, t.decideAt-now)
+		}
+	}
+	return remaining, remaining > 0
+}
+
+// Succeeded records that an upstream has responded to a request without crashing.
+func (t *Tracker) Succeeded(now clock.Millis, request []Fingerprint) {
+	if t.firstSuccess == 0 {
+		t.firstSuccess = now
+	}
+	for _, f := range request {
+		t.history.update(now, f, func(a *activity) { a.succeeded = true })
+	}
+}
+
+// warm reports whether the entry knows which fingerprints are sound.
+func (t *Tracker) warm(now clock.Millis) bool {
+	if t.firstSuccess != 0 && now-t.firstSuccess >= warmupTime {
+		return true
+	}
+	return t.firstArrival != 0 && now-t.firstArrival >= coldTime
+}
+
+// Crashed records that an incarnation of an upstream has crashed while it was running a
+// request. It reports whether that is worth sharing.
+func (t *Tracker) Crashed(now clock.Millis, upstream string, startTime int64, request []Fingerprint) bool {
+	t.history.expire(now)
+	unproven := slices.DeleteFunc(slices.Clone(request), t.history.succeeded)
+	if len(unproven) == 0 || !t.warm(now) {
+		return false
+	}
+	t.Merge(now, State{Crashes: []Crash{{Upstream: upstream, StartTime: startTime, At: now, Requests: [][]Fingerprint{unproven}}}})
+	return true
+}
+
+// Merge adds the state that another entry knows. Neither the order of merges nor duplicates
+// matter.
+func (t *Tracker) Merge(now clock.Millis, s State) {
+	t.history.expire(now)
+	for _, b := range s.Blocks {
+		t.mergeBlock(now, b)
+	}
+	for _, c := range s.Crashes {
+		t.mergeCrash(c)
+	}
+	t.expire(now)
+	t.decide(now)
+}
+
+// Decide quarantines the causes of crashes that have been known for long enough. It does
+// nothing before DecideAt.
+func (t *Tracker) Decide(now clock.Millis) {
+	if t.decideAt != 0 && now >= t.decideAt {
+		t.decide(now)
+	}
+}
+
+// DecideAt returns when Decide should be called, or 0.
+func (t *Tracker) DecideAt() clock.Millis { return t.decideAt }
+
+// TakeAdded returns the fingerprints whose quarantine has begun since the last call.
+func (t *Tracker) TakeAdded() []Fingerprint {
+	added := t.added
+	t.added = nil
+	return added
+}
+
+func (t *Tracker) decide(now clock.Millis) {
+	t.undecided, t.decideAt = nil, 0
+	for _, s := range findCauses(t.unexplainedCrashes(), &t.history) {
+		due := s.lastCrash() + settleTime
+		if now >= due {
+			t.mergeBlock(now, Block{Fingerprint: s.fingerprint, Until: s.lastCrash() + Block{}.duration()})
+			continue
+		}
+		if t.undecided == nil {
+			t.undecided = make(map[Fingerprint]bool)
+		}
+		t.undecided[s.fingerprint] = true
+		t.decideAt = max(t.decideAt, due)
+	}
+	t.extendBlocks()
+}
+
+// State returns the state to share, in an order that depends on its content alone.
+func (t *Tracker) State(now clock.Millis) State {
+	t.expire(now)
+	return State{
+		Crashes: slices.SortedFunc(maps.Values(t.crashes), compareCrashes),
+		Blocks: slices.SortedFunc(maps.Values(t.blocks), func(a, b Block) int {
+			return cmp.Compare(a.Fingerprint, b.Fingerprint)
+		}),
+	}
+}
+
+func compareCrashes(a, b Crash) int {
+	return cmp.Or(cmp.Compare(a.At, b.At), cmp.Compare(a.Upstream, b.Upstream), cmp.Compare(a.StartTime, b.StartTime))
+}
+
+// duration returns how long the quarantine lasts after the last crash.
+func (b Block) duration() clock.Millis {
+	return min(firstQuarantine<<min(b.Renewals, maxDoublings), maxQuarantine)
+}
+
+func (t *Tracker) mergeBlock(now clock.Millis, b Block) {
+	if t.blocks == nil {
+		t.blocks = make(map[Fingerprint]Block)
+	}
+	known := t.blocks[b.Fingerprint]
+	if now >= known.Until && now < b.Until {
+		t.added = append(t.added, b.Fingerprint)
+	}
+	b.Until = max(b.Until, known.Until)
+	b.Renewals = max(b.Renewals, known.Renewals)
+	t.blocks[b.Fingerprint] = b
+}
+
+// mergeCrash adds a crash, or requests to a known one. Its time is the earliest that an
+// entry has seen.
+func (t *Tracker) mergeCrash(c Crash) {
+	if t.crashes == nil {
+		t.crashes = make(map[incarnation]Crash)
+	}
+	if known, found := t.crashes[c.incarnation()]; found {
+		c.At = min(c.At, known.At)
+		c.Requests = append(slices.Clone(known.Requests), c.Requests...)
+	}
+	c.Requests = slices.Clone(c.Requests)
+	slices.SortFunc(c.Requests, slices.Compare[[]Fingerprint])
+	c.Requests = slices.CompactFunc(c.Requests, slices.Equal[[]Fingerprint])
+	c.Requests = c.Requests[:min(len(c.Requests), maxRequestsPerCrash)]
+	t.crashes[c.incarnation()] = c
+}
+
+// extendBlocks makes each quarantine last until its duration after the last crash under
+// its fingerprint, and renews the ones that had ended before a crash.
+func (t *Tracker) extendBlocks() {
+	for _, c := range slices.SortedFunc(maps.Values(t.crashes), compareCrashes) {
+		for _, f := range distinct(c.Requests) {
+			b, found := t.blocks[f]
+			if !found {
+				continue
+			}
+			if c.At >= b.Until {
+				b.Renewals++
+				t.added = append(t.added, f)
+			}
+			b.Until = max(b.Until, c.At+b.duration())
+			t.blocks[f] = b
+		}
+	}
+}
+
+// expire removes what no longer counts and what exceeds the bounds.
+func (t *Tracker) expire(now clock.Millis) {
+	maps.DeleteFunc(t.crashes, func(_ incarnation, c Crash) bool { return now-c.At > crashTTL })
+	maps.DeleteFunc(t.blocks, func(_ Fingerprint, b Block) bool { return now-b.Until > blockTTL })
+	for len(t.crashes) > maxCrashes {
+		delete(t.crashes, slices.MinFunc(slices.Collect(maps.Values(t.crashes)), compareCrashes).incarnation())
+	}
+	for len(t.blocks) > maxBlocks {
+		delete(t.blocks, slices.MinFunc(slices.Collect(maps.Values(t.blocks)), func(a, b Block) int {
+			return cmp.Or(cmp.Compare(a.Until, b.Until), cmp.Compare(a.Fingerprint, b.Fingerprint))
+		}).Fingerprint)
+	}
+}
+
+// unexplainedCrashes returns the crashes without a request that has a fingerprint in
+// quarantine, in the order of their time.
+func (t *Tracker) unexplainedCrashes() []Crash {
+	all := slices.SortedFunc(maps.Values(t.crashes), compareCrashes)
+	return slices.DeleteFunc(all, func(c Crash) bool {
+		return slices.ContainsFunc(distinct(c.Requests), func(f Fingerprint) bool {
+			_, found := t.blocks[f]
+			return found
+		})
+	})
+}
+
+// distinct returns the fingerprints of requests without duplicates.
+func distinct(requests [][]Fingerprint) []Fingerprint {
+	all := slices.Concat(requests...)
+	slices.Sort(all)
+	return slices.Compact(all)
+}
--- /dev/null
+++ b/entry/request/quarantine/tracker_test.go
@@ -0,0 +1,192 @@
+package quarantine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"goldcrestshore/core/process/check"
+	"goldcrestshore/core/process/clock"
+)
+
+// warmStart is a time at which the trackers of newTracker are warm.
+const warmStart = clock.Hour
+
+// newTracker returns a tracker of an entry that has served other requests before.
+func newTracker() *Tracker {
+	t := &Tracker{}
+	t.Succeeded(warmStart-warmupTime, []Fingerprint{99})
+	return t
+}
+
+// crashes reports n crashes under requests that have the parts and a last fingerprint of
+// their own.
+func crashes(t *Tracker, at clock.Millis, n int, parts ...Fingerprint) {
+	for i := range n {
+		request := append(append([]Fingerprint(nil), parts...), Fingerprint(1000+100*at)+Fingerprint(i))
+		t.Arrived(at, request)
+		t.Crashed(at, fmt.Sprint("u", at, "-", i), int64(at), request)
+	}
+}
+
+func blocked(t *Tracker, at clock.Millis, request ...Fingerprint) bool {
+	_, blocked := t.Blocked(at, request)
+	return blocked
+}
+
+// Guards against requests that crash more than two upstreams, and against sound requests
+// that are refused because they share something with them or were in flight beside them.
+func TestCauses(t *testing.T) {
+	const caller, part, other, last = 1, 2, 3, 4
+	now := warmStart
+	for _, tc := range []struct {
+		name   string
+		before func(*Tracker)
+		want   map[Fingerprint]bool
+	}{
+		{"one crash", func(t *Tracker) { crashes(t, now, 1, caller, part) }, nil},
+		{"two crashes at once", func(t *Tracker) { crashes(t, now, 2, caller, part) }, map[Fingerprint]bool{part: true}},
+		{"two outages", func(t *Tracker) {
+			crashes(t, now, 1, caller, part)
+			crashes(t, now+5*clock.Second, 1, caller, part)
+		}, map[Fingerprint]bool{part: true}},
+		{"the part is the first one", func(t *Tracker) {
+			t.Succeeded(now, []Fingerprint{other, 50})
+			crashes(t, now, 2, part, other)
+		}, map[Fingerprint]bool{part: true}},
+		{"requests without the part have only arrived", func(t *Tracker) {
+			t.Arrived(now, []Fingerprint{caller, 50})
+			crashes(t, now, 2, part, caller)
+		}, map[Fingerprint]bool{part: true}},
+		{"requests with the part have succeeded", func(t *Tracker) {
+			t.Succeeded(now, []Fingerprint{part})
+			crashes(t, now, 4, part)
+		}, nil},
+		{"the same request twice", func(t *Tracker) {
+			for i := range 2 {
+				request := []Fingerprint{caller, last}
+				t.Arrived(now, []Fingerprint{caller, 60 + Fingerprint(i)})
+				t.Arrived(now, request)
+				t.Crashed(now, fmt.Sprint("u", i), 1, request)
+			}
+		}, map[Fingerprint]bool{last: true}},
+		{"the same incarnation twice", func(t *Tracker) {
+			for i := range 2 {
+				t.Crashed(now, "u", 1, []Fingerprint{part, 60 + Fingerprint(i)})
+			}
+		}, nil},
+		{"a frequent part in flight beside the cause", func(t *Tracker) {
+			for i := range 4 * rarityFactor {
+				t.Arrived(now, []Fingerprint{other, 70 + Fingerprint(i)})
+			}
+			for i := range 2 {
+				crashes(t, now+clock.Millis(i), 1, part)
+				t.Crashed(now, fmt.Sprint("u", now+clock.Millis(i), "-0"), int64(now)+int64(i), []Fingerprint{other, 70 + Fingerprint(i)})
+			}
+		}, map[Fingerprint]bool{part: true}},
+		{"upstreams that fail together", func(t *Tracker) {
+			for i := range 6 {
+				t.Crashed(now, fmt.Sprint("u", i), 1, []Fingerprint{part + Fingerprint(i/2), 80 + Fingerprint(i)})
+			}
+		}, nil},
+		{"an entry that has just started", func(t *Tracker) {
+			*t = Tracker{}
+			t.Succeeded(now-warmupTime/2, []Fingerprint{99})
+			crashes(t, now, 4, part)
+		}, nil},
+		{"an entry that never has a success", func(t *Tracker) {
+			*t = Tracker{}
+			t.Arrived(now-coldTime, []Fingerprint{part})
+			crashes(t, now, 2, part)
+		}, map[Fingerprint]bool{part: true}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			tracker := newTracker()
+			tc.before(tracker)
+			for _, f := range []Fingerprint{caller, part, other, last} {
+				check.Equal(t, fmt.Sprint("blocked: ", f), blocked(tracker, now+5*clock.Second, f), tc.want[f])
+			}
+		})
+	}
+}
+
+// Guards against a quarantine that never ends, against one that ends for good although the
+// cause still comes, and against memory that grows with crashes.
+func TestQuarantineEnds(t *testing.T) {
+	const part = 2
+	now := warmStart
+	tracker := newTracker()
+	crashes(tracker, now, 2, part)
+	remaining, _ := tracker.Blocked(now, []Fingerprint{part})
+	check.Equal(t, "until the decision", remaining, settleTime)
+	remaining, _ = tracker.Blocked(now+settleTime, []Fingerprint{part})
+	check.Equal(t, "first quarantine", remaining, firstQuarantine-settleTime)
+	check.Equal(t, "added", len(tracker.TakeAdded()), 1)
+	check.Equal(t, "added again", len(tracker.TakeAdded()), 0)
+	end := now + firstQuarantine
+	check.Equal(t, "blocked at the end", blocked(tracker, end, part), false)
+	crashes(tracker, end, 1, part)
+	remaining, _ = tracker.Blocked(end, []Fingerprint{part})
+	check.Equal(t, "after one more crash", remaining, 2*firstQuarantine)
+	late := end + 2*firstQuarantine + blockTTL + 1
+	check.Equal(t, "blocks at the end", len(tracker.State(late).Blocks), 0)
+	check.Equal(t, "crashes at the end", len(tracker.State(late).Crashes), 0)
+}
+
+// Guards against a state that outgrows an object of the store, or the memory of an entry.
+func TestStateIsBounded(t *testing.T) {
+	tracker := newTracker()
+	for i := range 50 * maxCrashes {
+		crashes(tracker, warmStart+clock.Millis(i)*outageGap/4, 2, Fingerprint(i))
+		tracker.Arrived(warmStart, []Fingerprint{Fingerprint(100000 + i)})
+	}
+	s := tracker.State(warmStart + clock.Minute)
+	check.AtMost(t, "crashes", len(s.Crashes), maxCrashes)
+	check.AtMost(t, "blocks", len(s.Blocks), maxBlocks)
+	raw, err := s.Encode()
+	check.NoError(t, "Encode", err)
+	check.AtMost(t, "bytes", len(raw), 1<<18)
+	check.AtMost(t, "history", len(tracker.history.newer)+len(tracker.history.older), 2*maxHistory)
+}
+
+// Guards against entries that come to different states because they merge in another order
+// or more than once, and against a state that its stored form loses.
+func TestMergeOrderDoesNotMatter(t *testing.T) {
+	const part = 2
+	now := warmStart
+	var states []State
+	for i := range 5 {
+		tracker := newTracker()
+		crashes(tracker, now+clock.Millis(i), 1, part, Fingerprint(10+i))
+		states = append(states, tracker.State(now))
+	}
+	encode := func(tracker *Tracker) string {
+		raw, err := tracker.State(now).Encode()
+		check.NoError(t, "Encode", err)
+		return string(raw)
+	}
+	var want string
+	rng := rand.New(rand.NewPCG(1, 2))
+	for i := range 20 {
+		tracker := newTracker()
+		for range 2 {
+			rng.Shuffle(len(states), func(i, j int) { states[i], states[j] = states[j], states[i] })
+			for _, s := range states {
+				tracker.Merge(now, s)
+			}
+		}
+		got := encode(tracker)
+		if i == 0 {
+			want = got
+		}
+		check.Equal(t, "state", got, want)
+		check.Equal(t, "blocked", blocked(tracker, now, part), true)
+		decoded, err := Decode([]byte(got))
+		check.NoError(t, "Decode", err)
+		restarted := &Tracker{}
+		restarted.Merge(now, decoded)
+		check.Equal(t, "state after a restart", encode(restarted), got)
+	}
+	_, err := Decode([]byte("{"))
+	check.Is(t, "cut state", err, ErrMalformed)
+}
