Keep crashes that an entry sees before it can judge them

An entry that had been idle counted as warm although it remembered nothing. Change: crashes are always shared; the entry decides once its history is warm, and a history that has run out begins anew. Run waits for the next decision without holding back new crashes. Evidence: the case "an entry that has become warm since" of TestCauses.

--- a/entry/process/quarantines/service_test.go
+++ b/entry/process/quarantines/service_test.go
@@ -65,15 +65,12 @@
 	s.down = down
 }
 
-// crashes returns the number of crashes that are stored.
-func (s *memoryStore) crashes() int {
+// state returns the stored state, which is empty if it is malformed.
+func (s *memoryStore) state() quarantine.State {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	state, err := quarantine.Decode(s.raw)
-	if err != nil {
-		return 0
-	}
-	return len(state.Crashes)
+	state, _ := quarantine.Decode(s.raw)
+	return state
 }
 
 // newService returns the quarantine of an entry that has served requests for a minute, and
@@ -83,6 +80,7 @@
 	log, err := event.NewLog(io.Discard, "error", "entry", "e")
 	check.NoError(t, "NewLog", err)
 	s := &Service{Clock: c, Log: log, Store: store}
+	s.Arrived([]quarantine.Fingerprint{99})
 	s.Succeeded([]quarantine.Fingerprint{99})
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
@@ -134,13 +132,14 @@
 		e.Arrived([]quarantine.Fingerprint{caller, quarantine.Fingerprint(2000 + i)})
 		e.Crashed(fmt.Sprint("u", i+1), 1, requestWithPart(i+1))
 	}
-	await(t, "all crashes stored", func() bool { return store.crashes() == entryCount-1 })
+	await(t, "all crashes stored", func() bool { return len(store.state().Crashes) == entryCount-1 })
 	c.Advance(clock.Second)
 	for i, e := range entries {
 		await(t, fmt.Sprint("part refused by entry ", i), func() bool { return e.Remaining(requestWithPart(100+i)) > 0 })
 		check.Equal(t, fmt.Sprint("sound request of entry ", i), e.Remaining([]quarantine.Fingerprint{caller, quarantine.Fingerprint(3000 + i)}), 0)
 	}
 	t.Run("after a restart", func(t *testing.T) {
+		await(t, "quarantine stored", func() bool { return len(store.state().Blocks) == 1 })
 		restarted := newService(t, c, store)
 		raw, _, err := store.Load(context.Background())
 		check.NoError(t, "Load", err)
@@ -179,5 +178,5 @@
 	c.Advance(clock.Minute)
 	s.Received([]byte("{"))
 	s.Crashed("u0", 1, requestWithPart(1))
-	await(t, "crash stored", func() bool { return store.crashes() == 1 })
+	await(t, "crash stored", func() bool { return len(store.state().Crashes) == 1 })
 }
--- a/entry/process/quarantines/share.go
+++ b/entry/process/quarantines/share.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"math/rand/v2"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -16,6 +17,8 @@
 	// minBackoff and maxBackoff bound the delay after a failed call to the store.
 	minBackoff clock.Millis = 250
 	maxBackoff              = 4 * clock.Second
+	// minDecisionDelay keeps a decision that is not taken from being tried without pause.
+	minDecisionDelay clock.Millis = 10
 	// maxConflictDelay spreads the entries that report the same crash.
 	maxConflictDelay clock.Millis = 20
 )
@@ -26,32 +29,38 @@
 	dirty := s.dirtySignal()
 	s.mu.Unlock()
 	for {
+		due, stop := s.decisionTimer()
 		select {
 		case <-ctx.Done():
+			stop()
 			return
 		case <-dirty:
+		case <-due:
+			s.decide()
 		}
+		stop()
 		s.share(ctx)
-		if s.awaitDecision(ctx) {
-			s.share(ctx)
-		}
 	}
 }
 
-// awaitDecision waits until the cause of the last crashes is decided, and reports whether
-// there was anything to decide.
-func (s *Service) awaitDecision(ctx context.Context) bool {
+// decisionTimer returns a channel that receives when a decision is due. The caller must
+// call stop.
+func (s *Service) decisionTimer() (due <-chan time.Time, stop func()) {
 	s.mu.Lock()
-	due := s.tracker.DecideAt()
-	s.mu.Unlock()
-	if due == 0 || !clock.Sleep(ctx, max(due-s.Clock.Now(), 0)) {
-		return false
+	defer s.mu.Unlock()
+	at := s.tracker.DecideAt()
+	if at == 0 {
+		return nil, func() {}
 	}
+	timer := time.NewTimer(max(at-s.Clock.Now(), minDecisionDelay).Duration())
+	return timer.C, func() { timer.Stop() }
+}
+
+func (s *Service) decide() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.tracker.Decide(s.Clock.Now())
 	s.endQuarantined()
-	return true
 }
 
 // share merges the state into the stored one, until that succeeds or ctx is done.
--- a/entry/request/forward/crash_test.go
+++ b/entry/request/forward/crash_test.go
@@ -24,6 +24,7 @@
 func warmQuarantine(log *event.Log) *quarantines.Service {
 	c := clock.NewManual(clock.Hour)
 	service := &quarantines.Service{Clock: c, Log: log}
+	service.Arrived([]fingerprint.Fingerprint{1})
 	service.Succeeded([]fingerprint.Fingerprint{1})
 	c.Advance(clock.Minute)
 	return service
--- a/entry/request/quarantine/history.go
+++ b/entry/request/quarantine/history.go
@@ -8,6 +8,11 @@
 	historyAge = clock.Minute
 	// maxHistory bounds the fingerprints of half of the history.
 	maxHistory = 8192
+	// warmupTime is how long after the first success it is known which fingerprints are
+	// sound, and coldTime how long after the first request if none succeeds. Before, even
+	// the most frequent one may have no success yet.
+	warmupTime = 10 * clock.Second
+	coldTime   = 30 * clock.Second
 )
 
 // history holds what an entry has seen of fingerprints lately. It has two halves and drops
@@ -15,6 +20,8 @@
 type history struct {
 	newer, older map[Fingerprint]activity
 	startedAt    clock.Millis
+	// firstArrival and firstSuccess are 0 before the first one.
+	firstArrival, firstSuccess clock.Millis
 }
 
 // activity counts the requests with a fingerprint.
@@ -23,18 +30,35 @@
 	succeeded bool
 }
 
-// update changes the activity of a fingerprint.
-func (h *history) update(now clock.Millis, f Fingerprint, change func(*activity)) {
+func (h *history) arrived(now clock.Millis, request []Fingerprint) {
 	h.expire(now)
-	a := h.newer[f]
-	change(&a)
-	h.newer[f] = a
+	if h.firstArrival == 0 {
+		h.firstArrival = now
+	}
+	for _, f := range request {
+		a := h.newer[f]
+		a.arrivals++
+		h.newer[f] = a
+	}
+}
+
+func (h *history) recordSuccess(now clock.Millis, request []Fingerprint) {
+	h.expire(now)
+	if h.firstSuccess == 0 {
+		h.firstSuccess = now
+	}
+	for _, f := range request {
+		a := h.newer[f]
+		a.succeeded = true
+		h.newer[f] = a
+	}
 }
 
+// expire drops what is too old. A history that holds nothing any more begins anew.
 func (h *history) expire(now clock.Millis) {
 	switch {
 	case h.newer == nil || now-h.startedAt >= 2*historyAge:
-		h.newer, h.older = make(map[Fingerprint]activity), nil
+		*h = history{newer: make(map[Fingerprint]activity)}
 	case now-h.startedAt >= historyAge || len(h.newer) >= maxHistory:
 		h.newer, h.older = make(map[Fingerprint]activity), h.newer
 	default:
@@ -43,6 +67,16 @@
 	h.startedAt = now
 }
 
+// warmAt returns from when on it is known which fingerprints are sound. It is not known
+// when that will be before the first request.
+func (h *history) warmAt() (at clock.Millis, known bool) {
+	at = h.firstArrival + coldTime
+	if h.firstSuccess != 0 {
+		at = min(at, h.firstSuccess+warmupTime)
+	}
+	return at, h.firstArrival != 0
+}
+
 // arrivals returns the number of recent requests with the fingerprint.
 func (h *history) arrivals(f Fingerprint) int { return h.newer[f].arrivals + h.older[f].arrivals }
 
--- a/entry/request/quarantine/tracker.go
+++ b/entry/request/quarantine/tracker.go
@@ -27,11 +27,6 @@
 	// blockTTL is how long after its end a quarantine is remembered. A single crash
 	// within that time renews it.
 	blockTTL = 10 * clock.Minute
-	// warmupTime is how long after its first success an entry knows which fingerprints are
-	// sound, and coldTime how long it waits for that success. Before, it blames none: after
-	// a restart of all entries even the most frequent one has no success yet.
-	warmupTime = 10 * clock.Second
-	coldTime   = 30 * clock.Second
 )
 
 // Tracker holds the state of the quarantine as one entry knows it. The zero value is
@@ -47,8 +42,6 @@
 	// added holds the fingerprints whose quarantine has begun since the last call of
 	// TakeAdded.
 	added []Fingerprint
-	// firstArrival and firstSuccess are 0 before the first one.
-	firstArrival, firstSuccess clock.Millis
 }
 
 // incarnation identifies one start of an upstream.
@@ -61,12 +54,7 @@
 
 // Arrived counts a request and reports, like Blocked, whether it is refused.
 func (t *Tracker) Arrived(now clock.Millis, request []Fingerprint) (remaining clock.Millis, blocked bool) {
-	if t.firstArrival == 0 {
-		t.firstArrival = now
-	}
-	for _, f := range request {
-		t.history.update(now, f, func(a *activity) { a.arrivals++ })
-	}
+	t.history.arrived(now, request)
 	return t.Blocked(now, request)
 }
 
@@ -90,20 +78,10 @@
 
 // Succeeded records that an upstream has responded to a request without crashing.
 func (t *Tracker) Succeeded(now clock.Millis, request []Fingerprint) {
-	if t.firstSuccess == 0 {
-		t.firstSuccess = now
-	}
-	for _, f := range request {
-		t.history.update(now, f, func(a *activity) { a.succeeded = true })
-	}
-}
-
-// warm reports whether the entry knows which fingerprints are sound.
-func (t *Tracker) warm(now clock.Millis) bool {
-	if t.firstSuccess != 0 && now-t.firstSuccess >= warmupTime {
-		return true
+	t.history.recordSuccess(now, request)
+	if at, known := t.history.warmAt(); known && t.decideAt != 0 {
+		t.decideAt = min(t.decideAt, at)
 	}
-	return t.firstArrival != 0 && now-t.firstArrival >= coldTime
 }
 
 // Crashed records that an incarnation of an upstream has crashed while it was running a
@@ -111,7 +89,7 @@
 func (t *Tracker) Crashed(now clock.Millis, upstream string, startTime int64, request []Fingerprint) bool {
 	t.history.expire(now)
 	unproven := slices.DeleteFunc(slices.Clone(request), t.history.succeeded)
-	if len(unproven) == 0 || !t.warm(now) {
+	if len(unproven) == 0 {
 		return false
 	}
 	t.Merge(now, State{Crashes: []Crash{{Upstream: upstream, StartTime: startTime, At: now, Requests: [][]Fingerprint{unproven}}}})
@@ -152,6 +130,13 @@
 
 func (t *Tracker) decide(now clock.Millis) {
 	t.undecided, t.decideAt = nil, 0
+	t.extendBlocks()
+	if at, known := t.history.warmAt(); !known || now < at {
+		if known && len(t.crashes) > 0 {
+			t.decideAt = at
+		}
+		return
+	}
 	for _, s := range findCauses(t.unexplainedCrashes(), &t.history) {
 		due := s.lastCrash() + settleTime
 		if now >= due {
@@ -164,7 +149,6 @@
 		t.undecided[s.fingerprint] = true
 		t.decideAt = max(t.decideAt, due)
 	}
-	t.extendBlocks()
 }
 
 // State returns the state to share, in an order that depends on its content alone.
--- a/entry/request/quarantine/tracker_test.go
+++ b/entry/request/quarantine/tracker_test.go
@@ -15,6 +15,7 @@
 // newTracker returns a tracker of an entry that has served other requests before.
 func newTracker() *Tracker {
 	t := &Tracker{}
+	t.Arrived(warmStart-warmupTime, []Fingerprint{99})
 	t.Succeeded(warmStart-warmupTime, []Fingerprint{99})
 	return t
 }
@@ -91,9 +92,16 @@
 		}, nil},
 		{"an entry that has just started", func(t *Tracker) {
 			*t = Tracker{}
-			t.Succeeded(now-warmupTime/2, []Fingerprint{99})
+			t.Arrived(now, []Fingerprint{99})
+			t.Succeeded(now, []Fingerprint{99})
 			crashes(t, now, 4, part)
 		}, nil},
+		{"an entry that has become warm since", func(t *Tracker) {
+			*t = Tracker{}
+			t.Arrived(now-warmupTime/2, []Fingerprint{99})
+			crashes(t, now-warmupTime/2, 4, part)
+			t.Succeeded(now-warmupTime/2, []Fingerprint{99})
+		}, map[Fingerprint]bool{part: true}},
 		{"an entry that never has a success", func(t *Tracker) {
 			*t = Tracker{}
 			t.Arrived(now-coldTime, []Fingerprint{part})
