--- a/entry/request/quarantine/history.go
+++ b/entry/request/quarantine/history.go
@@ -31,25 +31,22 @@
 }
 
 func (h *history) arrived(now clock.Millis, request []Fingerprint) {
-	h.expire(now)
-	if h.firstArrival == 0 {
-		h.firstArrival = now
-	}
-	for _, f := range request {
-		a := h.newer[f]
-		a.arrivals++
-		h.newer[f] = a
-	}
+	h.update(now, &h.firstArrival, request, func(a *activity) { a.arrivals++ })
 }
 
 func (h *history) recordSuccess(now clock.Millis, request []Fingerprint) {
+	h.update(now, &h.firstSuccess, request, func(a *activity) { a.succeeded = true })
+}
+
+// update changes the activity of fingerprints, and sets first unless it is set.
+func (h *history) update(now clock.Millis, first *clock.Millis, request []Fingerprint, change func(*activity)) {
 	h.expire(now)
-	if h.firstSuccess == 0 {
-		h.firstSuccess = now
+	if *first == 0 {
+		*first = now
 	}
 	for _, f := range request {
 		a := h.newer[f]
-		a.succeeded = true
+		change(&a)
 		h.newer[f] = a
 	}
 }
