Test requests that crash upstreams with the stand-ins of the other tests

Cause: the test had a server of its own; and a single request that comes again had no test. Change: crashable upstreams are listeners of testEntry; TestRequestThatCrashesUpstreams.

--- a/entry/request/forward/crash_test.go
+++ b/entry/request/forward/crash_test.go
@@ -1,14 +1,13 @@
 package forward
 
 import (
-	"bufio"
 	"bytes"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
-	"sync"
+	"sync/atomic"
 	"testing"
 
 	"goldcrestshore/core/process/check"
@@ -33,95 +32,31 @@
 // crashPart is the part of a prompt that crashes the upstreams of crashableUpstreams.
 const crashPart = "c0"
 
-// crashableUpstream is an upstream that crashes when it begins to respond to a request with
-// crashPart in its prompt: it closes its connections and its listener.
-type crashableUpstream struct {
-	t       *testing.T
-	address string
-
-	mu       sync.Mutex
-	listener net.Listener
-	conns    []net.Conn
-	crashes  int
-}
-
-// newCrashableUpstream starts an upstream on an address of its own.
-func newCrashableUpstream(t *testing.T) *crashableUpstream {
-	u := &crashableUpstream{t: t, address: "127.0.0.1:0"}
-	u.start()
-	t.Cleanup(u.stop)
-	return u
-}
-
-// start makes the upstream listen, again on the same address after a crash.
-func (u *crashableUpstream) start() {
-	u.t.Helper()
-	l, err := net.Listen("tcp4", u.address)
-	check.NoError(u.t, "Listen", err)
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.listener, u.address = l, l.Addr().String()
-	go func() {
-		for c, err := l.Accept(); err == nil; c, err = l.Accept() {
-			u.mu.Lock()
-			u.conns = append(u.conns, c)
-			u.mu.Unlock()
-			go u.serve(c)
-		}
-	}()
-}
-
-func (u *crashableUpstream) stop() {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	_ = u.listener.Close()
-	for _, c := range u.conns {
-		_ = c.Close()
-	}
-	u.conns = nil
-}
-
-func (u *crashableUpstream) crashCount() int {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return u.crashes
-}
-
-func (u *crashableUpstream) serve(c net.Conn) {
-	r := bufio.NewReader(c)
-	for {
-		q, err := http.ReadRequest(r)
-		if err != nil {
-			return
-		}
-		_, _ = io.Copy(io.Discard, q.Body)
-		if strings.Contains(q.Header.Get("X-Prompt"), crashPart+":") {
-			head, _, _ := strings.Cut(respondEvents(true)(q), "0\r\n")
-			_, _ = io.WriteString(c, head)
-			u.mu.Lock()
-			u.crashes++
-			u.mu.Unlock()
-			u.stop()
-			return
-		}
-		_, _ = io.WriteString(c, respondEvents(true, eventOne, eventTwo, eventThree)(q))
-	}
-}
-
-// crashableUpstreams replaces the upstreams of an entry by n crashable ones.
-func crashableUpstreams(t *testing.T, s *testEntry, n int) []*crashableUpstream {
+// crashableUpstreams replaces the upstreams of an entry by n others. Each crashes when it
+// begins to respond to a request with crashPart in its prompt: it closes its connection and
+// its listener. It returns the number of crashes.
+func crashableUpstreams(t *testing.T, s *testEntry, n int) *atomic.Int64 {
 	t.Helper()
-	var all []*crashableUpstream
+	var crashes atomic.Int64
 	registered := make(map[string]*fleet.Upstream)
 	for i := range n {
-		u := newCrashableUpstream(t)
+		var listener net.Listener
+		respond := func(q *http.Request) string {
+			if !strings.Contains(q.Header.Get("X-Prompt"), crashPart+":") {
+				return respondEvents(true, eventOne, eventTwo, eventThree)(q)
+			}
+			crashes.Add(1)
+			_ = listener.Close()
+			head, _, _ := strings.Cut(respondEvents(true)(q), "0\r\n")
+			return head + closeMark
+		}
+		listener = s.listen(t, slices.Repeat([]responder{respond}, 10))
 		id := fmt.Sprint("u", i)
-		registered[id] = &fleet.Upstream{ID: id, Service: "plain", Address: u.address, Slots: 4}
-		all = append(all, u)
+		registered[id] = &fleet.Upstream{ID: id, Service: "plain", Address: listener.Addr().String(), Slots: 4}
 	}
 	s.server.State.SetUpstreams(registered)
 	s.server.Scheduler.SetView(s.server.State.View())
-	return all
+	return &crashes
 }
 
 // callWithPrompt calls the route of streams with the parts of a prompt.
@@ -155,21 +90,28 @@
 // the other, although no two of them are alike, and against sound requests of the same
 // customer that are refused with them.
 func TestPartThatCrashesUpstreams(t *testing.T) {
+	testCrashes(t, func(i int) []string { return []string{"a0", crashPart, fmt.Sprint("c", i)} })
+}
+
+// Guards against one request that crashes an upstream each time it comes again.
+func TestRequestThatCrashesUpstreams(t *testing.T) {
+	testCrashes(t, func(int) []string { return []string{"a0", crashPart} })
+}
+
+// testCrashes sends requests with the prompts, all of which crash upstreams, between sound
+// ones that share their first part.
+func testCrashes(t *testing.T, prompt func(i int) []string) {
 	const upstreams, maxCrashes = 6, 2
 	s := newTestEntry(t)
-	all := crashableUpstreams(t, s, upstreams)
+	crashes := crashableUpstreams(t, s, upstreams)
 	for i := range 2 {
 		check.Equal(t, "status of a sound request before", callWithPrompt(t, s, fmt.Sprint("before", i), "a0", fmt.Sprint("b", i)).status, http.StatusOK)
 	}
 	for i := range upstreams {
-		callWithPrompt(t, s, fmt.Sprint("crash", i), "a0", crashPart, fmt.Sprint("c", i))
-	}
-	crashes := 0
-	for _, u := range all {
-		crashes += u.crashCount()
+		callWithPrompt(t, s, fmt.Sprint("crash", i), prompt(i)...)
 	}
-	check.Equal(t, "crashed upstreams", crashes, maxCrashes)
-	refused := callWithPrompt(t, s, "refused", "a0", crashPart, "d")
+	check.Equal(t, "crashed upstreams", crashes.Load(), maxCrashes)
+	refused := callWithPrompt(t, s, "refused", prompt(upstreams)...)
 	check.Equal(t, "status of a request with the part", refused.status, http.StatusServiceUnavailable)
 	check.Equal(t, "Retry-After is set", refused.header.Get("Retry-After") != "", true)
 	sound := callWithPrompt(t, s, "after", "a0", "e")
--- a/entry/request/forward/forward_test.go
+++ b/entry/request/forward/forward_test.go
@@ -58,7 +58,7 @@
 	customers := []config.Customer{{Name: "one", Keys: []string{"k1"}, Priority: -1}}
 	state := fleet.New()
 	state.SetConfig(config.New(3, routes, []config.Service{{Name: "plain"}, {Name: "model", Engine: &config.Engine{}}}, customers, limits))
-	address := s.listen(t, responders)
+	address := s.listen(t, responders).Addr().String()
 	upstreams := make(map[string]*fleet.Upstream)
 	for i := range 3 {
 		id := fmt.Sprint("u", i)
@@ -79,8 +79,8 @@
 	return s
 }
 
-// listen serves all upstreams on one address, which it returns.
-func (s *testEntry) listen(t *testing.T, responders []responder) string {
+// listen serves upstreams on one address until the listener that it returns is closed.
+func (s *testEntry) listen(t *testing.T, responders []responder) net.Listener {
 	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	check.NoError(t, "Listen", err)
@@ -98,7 +98,7 @@
 			go s.serve(c, pending)
 		}
 	}()
-	return l.Addr().String()
+	return l
 }
 
 func (s *testEntry) serve(c net.Conn, pending chan responder) {
