--- a/entry/process/quarantines/service.go
+++ b/entry/process/quarantines/service.go
@@ -66,6 +66,13 @@
 	return remaining
 }
 
+// Active returns the number of fingerprints in quarantine.
+func (s *Service) Active() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.tracker.Active(s.Clock.Now())
+}
+
 // Track returns a context that ends with the cause ErrQuarantined when the request is
 // quarantined. The caller must call stop once the request has ended.
 func (s *Service) Track(ctx context.Context, request []quarantine.Fingerprint) (tracked context.Context, stop func()) {
--- a/entry/request/forward/trouble_test.go
+++ b/entry/request/forward/trouble_test.go
@@ -200,6 +200,16 @@
 	})
 }
 
+// captureLog returns the lines that an entry logs from now on.
+func captureLog(t *testing.T, s *testEntry) *bytes.Buffer {
+	t.Helper()
+	var lines bytes.Buffer
+	log, err := event.NewLog(&lines, "warning", "entry", "e")
+	check.NoError(t, "NewLog", err)
+	s.server.Log = log
+	return &lines
+}
+
 // Guards against log lines that do not tell how a stream broke off.
 func TestBrokenStreamIsDescribed(t *testing.T) {
 	for _, tc := range []struct {
@@ -212,10 +222,7 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			s := newTestEntry(t, closing([]responder{tc.broken, respondEvents(true, eventTwo, eventThree)})...)
-			var lines bytes.Buffer
-			log, err := event.NewLog(&lines, "warning", "entry", "e")
-			check.NoError(t, "NewLog", err)
-			s.server.Log = log
+			lines := captureLog(t, s)
 			check.NoError(t, "call", s.call(t, "/stream/", nil).err)
 			for _, want := range []string{tc.want, `"unfinishedBytes":5`, `"events":1`} {
 				check.Equal(t, "line has "+want, strings.Contains(lines.String(), want), true)
--- a/entry/request/quarantine/tracker.go
+++ b/entry/request/quarantine/tracker.go
@@ -151,6 +151,17 @@
 	}
 }
 
+// Active returns the number of fingerprints in quarantine.
+func (t *Tracker) Active(now clock.Millis) int {
+	n := 0
+	for _, b := range t.blocks {
+		if now < b.Until {
+			n++
+		}
+	}
+	return n
+}
+
 // State returns the state to share, in an order that depends on its content alone.
 func (t *Tracker) State(now clock.Millis) State {
 	t.expire(now)
--- a/entry/request/quarantine/tracker_test.go
+++ b/entry/request/quarantine/tracker_test.go
@@ -124,6 +124,7 @@
 	check.Equal(t, "added again", len(tracker.TakeAdded()), 0)
 	end := now + firstQuarantine
 	check.Equal(t, "blocked at the end", blocked(tracker, end, part), false)
+	check.Equal(t, "in quarantine before and at the end", fmt.Sprint(tracker.Active(end-1), tracker.Active(end)), "1 0")
 	crashes(tracker, end, 1, part)
 	remaining, _ = tracker.Blocked(end, []Fingerprint{part})
 	check.Equal(t, "after one more crash", remaining, 2*firstQuarantine)
