Let only the entries that have seen a crash share what they decide of it

Cause: every entry that learned of two crashes read the object of the quarantine, and decisions that a request had triggered before Run were neither logged nor shared. Change: an entry shares after a crash of its own and after the decision on it; decisions are applied wherever they are taken.

--- a/entry/process/quarantines/service.go
+++ b/entry/process/quarantines/service.go
@@ -41,8 +41,11 @@
 	mu      sync.Mutex
 	tracker quarantine.Tracker
 	running map[*runningRequest]bool
-	// dirty has an element when there is something to share or to decide.
-	dirty chan struct{}
+	// unshared is set while the store lacks what this entry knows of crashes that it has
+	// seen itself; reporting is set from such a crash until its cause is decided.
+	unshared, reporting bool
+	// wakeUp has an element when Run has something to share or to decide.
+	wakeUp chan struct{}
 }
 
 // runningRequest is a request whose context ends when it is quarantined.
@@ -55,7 +58,11 @@
 func (s *Service) Arrived(request []quarantine.Fingerprint) (remaining clock.Millis, blocked bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.tracker.Arrived(s.Clock.Now(), request)
+	remaining, blocked = s.tracker.Arrived(s.Clock.Now(), request)
+	if s.tracker.HasAdded() { // a decision was due before Run could take it
+		s.applyDecisions()
+	}
+	return remaining, blocked
 }
 
 // Remaining returns how long requests like this one are still refused, or 0.
@@ -108,7 +115,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.tracker.Crashed(s.Clock.Now(), upstream, startTime, request) {
-		s.endQuarantined()
+		s.unshared, s.reporting = true, true
+		s.applyDecisions()
 		s.wake()
 	}
 }
@@ -124,17 +132,22 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.tracker.Merge(s.Clock.Now(), state)
-	s.endQuarantined()
+	s.applyDecisions()
 	if s.tracker.DecideAt() != 0 {
 		s.wake()
 	}
 }
 
-// endQuarantined logs new quarantines and ends the contexts of the requests that are in
-// quarantine now. It must be called with mu held.
-func (s *Service) endQuarantined() {
+// applyDecisions logs new quarantines and ends the contexts of the requests that are in
+// quarantine now. Of the entries that know of the crashes only those that have seen one
+// share the decision. It must be called with mu held.
+func (s *Service) applyDecisions() {
 	if added := s.tracker.TakeAdded(); len(added) > 0 {
 		s.Log.Emit(event.RequestQuarantined, event.Fields{"fingerprints": added})
+		if s.reporting {
+			s.unshared = true
+			s.wake()
+		}
 	}
 	now := s.Clock.Now()
 	for r := range s.running {
@@ -144,18 +157,19 @@
 	}
 }
 
-// wake makes Run share the state. It must be called with mu held.
+// wake makes Run share the state or wait for the next decision. It must be called with mu
+// held.
 func (s *Service) wake() {
 	select {
-	case s.dirtySignal() <- struct{}{}:
+	case s.wakeSignal() <- struct{}{}:
 	default: // Run has not taken the last signal yet
 	}
 }
 
-// dirtySignal returns the channel that wakes Run. It must be called with mu held.
-func (s *Service) dirtySignal() chan struct{} {
-	if s.dirty == nil {
-		s.dirty = make(chan struct{}, 1)
+// wakeSignal returns the channel that wakes Run. It must be called with mu held.
+func (s *Service) wakeSignal() chan struct{} {
+	if s.wakeUp == nil {
+		s.wakeUp = make(chan struct{}, 1)
 	}
-	return s.dirty
+	return s.wakeUp
 }
--- a/entry/process/quarantines/share.go
+++ b/entry/process/quarantines/share.go
@@ -26,7 +26,7 @@
 // Run shares the state with the other entries, and decides what is due, until ctx is done.
 func (s *Service) Run(ctx context.Context) {
 	s.mu.Lock()
-	dirty := s.dirtySignal()
+	wakeUp := s.wakeSignal()
 	s.mu.Unlock()
 	for {
 		due, stop := s.decisionTimer()
@@ -34,15 +34,26 @@
 		case <-ctx.Done():
 			stop()
 			return
-		case <-dirty:
+		case <-wakeUp:
 		case <-due:
 			s.decide()
 		}
 		stop()
-		s.share(ctx)
+		if s.takeUnshared() {
+			s.share(ctx)
+		}
 	}
 }
 
+// takeUnshared reports whether there is something to share, and marks it as shared.
+func (s *Service) takeUnshared() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	unshared := s.unshared
+	s.unshared = false
+	return unshared
+}
+
 // decisionTimer returns a channel that receives when a decision is due. The caller must
 // call stop.
 func (s *Service) decisionTimer() (due <-chan time.Time, stop func()) {
@@ -56,11 +67,13 @@
 	return timer.C, func() { timer.Stop() }
 }
 
+// decide takes the decision that is due.
 func (s *Service) decide() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.tracker.Decide(s.Clock.Now())
-	s.endQuarantined()
+	s.applyDecisions()
+	s.reporting = s.reporting && s.tracker.DecideAt() != 0
 }
 
 // share merges the state into the stored one, until that succeeds or ctx is done.
@@ -111,6 +124,6 @@
 	defer s.mu.Unlock()
 	now := s.Clock.Now()
 	s.tracker.Merge(now, stored)
-	s.endQuarantined()
+	s.applyDecisions()
 	return s.tracker.State(now)
 }
--- a/entry/request/quarantine/tracker.go
+++ b/entry/request/quarantine/tracker.go
@@ -121,6 +121,9 @@
 // DecideAt returns when Decide should be called, or 0.
 func (t *Tracker) DecideAt() clock.Millis { return t.decideAt }
 
+// HasAdded reports whether a quarantine has begun since the last call of TakeAdded.
+func (t *Tracker) HasAdded() bool { return len(t.added) > 0 }
+
 // TakeAdded returns the fingerprints whose quarantine has begun since the last call.
 func (t *Tracker) TakeAdded() []Fingerprint {
 	added := t.added
