Allow line ends behind the last event of a stream that ends with its connection

What callers saw: a sound stream without a length was aborted if a line end behind its last event arrived by itself. Cause: any byte after the last event counted as the beginning of the next one. Change: line ends do not. Evidence: the new case of TestEndsOfStreams failed before.

--- a/entry/request/forward/stream.go
+++ b/entry/request/forward/stream.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"bytes"
 	"io"
 	"net/http"
 
@@ -101,7 +102,7 @@
 // if this upstream has sent no event.
 func (c *call) endsTooSoon(resp *upstream.ResponseReader, rest []byte) bool {
 	if resp.Framing() == upstream.FramedByClose {
-		return len(rest) > 0 || c.attemptEvents == 0
+		return len(bytes.Trim(rest, "\r\n")) > 0 || c.attemptEvents == 0
 	}
 	return hasEvent(rest)
 }
--- a/entry/request/forward/trouble_test.go
+++ b/entry/request/forward/trouble_test.go
@@ -59,6 +59,12 @@
 			check.Equal(t, "requests at upstreams", len(s.requests()), tc.upstreams)
 		})
 	}
+	t.Run("connection, whole, one more line end", func(t *testing.T) {
+		s := newTestEntry(t, closing([]responder{respondUntilClose(all + pauseMark + "20ms" + pauseMark + "\n")})...)
+		got := s.call(t, "/stream/", nil)
+		check.NoError(t, "call", got.err)
+		check.Equal(t, "body", got.body, all+"\n")
+	})
 	t.Run("connection, cut in an event of a stream that may not be resumed", func(t *testing.T) {
 		s := newTestEntry(t, closing([]responder{respondUntilClose(eventOne + "id: 2\nda")})...)
 		setRetry(s, "stream", config.AtMostOnce)
