Blame what explains more crashes before a request that was sent twice

Cause: at an entry that had not received it, a request that had crashed two upstreams itself counted as rarer than the part that crashed a third, so both were quarantined (trial with three entries and four replicas as processes). Change: of fingerprints that come together the one under which more upstreams crashed counts. Evidence: the new case of TestCauses failed before.

--- a/entry/request/quarantine/cause.go
+++ b/entry/request/quarantine/cause.go
@@ -76,8 +76,8 @@
 }
 
 // moreLikely reports whether s explains the crashes under other and is the more likely
-// cause of them: because the two always occur together and s is the rarer one or, if they
-// are equally rare, the more specific one.
+// cause of them: because other never occurs without s, and s explains more crashes, is
+// rarer or, if they are equally rare, the more specific one.
 func (s suspect) moreLikely(other suspect, h *history) bool {
 	if s.fingerprint == other.fingerprint || !s.explains(other) {
 		return false
@@ -86,6 +86,9 @@
 	if !together {
 		return false
 	}
+	if len(s.crashes) > len(other.crashes) {
+		return true
+	}
 	mine, others := h.arrivals(s.fingerprint), h.arrivals(other.fingerprint)
 	return mine < others || (mine == others && moreSpecific(request, s.fingerprint, other.fingerprint))
 }
--- a/entry/request/quarantine/tracker_test.go
+++ b/entry/request/quarantine/tracker_test.go
@@ -71,6 +71,12 @@
 				t.Crashed(now, fmt.Sprint("u", i), 1, request)
 			}
 		}, map[Fingerprint]bool{last: true}},
+		{"a request that was sent twice, and another", func(t *Tracker) {
+			crashes(t, now, 1, part)
+			for i := range 2 {
+				t.Crashed(now, fmt.Sprint("v", i), 1, []Fingerprint{part, last})
+			}
+		}, map[Fingerprint]bool{part: true}},
 		{"the same incarnation twice", func(t *Tracker) {
 			for i := range 2 {
 				t.Crashed(now, "u", 1, []Fingerprint{part, 60 + Fingerprint(i)})
