Read adopted versions in the order that log lines have

Cause: scripts/config.sh expected atMs before instance; log lines have the instance first, so no line matched and every version counted as missing.

--- a/scripts/config.sh
+++ b/scripts/config.sh
@@ -197,7 +197,7 @@
 done
 
 grep -h '"event":1200' "$RUN_DIR"/agent-*.log "$RUN_DIR"/entry-*.log |
-	sed 's/.*"atMs":\([0-9]*\).*"instance":"\([^"]*\)".*"version":\([0-9]*\).*/\2 \3 \1/' >"$RUN_DIR/adopted.txt"
+	sed 's/.*"instance":"\([^"]*\)".*"atMs":\([0-9]*\).*"version":\([0-9]*\).*/\1 \3 \2/' >"$RUN_DIR/adopted.txt"
 echo "$calls_before $calls_after" | tr -c '0-9\n' ' ' >"$RUN_DIR/calls.txt"
 awk -v processes="$running" -v seconds="$(((ended_ms - started_ms) / 1000))" -v changes="$CHANGES" \
 	-f scripts/config.awk "$RUN_DIR/lifecycle.txt" "$RUN_DIR/accepted.txt" "$RUN_DIR/calls.txt" "$RUN_DIR/adopted.txt"
