Count only successful responses as a sign that a request is sound

Cause: any response, also a 500, counted as a success of the fingerprints of its request. Evidence: TestPartThatCrashesUpstreams and TestRequestThatCrashesUpstreams, with a request that an upstream fails first, saw six crashes before and see two now.

--- a/entry/request/forward/crash.go
+++ b/entry/request/forward/crash.go
@@ -37,8 +37,8 @@
 	return append(out, fingerprint.OfValues(service, r.Method, r.Target, name, promptParts, string(r.Body)))
 }
 
-// recordSound records that the upstream has not crashed although it responds to the
-// request.
+// recordSound records that the upstream has not crashed although it has begun to respond to
+// the request with success. A failure is no sign of that: it may not have begun.
 func (c *call) recordSound() {
 	if c.server.Quarantine != nil {
 		c.server.Quarantine.Succeeded(c.request.fingerprints)
--- a/entry/request/forward/crash_test.go
+++ b/entry/request/forward/crash_test.go
@@ -33,7 +33,8 @@
 
 // crashableUpstreams replaces the upstreams of an entry by n others. Each crashes when it
 // begins to respond to a request with crashPart in its prompt: it closes its connection and
-// its listener. It returns the number of crashes.
+// its listener. A request with the id "failing" it only fails. It returns the number of
+// crashes.
 func crashableUpstreams(t *testing.T, s *testEntry, n int) *atomic.Int64 {
 	t.Helper()
 	var crashes atomic.Int64
@@ -41,6 +42,9 @@
 	for i := range n {
 		var listener net.Listener
 		respond := func(q *http.Request) string {
+			if q.Header.Get("X-Other") == "failing" {
+				return status(http.StatusInternalServerError, "X-Signature: s\r\n")(q)
+			}
 			if !strings.Contains(q.Header.Get("X-Prompt"), crashPart+":") {
 				return respondEvents(true, eventOne, eventTwo, eventThree)(q)
 			}
@@ -58,11 +62,13 @@
 	return &crashes
 }
 
-// callWithPrompt calls the route of streams with the parts of a prompt.
+// callWithPrompt calls the route of streams with the parts of a prompt. The id is also the
+// value of another header that reaches the upstream.
 func callWithPrompt(t *testing.T, s *testEntry, id string, parts ...string) callResult {
 	t.Helper()
 	return s.call(t, "/stream/", func(q *http.Request) {
 		q.Header.Set("X-Id", id)
+		q.Header.Set("X-Other", id)
 		q.Header.Set("X-Prompt", strings.Join(parts, ":40,")+":40")
 	})
 }
@@ -95,7 +101,8 @@
 }
 
 // testCrashes sends requests with the prompts, all of which crash upstreams, between sound
-// ones that share their first part.
+// ones that share their first part. An upstream that fails one for another reason is no sign
+// that it is sound.
 func testCrashes(t *testing.T, prompt func(i int) []string) {
 	const upstreams, maxCrashes = 6, 2
 	s := newTestEntry(t)
@@ -103,6 +110,7 @@
 	for i := range 2 {
 		check.Equal(t, "status of a sound request before", callWithPrompt(t, s, fmt.Sprint("before", i), "a0", fmt.Sprint("b", i)).status, http.StatusOK)
 	}
+	check.Equal(t, "status of a request that an upstream fails", callWithPrompt(t, s, "failing", prompt(0)...).status, http.StatusInternalServerError)
 	for i := range upstreams {
 		callWithPrompt(t, s, fmt.Sprint("crash", i), prompt(i)...)
 	}
--- a/entry/request/forward/respond.go
+++ b/entry/request/forward/respond.go
@@ -71,7 +71,6 @@
 // recordResponse counts and logs a request whose response was forwarded.
 func (c *call) recordResponse() {
 	s, r := c.server, c.request
-	c.recordSound()
 	total := s.Clock.Now() - r.arrived
 	s.Metrics.countOutcome("answered")
 	fields := event.Fields{
--- a/entry/request/forward/response.go
+++ b/entry/request/forward/response.go
@@ -78,6 +78,9 @@
 	c.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	c.writer.WriteHeader(resp.Status)
 	_, _ = c.writer.Write(body) // the server closes the connection of a caller that disconnected
+	if resp.Status < http.StatusMultipleChoices {
+		c.recordSound()
+	}
 	c.recordResponse()
 	return outcome, true
 }
--- a/entry/request/forward/stream.go
+++ b/entry/request/forward/stream.go
@@ -92,6 +92,9 @@
 	if len(rest) > 0 {
 		_, _ = c.writer.Write(rest) // the server closes the connection of a caller that disconnected
 	}
+	if c.attemptEvents > 0 {
+		c.recordSound()
+	}
 	c.recordResponse()
 	return balance.Succeeded, true
 }
