Fingerprint a request with and without its prompt, before its parts

Cause: a request that crashes upstreams and comes again with the same path, caller and body, but another last part of its prompt, had no fingerprint of its own. On ties the whole request had to be told from its parts by its place at the end of the list, which is wrong once its fingerprint has succeeded and is left out. Change: the fingerprints of the whole request come first, and ties go to what comes later. Evidence: TestCauses, TestPartThatCrashesUpstreams, TestRequestThatCrashesUpstreams.

--- a/entry/process/quarantines/service_test.go
+++ b/entry/process/quarantines/service_test.go
@@ -103,7 +103,7 @@
 
 // requestWithPart returns a request that no other is like but for its parts.
 func requestWithPart(n int) []quarantine.Fingerprint {
-	return []quarantine.Fingerprint{caller, part, quarantine.Fingerprint(1000 + n)}
+	return []quarantine.Fingerprint{quarantine.Fingerprint(1000 + n), caller, part}
 }
 
 // Guards against entries that each let a request through until they have seen two crashes
--- a/entry/request/forward/crash.go
+++ b/entry/request/forward/crash.go
@@ -20,8 +20,8 @@
 	soundEvents = 2
 )
 
-// fingerprints returns the fingerprints of the parts of a prompt but the last, and of the
-// whole request of a customer.
+// fingerprints returns the fingerprints of a customer's request, of its body, and of the
+// parts of its prompt but the last, as package quarantine expects them.
 func fingerprints(service string, customer *config.Customer, r *upstream.Request, promptParts string) []fingerprint.Fingerprint {
 	name := ""
 	if customer != nil {
@@ -29,12 +29,15 @@
 	}
 	parts := strings.Split(promptParts, ",")
 	parts = parts[:min(len(parts)-1, maxPromptParts)]
-	out := make([]fingerprint.Fingerprint, 0, len(parts)+1)
+	out := []fingerprint.Fingerprint{fingerprint.OfValues(service, r.Method, r.Target, name, string(r.Body), promptParts)}
+	if len(r.Body) > 0 && promptParts != "" {
+		out = append(out, fingerprint.OfValues(service, r.Method, r.Target, name, string(r.Body)))
+	}
 	for _, part := range parts {
 		id, _, _ := strings.Cut(part, ":")
 		out = append(out, fingerprint.OfValues(service, strings.TrimSpace(id)))
 	}
-	return append(out, fingerprint.OfValues(service, r.Method, r.Target, name, promptParts, string(r.Body)))
+	return out
 }
 
 // recordSound records that the upstream has not crashed although it has begun to respond to
--- a/entry/request/forward/request.go
+++ b/entry/request/forward/request.go
@@ -57,8 +57,7 @@
 	service       string
 	priority      int
 	promptTokens  int
-	// fingerprints identify the parts of the prompt that other requests may share, in
-	// order, and last the request itself.
+	// fingerprints identify the request and what other requests may share with it.
 	fingerprints []fingerprint.Fingerprint
 	// lastEventID is the id of the last event that the caller received.
 	lastEventID string
--- a/entry/request/quarantine/cause.go
+++ b/entry/request/quarantine/cause.go
@@ -77,7 +77,8 @@
 
 // moreLikely reports whether s explains the crashes under other and is the more likely
 // cause of them: because other never occurs without s, and s explains more crashes, is
-// rarer or, if they are equally rare, the more specific one.
+// rarer or, if they are equally rare, comes later in the request. Later parts of a prompt
+// are shared by fewer requests, and a part may crash upstreams in other requests as well.
 func (s suspect) moreLikely(other suspect, h *history) bool {
 	if s.fingerprint == other.fingerprint || !s.explains(other) {
 		return false
@@ -90,7 +91,8 @@
 		return true
 	}
 	mine, others := h.arrivals(s.fingerprint), h.arrivals(other.fingerprint)
-	return mine < others || (mine == others && moreSpecific(request, s.fingerprint, other.fingerprint))
+	isLater := slices.Index(request, s.fingerprint) > slices.Index(request, other.fingerprint)
+	return mine < others || (mine == others && isLater)
 }
 
 // explains reports whether all crashes under other are crashes under s.
@@ -119,18 +121,3 @@
 	}
 	return request, true
 }
-
-// moreSpecific reports whether f is the more specific fingerprint of a request: later parts
-// of a prompt are shared by fewer requests. The fingerprint of the whole request, its last
-// one, comes after all parts, since a part may crash upstreams in other requests as well.
-func moreSpecific(request []Fingerprint, f, other Fingerprint) bool {
-	whole := len(request) - 1
-	i, j := slices.Index(request, f), slices.Index(request, other)
-	switch {
-	case j == whole:
-		return true
-	case i == whole:
-		return false
-	}
-	return i > j
-}
--- a/entry/request/quarantine/quarantine.go
+++ b/entry/request/quarantine/quarantine.go
@@ -2,8 +2,8 @@
 // crashed upstreams. It does no I/O and starts no goroutines; callers pass the current
 // time to each call.
 //
-// Requests are compared by their fingerprints: those of the parts of their prompts that
-// other requests may share, in order, and that of the request itself. A fingerprint is
+// Requests are compared by their fingerprints: first those of the request itself, then those
+// of the parts of its prompt that other requests may share, in order. A fingerprint is
 // quarantined once two upstreams have crashed under requests that had it, unless requests
 // with it have succeeded lately. Of fingerprints that always occur together only the rarest
 // is quarantined, so that requests that share the others are still served.
--- a/entry/request/quarantine/tracker_test.go
+++ b/entry/request/quarantine/tracker_test.go
@@ -20,11 +20,11 @@
 	return t
 }
 
-// crashes reports n crashes under requests that have the parts and a last fingerprint of
-// their own.
+// crashes reports n crashes under requests that have the parts and a fingerprint of their
+// own.
 func crashes(t *Tracker, at clock.Millis, n int, parts ...Fingerprint) {
 	for i := range n {
-		request := append(append([]Fingerprint(nil), parts...), Fingerprint(1000+100*at)+Fingerprint(i))
+		request := append([]Fingerprint{Fingerprint(1000+100*at) + Fingerprint(i)}, parts...)
 		t.Arrived(at, request)
 		t.Crashed(at, fmt.Sprint("u", at, "-", i), int64(at), request)
 	}
@@ -38,7 +38,7 @@
 // Guards against requests that crash more than two upstreams, and against sound requests
 // that are refused because they share something with them or were in flight beside them.
 func TestCauses(t *testing.T) {
-	const caller, part, other, last = 1, 2, 3, 4
+	const caller, part, other, whole = 1, 2, 3, 4
 	now := warmStart
 	for _, tc := range []struct {
 		name   string
@@ -65,26 +65,26 @@
 		}, nil},
 		{"the same request twice", func(t *Tracker) {
 			for i := range 2 {
-				request := []Fingerprint{caller, last}
+				request := []Fingerprint{whole, caller}
 				t.Arrived(now, []Fingerprint{caller, 60 + Fingerprint(i)})
 				t.Arrived(now, request)
 				t.Crashed(now, fmt.Sprint("u", i), 1, request)
 			}
-		}, map[Fingerprint]bool{last: true}},
+		}, map[Fingerprint]bool{whole: true}},
 		{"a request that was sent twice, and another", func(t *Tracker) {
 			crashes(t, now, 1, part)
 			for i := range 2 {
-				t.Crashed(now, fmt.Sprint("v", i), 1, []Fingerprint{part, last})
+				t.Crashed(now, fmt.Sprint("v", i), 1, []Fingerprint{whole, part})
 			}
 		}, map[Fingerprint]bool{part: true}},
 		{"the same incarnation twice", func(t *Tracker) {
 			for i := range 2 {
-				t.Crashed(now, "u", 1, []Fingerprint{part, 60 + Fingerprint(i)})
+				t.Crashed(now, "u", 1, []Fingerprint{60 + Fingerprint(i), part})
 			}
 		}, nil},
 		{"upstreams that fail together", func(t *Tracker) {
 			for i := range 6 {
-				t.Crashed(now, fmt.Sprint("u", i), 1, []Fingerprint{part + Fingerprint(i/2), 80 + Fingerprint(i)})
+				t.Crashed(now, fmt.Sprint("u", i), 1, []Fingerprint{80 + Fingerprint(i), part + Fingerprint(i/2)})
 			}
 		}, nil},
 		{"an entry that has just started", func(t *Tracker) {
@@ -108,7 +108,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			tracker := newTracker()
 			tc.before(tracker)
-			for _, f := range []Fingerprint{caller, part, other, last} {
+			for _, f := range []Fingerprint{caller, part, other, whole} {
 				check.Equal(t, fmt.Sprint("blocked: ", f), blocked(tracker, now+5*clock.Second, f), tc.want[f])
 			}
 		})
