--- a/ctl/process/explain/explain.go
+++ b/ctl/process/explain/explain.go
@@ -127,16 +127,17 @@
 // stateSubjects holds the events that report a state, each with the field that
 // names the subject.
 var stateSubjects = map[int]string{
-	event.ConfigAdopted.Number():     "",
-	event.StoreUnavailable.Number():  "kind",
-	event.StoreRecovered.Number():    "kind",
-	event.UpstreamChanged.Number():   "upstream",
-	event.DataCentreChanged.Number(): "dataCentre",
-	event.ProcessSuspended.Number():  "",
-	event.ProcessStopping.Number():   "",
-	event.UpstreamSkipped.Number():   "upstream",
-	event.MapActivated.Number():      "service",
-	event.MapAbandoned.Number():      "service",
+	event.ConfigAdopted.Number():      "",
+	event.StoreUnavailable.Number():   "kind",
+	event.StoreRecovered.Number():     "kind",
+	event.UpstreamChanged.Number():    "upstream",
+	event.DataCentreChanged.Number():  "dataCentre",
+	event.ProcessSuspended.Number():   "",
+	event.ProcessStopping.Number():    "",
+	event.UpstreamSkipped.Number():    "upstream",
+	event.RequestQuarantined.Number(): "",
+	event.MapActivated.Number():       "service",
+	event.MapAbandoned.Number():       "service",
 }
 
 // state returns the last state event for each subject, from the processes that
