Log what a decision on a retry is based on

Change: the lines have the retries of the window, those allowed and the number of entries; refusals for the budget have them and keep the cause; metric goldcrest_entries. No decision changes.

--- a/entry/request/balance/balance.go
+++ b/entry/request/balance/balance.go
@@ -266,6 +266,21 @@
 	return b.service(name).budget.Take(now, b.retryAllowance())
 }
 
+// RetryBudget is the state of a service's retry budget at this entry.
+type RetryBudget struct {
+	// Used is the number of retries in the window, and Allowed how many this entry may
+	// make in it.
+	Used, Allowed float64
+	// Entries is the number of entries among which the fixed allowance is divided.
+	Entries int
+}
+
+// RetryBudget returns the state of a service's retry budget.
+func (b *Balancer) RetryBudget(now clock.Millis, name string) RetryBudget {
+	used, allowed := b.service(name).budget.usage(now, b.retryAllowance())
+	return RetryBudget{Used: used, Allowed: allowed, Entries: b.entries}
+}
+
 // retryAllowance returns this entry's share of the fixed number of retries.
 func (b *Balancer) retryAllowance() float64 {
 	return b.settings.RetryAllowance * budgetShare / float64(b.entries)
--- a/entry/request/balance/status.go
+++ b/entry/request/balance/status.go
@@ -53,9 +53,8 @@
 	// take.
 	ColdSent  int
 	ColdLimit float64
-	// Retries and RetriesAllowed are the number of retries in the window of the
-	// retry budget, and the number allowed.
-	Retries, RetriesAllowed float64
+	// Retries is the state of the retry budget.
+	Retries RetryBudget
 }
 
 // Status returns the state of all services in the configuration.
@@ -71,7 +70,7 @@
 
 func (b *Balancer) status(now clock.Millis, s *service) Status {
 	st := Status{Service: s.spec.Name, Queued: make(map[int]int), Upstreams: make(map[State]int), ColdLimit: b.coldLimit(s)}
-	st.Retries, st.RetriesAllowed = s.budget.usage(now, b.retryAllowance())
+	st.Retries = b.RetryBudget(now, s.spec.Name)
 	if s.spec.MaxConnections > 0 {
 		st.ConnectionLimit = b.connectionLimit(s)
 	}
--- a/entry/request/forward/metrics.go
+++ b/entry/request/forward/metrics.go
@@ -97,8 +97,9 @@
 		"connections_limit":        float64(s.ConnectionLimit),
 		"cold_sent":                float64(s.ColdSent),
 		"cold_limit":               s.ColdLimit,
-		"repeats_in_window":        s.Retries,
-		"repeats_limit":            s.RetriesAllowed,
+		"repeats_in_window":        s.Retries.Used,
+		"repeats_limit":            s.Retries.Allowed,
+		"entries":                  float64(s.Retries.Entries),
 	} {
 		scope.Gauge(name).Update(value)
 	}
--- a/entry/request/forward/metrics_test.go
+++ b/entry/request/forward/metrics_test.go
@@ -52,7 +52,7 @@
 	m.recordQueueWait(12, 30)
 	m.Report(balance.Status{
 		Service: "s", Queued: map[int]int{2: 5}, Upstreams: map[balance.State]int{balance.Usable: 3}, MaxInactivity: 1500,
-		InFlight: 7, Limit: 9, Connections: 2, ConnectionLimit: 4, ColdSent: 1, ColdLimit: 6, Retries: 8, RetriesAllowed: 11,
+		InFlight: 7, Limit: 9, Connections: 2, ConnectionLimit: 4, ColdSent: 1, ColdLimit: 6, Retries: balance.RetryBudget{Used: 8, Allowed: 11, Entries: 3},
 	})
 	check.NoError(t, "Close", r.Close())
 	time.Sleep(10 * time.Millisecond) // waits for the reporter's last values
@@ -75,6 +75,7 @@
 		"goldcrest_cold_limit,service=s":               6,
 		"goldcrest_repeats_in_window,service=s":        8,
 		"goldcrest_repeats_limit,service=s":            11,
+		"goldcrest_entries,service=s":                  3,
 	} {
 		value, found := got[name]
 		check.Equal(t, name+" is present", found, true)
--- a/entry/request/forward/respond.go
+++ b/entry/request/forward/respond.go
@@ -41,6 +41,9 @@
 		c.server.Scheduler.WithBalancer(func(now clock.Millis, b *balance.Balancer) { retryAfter = b.RetryAfter(now, c.request.service) })
 	}
 	f := &refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: retryAfter, fields: event.Fields{"upstream": c.upstream, "cause": c.failure, "sends": c.attempts}}
+	if c.budgetExhausted {
+		c.addBudgetTo(f.fields)
+	}
 	switch {
 	case c.possibleRuns > 0 && reason == reasonDeadlinePassed:
 		f.status = http.StatusGatewayTimeout
--- a/entry/request/forward/run.go
+++ b/entry/request/forward/run.go
@@ -56,7 +56,7 @@
 			return
 		}
 		if !c.mayRetry() {
-			c.respondFailed(q, c.failure)
+			c.respondFailed(q, c.failureReason())
 			return
 		}
 	}
@@ -90,10 +90,14 @@
 	interruption interruption
 	// retryCounted is set when the next retry is already counted against the
 	// retry budget.
-	retryCounted  bool
-	queueWait     clock.Millis
-	inFlight      int
-	inFlightLimit int
+	retryCounted bool
+	// budgetExhausted is set when the retry budget did not allow a retry, and
+	// retryBudget is the state of the budget at the last decision.
+	budgetExhausted bool
+	retryBudget     balance.RetryBudget
+	queueWait       clock.Millis
+	inFlight        int
+	inFlightLimit   int
 
 	// responseStarted is set once the head of the response is being written.
 	responseStarted bool
@@ -121,13 +125,7 @@
 	if c.possibleRuns >= max(r.route.MaxUpstreams, 1) || c.refusals > maxRefusals {
 		return false
 	}
-	allowed := c.retryCounted
-	c.retryCounted = false
-	if !allowed {
-		c.server.Scheduler.WithBalancer(func(now clock.Millis, b *balance.Balancer) { allowed = b.Retry(now, r.service) })
-	}
-	if !allowed {
-		c.failure = reasonRetryBudget
+	if !c.countRetry() {
 		return false
 	}
 	eventKind := event.RequestResent
@@ -135,7 +133,35 @@
 		eventKind = event.StreamFailedOver
 	}
 	c.server.Metrics.countRetry(c.failure)
-	c.server.Log.Emit(eventKind, event.Fields{"request": r.id, "from": c.upstream, "cause": c.failure, "runs": c.possibleRuns, "refusals": c.refusals, "lastEvent": c.lastEventID})
+	fields := event.Fields{"request": r.id, "from": c.upstream, "cause": c.failure, "runs": c.possibleRuns, "refusals": c.refusals, "lastEvent": c.lastEventID}
+	c.addBudgetTo(fields)
+	c.server.Log.Emit(eventKind, fields)
 	c.ticket.WaitDeadline = min(c.server.Clock.Now()+maxQueueWait, r.deadline-responseMargin)
 	return true
 }
+
+// countRetry counts a retry against the retry budget, unless it is counted already. It
+// reports whether the budget allows the retry.
+func (c *call) countRetry() bool {
+	counted := c.retryCounted
+	c.retryCounted = false
+	c.server.Scheduler.WithBalancer(func(now clock.Millis, b *balance.Balancer) {
+		c.budgetExhausted = !counted && !b.Retry(now, c.request.service)
+		c.retryBudget = b.RetryBudget(now, c.request.service)
+	})
+	return !c.budgetExhausted
+}
+
+// addBudgetTo adds what the last decision on a retry was based on to the fields of a log
+// line.
+func (c *call) addBudgetTo(fields event.Fields) {
+	fields["retries"], fields["retriesAllowed"], fields["entries"] = c.retryBudget.Used, c.retryBudget.Allowed, c.retryBudget.Entries
+}
+
+// failureReason returns why a request that is not attempted again has failed.
+func (c *call) failureReason() string {
+	if c.budgetExhausted {
+		return reasonRetryBudget
+	}
+	return c.failure
+}
