Keep the number of entries while no agent replies

Callers saw: upstreams in trouble get more retries than the budget allows, so their trouble lasts. Cause: an entry without a fresh reply of an agent took the number of entries for 1, and with it the retry allowance, the cold limits and the connections of all entries. So did each process in its first moments, although 16 are assumed. Change: without a reply the last number holds; before the first one, and for 1.5 s after it, at least 16 are assumed, since agents first count those that they have heard from.

--- a/entry/request/balance/balance.go
+++ b/entry/request/balance/balance.go
@@ -97,28 +97,23 @@
 // concurrent use.
 type Balancer struct {
 	settings Settings
-	entries  int
+	entries  entryCount
 	view     *fleet.View
 	services map[string]*service
 }
 
 // New returns a balancer without upstreams.
 func New(s Settings) *Balancer {
-	return &Balancer{settings: s, entries: assumedEntries, services: make(map[string]*service)}
+	return &Balancer{settings: s, services: make(map[string]*service)}
 }
 
-const (
-	// assumedEntries is the assumed number of entries until agents report it: a
-	// process that has just started must not use the shared limits alone.
-	assumedEntries = 16
-	// budgetShare is the share of the common retry budget that entries use. The
-	// rest covers retries that are lost from the counts when an entry restarts,
-	// and those that entries cannot see of each other.
-	budgetShare = 0.7
-)
+// budgetShare is the share of the common retry budget that entries use. The rest
+// covers retries that are lost from the counts when an entry restarts, and those that
+// entries cannot see of each other.
+const budgetShare = 0.7
 
-// SetEntries sets the number of entries that share the limits.
-func (b *Balancer) SetEntries(n int) { b.entries = max(n, 1) }
+// SetEntries sets the number of entries that share the limits, 0 if it is unknown.
+func (b *Balancer) SetEntries(now clock.Millis, n int) { b.entries.record(now, n) }
 
 // SetSettings replaces the shared limits. Budgets in use keep their ratio and
 // window.
@@ -263,7 +258,7 @@
 // Retry reports whether a request of the service may be retried, and counts the
 // retry if so.
 func (b *Balancer) Retry(now clock.Millis, name string) bool {
-	return b.service(name).budget.Take(now, b.retryAllowance())
+	return b.service(name).budget.Take(now, b.retryAllowance(now))
 }
 
 // RetryBudget is the state of a service's retry budget at this entry.
@@ -277,13 +272,13 @@
 
 // RetryBudget returns the state of a service's retry budget.
 func (b *Balancer) RetryBudget(now clock.Millis, name string) RetryBudget {
-	used, allowed := b.service(name).budget.usage(now, b.retryAllowance())
-	return RetryBudget{Used: used, Allowed: allowed, Entries: b.entries}
+	used, allowed := b.service(name).budget.usage(now, b.retryAllowance(now))
+	return RetryBudget{Used: used, Allowed: allowed, Entries: b.entries.value(now)}
 }
 
 // retryAllowance returns this entry's share of the fixed number of retries.
-func (b *Balancer) retryAllowance() float64 {
-	return b.settings.RetryAllowance * budgetShare / float64(b.entries)
+func (b *Balancer) retryAllowance(now clock.Millis) float64 {
+	return b.settings.RetryAllowance * budgetShare / float64(b.entries.value(now))
 }
 
 // RecordFirstSend counts the first send of a request.
--- a/entry/request/balance/balance_test.go
+++ b/entry/request/balance/balance_test.go
@@ -39,7 +39,7 @@
 	state.SetUpstreams(list)
 	state.SetDrained(nil)
 	b := New(Settings{DataCentre: "dc0", RetryRatio: 0.2, RetryAllowance: 10, RetryWindow: 10 * clock.Second})
-	b.SetEntries(1)
+	b.SetEntries(-entriesSettleTime, 1)
 	state.OnChange(b.SetView)
 	b.SetView(state.View())
 	return b, state
@@ -97,7 +97,7 @@
 // Guards against more requests to a cold upstream than this entry's share.
 func TestColdLimitIsShared(t *testing.T) {
 	b, _ := fixture(1, func(u *fleet.Upstream) { u.ColdRemaining = 60 * clock.Second })
-	b.SetEntries(5)
+	b.SetEntries(0, 5)
 	for range 2 {
 		granted(t, b.Acquire(0, ticket(0)))
 	}
@@ -112,14 +112,14 @@
 func TestMoreEntriesThanTheLimit(t *testing.T) {
 	t.Run("cold requests", func(t *testing.T) {
 		b, _ := fixture(1, func(u *fleet.Upstream) { u.ColdRemaining = 60 * clock.Second })
-		b.SetEntries(20) // two entries for each of the 10 requests per second
+		b.SetEntries(0, 20) // two entries for each of the 10 requests per second
 		granted(t, b.Acquire(1, ticket(1)))
 		waiting(t, b.Acquire(1001, ticket(1001)))
 		check.Equal(t, "grants after two seconds", len(b.Tick(2001)), 1)
 	})
 	t.Run("connections", func(t *testing.T) {
 		b, _ := fixture(1, nil)
-		b.SetEntries(5)
+		b.SetEntries(0, 5)
 		b.service("model").spec.MaxConnections = 2
 		b.SetOthersInFlight(map[string]int{"model0": 2})
 		waiting(t, b.Acquire(0, ticket(0)))
@@ -244,7 +244,7 @@
 // together.
 func TestConnectionLimitIsShared(t *testing.T) {
 	b, _ := fixture(1, nil)
-	b.SetEntries(5)
+	b.SetEntries(0, 5)
 	b.service("model").spec.MaxConnections = 10
 	for range 2 {
 		granted(t, b.Acquire(0, ticket(0)))
--- a/entry/request/balance/limits.go
+++ b/entry/request/balance/limits.go
@@ -41,31 +41,31 @@
 
 // connectionAllows reports whether u accepts another connection of this entry. Where
 // entries outnumber the connections, those of all entries together count.
-func (b *Balancer) connectionAllows(s *service, u *upstream) bool {
+func (b *Balancer) connectionAllows(now clock.Millis, s *service, u *upstream) bool {
 	limit := s.spec.MaxConnections
-	return limit == 0 || (u.inFlight < b.connectionLimit(s) && u.load() < limit)
+	return limit == 0 || (u.inFlight < b.connectionLimit(now, s) && u.load() < limit)
 }
 
 // connectionLimit returns this entry's share of the connections that an upstream
 // accepts. Each request uses one connection.
-func (b *Balancer) connectionLimit(s *service) int {
+func (b *Balancer) connectionLimit(now clock.Millis, s *service) int {
 	if s.spec.MaxConnections == 0 {
 		return math.MaxInt
 	}
-	return max(1, s.spec.MaxConnections/b.entries)
+	return max(1, s.spec.MaxConnections/b.entries.value(now))
 }
 
 // coldLimit returns this entry's share of the requests per second that a cold
 // upstream can take, at least one over all entries. The share is below 1 if there are
 // more entries than requests.
-func (b *Balancer) coldLimit(s *service) float64 {
-	return max(s.spec.ColdRequestsPerSecond, 1) / float64(b.entries)
+func (b *Balancer) coldLimit(now clock.Millis, s *service) float64 {
+	return max(s.spec.ColdRequestsPerSecond, 1) / float64(b.entries.value(now))
 }
 
 // coldAllows reports whether a cold upstream may get another request of this entry. An
 // entry with a share below one request per second sends one in several seconds.
 func (b *Balancer) coldAllows(now clock.Millis, s *service, u *upstream) bool {
-	limit := b.coldLimit(s)
+	limit := b.coldLimit(now, s)
 	if limit >= 1 {
 		return u.coldSends.allows(now, int(limit))
 	}
--- a/entry/request/balance/status.go
+++ b/entry/request/balance/status.go
@@ -69,10 +69,10 @@
 }
 
 func (b *Balancer) status(now clock.Millis, s *service) Status {
-	st := Status{Service: s.spec.Name, Queued: make(map[int]int), Upstreams: make(map[State]int), ColdLimit: b.coldLimit(s)}
+	st := Status{Service: s.spec.Name, Queued: make(map[int]int), Upstreams: make(map[State]int), ColdLimit: b.coldLimit(now, s)}
 	st.Retries = b.RetryBudget(now, s.spec.Name)
 	if s.spec.MaxConnections > 0 {
-		st.ConnectionLimit = b.connectionLimit(s)
+		st.ConnectionLimit = b.connectionLimit(now, s)
 	}
 	for _, t := range s.queue {
 		st.Queued[t.Priority]++
