Start an entry with a small part of the retry allowance

Callers saw: upstreams that fail most requests get more retries than the budget allows while entries are restarted. Cause: the count of retries ends with the process, and the next one got its whole part of the fixed allowance at once. Two restarts of all entries within a window triple it. Change: the entries' share of 0.7 leaves 0.3 of the allowance. That is what processes younger than the window get, in proportion to their age, so the sum over any number of restarts stays within the budget. The part that follows from first sends is the same as before: a restart loses both.

--- a/entry/request/balance/balance.go
+++ b/entry/request/balance/balance.go
@@ -97,20 +97,26 @@
 // concurrent use.
 type Balancer struct {
 	settings Settings
-	entries  entryCount
-	view     *fleet.View
-	services map[string]*service
+	// startedAt is when this process started.
+	startedAt clock.Millis
+	entries   entryCount
+	view      *fleet.View
+	services  map[string]*service
 }
 
-// New returns a balancer without upstreams.
-func New(s Settings) *Balancer {
-	return &Balancer{settings: s, services: make(map[string]*service)}
+// New returns a balancer without upstreams for a process that starts now.
+func New(now clock.Millis, s Settings) *Balancer {
+	return &Balancer{settings: s, startedAt: now, services: make(map[string]*service)}
 }
 
-// budgetShare is the share of the common retry budget that entries use. The rest
-// covers retries that are lost from the counts when an entry restarts, and those that
-// entries cannot see of each other.
-const budgetShare = 0.7
+const (
+	// budgetShare is the share of the common retry budget that entries use.
+	budgetShare = 0.7
+	// startBudgetShare is the share of the fixed number of retries that entries use which
+	// have started within the retry window. An entry does not know what it used before it
+	// was restarted, so both shares together must not exceed the budget.
+	startBudgetShare = 1 - budgetShare
+)
 
 // SetEntries sets the number of entries that share the limits, 0 if it is unknown.
 func (b *Balancer) SetEntries(now clock.Millis, n int) { b.entries.record(now, n) }
@@ -276,9 +282,15 @@
 	return RetryBudget{Used: used, Allowed: allowed, Entries: b.entries.value(now)}
 }
 
-// retryAllowance returns this entry's share of the fixed number of retries.
+// retryAllowance returns this entry's share of the fixed number of retries. Within the
+// first window it grows with the age of the process, so that an entry that is restarted
+// again and again does not use more than one that starts once.
 func (b *Balancer) retryAllowance(now clock.Millis) float64 {
-	return b.settings.RetryAllowance * budgetShare / float64(b.entries.value(now))
+	share := budgetShare
+	if age := now - b.startedAt; age < b.settings.RetryWindow {
+		share = startBudgetShare * float64(age) / float64(b.settings.RetryWindow)
+	}
+	return b.settings.RetryAllowance * share / float64(b.entries.value(now))
 }
 
 // RecordFirstSend counts the first send of a request.
--- a/entry/request/balance/balance_test.go
+++ b/entry/request/balance/balance_test.go
@@ -38,7 +38,7 @@
 	state.SetConfig(config.New(1, nil, services, nil, config.Limits{}))
 	state.SetUpstreams(list)
 	state.SetDrained(nil)
-	b := New(Settings{DataCentre: "dc0", RetryRatio: 0.2, RetryAllowance: 10, RetryWindow: 10 * clock.Second})
+	b := New(-clock.Hour, Settings{DataCentre: "dc0", RetryRatio: 0.2, RetryAllowance: 10, RetryWindow: 10 * clock.Second})
 	b.SetEntries(-entriesSettleTime, 1)
 	state.OnChange(b.SetView)
 	b.SetView(state.View())
@@ -286,7 +286,7 @@
 // the number of entries, as in a rolling restart during many retries.
 func TestNewEntryUsesSmallBudgetShare(t *testing.T) {
 	b, _ := fixture(1, nil)
-	b.entries = New(Settings{}).entries
+	b.entries = entryCount{}
 	b.SetSettings(Settings{RetryRatio: 0.2, RetryAllowance: 128, RetryWindow: 10 * clock.Second})
 	allowed := 0
 	for range 200 {
--- a/entry/request/forward/forward_test.go
+++ b/entry/request/forward/forward_test.go
@@ -68,7 +68,7 @@
 	state.SetUpstreams(upstreams)
 	state.SetDrained(nil)
 	c := clock.System()
-	scheduler := &Scheduler{Clock: c, Balancer: balance.New(balance.Settings{RetryRatio: 1, RetryAllowance: 10, RetryWindow: 10 * clock.Second})}
+	scheduler := &Scheduler{Clock: c, Balancer: balance.New(c.Now()-clock.Hour, balance.Settings{RetryRatio: 1, RetryAllowance: 10, RetryWindow: 10 * clock.Second})}
 	scheduler.SetView(state.View())
 	s.server = &Server{
 		Clock: c, Log: log, Headers: headers, State: state, Scheduler: scheduler, Pool: &upstream.Pool{Clock: c},
