Count a retry for the whole window of the budget

Callers saw: two bursts of retries less than a window apart may both use the whole budget. Cause: counts are kept by tenths of the window and were dropped with the tenth that begins a window after theirs began, so a retry counted for 9 to 10 s of the 10. TestRetriesCountForWholeWindow fails before: 188 retries in a window, 94 allowed. Change: one more tenth is kept. It counts as used and earns nothing.

--- a/entry/request/balance/budget.go
+++ b/entry/request/balance/budget.go
@@ -2,9 +2,13 @@
 
 import "goldcrestshore/core/process/clock"
 
-// bucketsPerWindow is the number of buckets in the window of a budget. A request
-// counts for the length of the window, less up to one bucket.
-const bucketsPerWindow = 10
+const (
+	// bucketsPerWindow is the number of buckets in the window of a budget.
+	bucketsPerWindow = 10
+	// keptBuckets is the number of buckets for which counts are kept. The oldest one
+	// may have left the window in part.
+	keptBuckets = bucketsPerWindow + 1
+)
 
 // Budget bounds the retries of a service in a sliding window to a share of the
 // first sends plus a fixed allowance.
@@ -12,9 +16,9 @@
 	ratio  float64
 	window clock.Millis
 	// firstSends and retries are counts by bucket, indexed by the bucket number
-	// modulo bucketsPerWindow.
-	firstSends [bucketsPerWindow]int
-	retries    [bucketsPerWindow]int
+	// modulo keptBuckets.
+	firstSends [keptBuckets]int
+	retries    [keptBuckets]int
 	// bucket is the number of the current bucket since time 0.
 	bucket int64
 }
@@ -24,24 +28,24 @@
 	return &Budget{ratio: ratio, window: window}
 }
 
-// advance clears the buckets that have left the window.
+// advance clears the buckets that are too old.
 func (b *Budget) advance(now clock.Millis) {
 	bucket := int64(now / (b.window / bucketsPerWindow))
-	if bucket-b.bucket >= bucketsPerWindow {
-		b.firstSends, b.retries, b.bucket = [bucketsPerWindow]int{}, [bucketsPerWindow]int{}, bucket
+	if bucket-b.bucket >= keptBuckets {
+		b.firstSends, b.retries, b.bucket = [keptBuckets]int{}, [keptBuckets]int{}, bucket
 		return
 	}
 	for b.bucket < bucket {
 		b.bucket++
-		b.firstSends[b.bucket%bucketsPerWindow] = 0
-		b.retries[b.bucket%bucketsPerWindow] = 0
+		b.firstSends[b.bucket%keptBuckets] = 0
+		b.retries[b.bucket%keptBuckets] = 0
 	}
 }
 
 // RecordFirstSend counts the first send of a request.
 func (b *Budget) RecordFirstSend(now clock.Millis) {
 	b.advance(now)
-	b.firstSends[b.bucket%bucketsPerWindow]++
+	b.firstSends[b.bucket%keptBuckets]++
 }
 
 // Take reports whether a request may be retried, and counts the retry if so.
@@ -51,17 +55,21 @@
 	if used+1 > allowed {
 		return false
 	}
-	b.retries[b.bucket%bucketsPerWindow]++
+	b.retries[b.bucket%keptBuckets]++
 	return true
 }
 
-// usage returns how many retries were made in the window, and how many are allowed.
+// usage returns how many retries were made in the window, and how many are allowed. The
+// oldest bucket counts as used and earns nothing, so that neither can exceed the bound.
 func (b *Budget) usage(now clock.Millis, allowance float64) (used, allowed float64) {
 	b.advance(now)
+	oldest := int((b.bucket + 1) % keptBuckets)
 	firstSends, retries := 0, 0
-	for i := range b.firstSends {
-		firstSends += b.firstSends[i]
+	for i := range keptBuckets {
 		retries += b.retries[i]
+		if i != oldest {
+			firstSends += b.firstSends[i]
+		}
 	}
 	return float64(retries), b.ratio*float64(firstSends) + allowance
 }
--- a/entry/request/balance/budget_test.go
+++ b/entry/request/balance/budget_test.go
@@ -71,3 +71,18 @@
 	}
 	check.Equal(t, "retries in a later window", full, 13) // 0.7 of 94, divided by 5
 }
+
+// Guards against two bursts of retries that both use the whole budget although less than a
+// window lies between them.
+func TestRetriesCountForWholeWindow(t *testing.T) {
+	const firstBurst = 999 * clock.Millis(1)
+	b := NewBudget(sharedRatio, sharedWindow)
+	var retries []clock.Millis
+	for now := firstBurst; now < 4*sharedWindow; now++ {
+		for b.Take(now, sharedAllowance) {
+			retries = append(retries, now)
+		}
+	}
+	check.AtMost(t, "retries in a window", maxInWindow(retries, sharedWindow), sharedAllowance)
+	check.AtMost(t, "three full budgets", 3*sharedAllowance, len(retries))
+}
