Count a retry from when it is sent

Callers saw: retries that wait for an upstream arrive together with those of the next outage, beyond the budget; and retries that were never sent use it up, so later failures are not retried. Cause: a retry counted when it was allowed. Change: the budget reserves a retry, counts it when an upstream is granted, and gets it back when the request ends without one.

--- a/entry/request/balance/balance.go
+++ b/entry/request/balance/balance.go
@@ -54,6 +54,8 @@
 	upstream *upstream
 	// granted is the time at which the upstream was granted.
 	granted clock.Millis
+	// retryReserved is set while the next grant is a retry that the budget allows.
+	retryReserved bool
 }
 
 // Upstream returns the ID and address of the granted upstream.
@@ -181,6 +183,10 @@
 		u.lastColdSend = now
 	}
 	t.upstream, t.granted = u, now
+	if t.retryReserved {
+		t.retryReserved = false
+		s.budget.Use(now)
+	}
 	return Grant{Ticket: t, InFlight: u.load(), Limit: s.limit(u)}
 }
 
@@ -261,16 +267,29 @@
 	}
 }
 
-// Retry reports whether a request of the service may be retried, and counts the
-// retry if so.
-func (b *Balancer) Retry(now clock.Millis, name string) bool {
-	return b.service(name).budget.Take(now, b.retryAllowance(now))
+// Retry reports whether a request may be sent to another upstream, and reserves the retry
+// in the budget if so. The retry counts from when an upstream is granted, since it may wait
+// for one.
+func (b *Balancer) Retry(now clock.Millis, t *Ticket) bool {
+	if !t.retryReserved {
+		t.retryReserved = b.service(t.Service).budget.Reserve(now, b.retryAllowance(now))
+	}
+	return t.retryReserved
+}
+
+// Finish gives back the retry that a ticket has reserved and not used. It must be called
+// once the request has ended.
+func (b *Balancer) Finish(t *Ticket) {
+	if t.retryReserved {
+		t.retryReserved = false
+		b.service(t.Service).budget.Release()
+	}
 }
 
 // RetryBudget is the state of a service's retry budget at this entry.
 type RetryBudget struct {
-	// Used is the number of retries in the window, and Allowed how many this entry may
-	// make in it.
+	// Used is the number of retries in the window or reserved, and Allowed how many this
+	// entry may make in a window.
 	Used, Allowed float64
 	// Entries is the number of entries among which the fixed allowance is divided.
 	Entries int
--- a/entry/request/balance/balance_test.go
+++ b/entry/request/balance/balance_test.go
@@ -274,12 +274,15 @@
 	}
 	allowed := 0
 	for range 10 {
-		if b.Take(0, 2) {
+		if b.Reserve(0, 2) {
 			allowed++
 		}
 	}
 	check.Equal(t, "retries of 10 requests with an allowance of 2", allowed, 4)
-	check.Equal(t, "retry after the window", b.Take(30*clock.Second, 2), true)
+	for range allowed {
+		b.Use(0)
+	}
+	check.Equal(t, "retry after the window", b.Reserve(30*clock.Second, 2), true)
 }
 
 // Guards against an entry that uses the whole shared budget before it has received
@@ -290,7 +293,7 @@
 	b.SetSettings(Settings{RetryRatio: 0.2, RetryAllowance: 128, RetryWindow: 10 * clock.Second})
 	allowed := 0
 	for range 200 {
-		if b.Retry(0, "model") {
+		if b.Retry(0, ticket(0)) {
 			allowed++
 		}
 	}
--- a/entry/request/balance/budget.go
+++ b/entry/request/balance/budget.go
@@ -21,6 +21,8 @@
 	retries    [keptBuckets]int
 	// bucket is the number of the current bucket since time 0.
 	bucket int64
+	// reserved is the number of retries that are allowed and not sent yet.
+	reserved int
 }
 
 // NewBudget returns an unused budget.
@@ -48,23 +50,35 @@
 	b.firstSends[b.bucket%keptBuckets]++
 }
 
-// Take reports whether a request may be retried, and counts the retry if so.
-// allowance is this entry's share of the fixed number of retries in a window.
-func (b *Budget) Take(now clock.Millis, allowance float64) bool {
+// Reserve reports whether a request may be retried, and reserves the retry if so. Each
+// reservation ends with Use or Release. allowance is this entry's share of the fixed number
+// of retries in a window.
+func (b *Budget) Reserve(now clock.Millis, allowance float64) bool {
 	used, allowed := b.usage(now, allowance)
 	if used+1 > allowed {
 		return false
 	}
-	b.retries[b.bucket%keptBuckets]++
+	b.reserved++
 	return true
 }
 
-// usage returns how many retries were made in the window, and how many are allowed. The
-// oldest bucket counts as used and earns nothing, so that neither can exceed the bound.
+// Use counts a reserved retry that is sent now.
+func (b *Budget) Use(now clock.Millis) {
+	b.advance(now)
+	b.reserved--
+	b.retries[b.bucket%keptBuckets]++
+}
+
+// Release gives back a reserved retry that is not sent.
+func (b *Budget) Release() { b.reserved-- }
+
+// usage returns how many retries were made in the window or are reserved, and how many are
+// allowed. The oldest bucket counts as used and earns nothing, so that no window exceeds the
+// bound.
 func (b *Budget) usage(now clock.Millis, allowance float64) (used, allowed float64) {
 	b.advance(now)
 	oldest := int((b.bucket + 1) % keptBuckets)
-	firstSends, retries := 0, 0
+	firstSends, retries := 0, b.reserved
 	for i := range keptBuckets {
 		retries += b.retries[i]
 		if i != oldest {
--- a/entry/request/balance/budget_test.go
+++ b/entry/request/balance/budget_test.go
@@ -6,6 +6,7 @@
 
 	"goldcrestshore/core/process/check"
 	"goldcrestshore/core/process/clock"
+	"goldcrestshore/entry/version/fleet"
 )
 
 // The budget that the entries of a test share.
@@ -22,6 +23,16 @@
 	return b
 }
 
+// sendRetry reports whether b allows a retry, which is sent at once if so.
+func sendRetry(b *Balancer, now clock.Millis) bool {
+	t := ticket(now)
+	if !b.Retry(now, t) {
+		return false
+	}
+	b.service(t.Service).budget.Use(now)
+	return true
+}
+
 // maxInWindow returns the highest number of times within a window. times must be sorted.
 func maxInWindow(times []clock.Millis, window clock.Millis) int {
 	highest, first := 0, 0
@@ -50,7 +61,7 @@
 					if now >= 2*sharedWindow && now%interval == 0 {
 						running[i] = startEntry(now, entries)
 					}
-					for running[i].Retry(now, "model") {
+					for sendRetry(running[i], now) {
 						retries = append(retries, now)
 					}
 				}
@@ -63,10 +74,10 @@
 // Guards against an entry that never retries again after a start.
 func TestRetryBudgetAfterStart(t *testing.T) {
 	b := startEntry(0, 5)
-	check.Equal(t, "retry at the start", b.Retry(0, "model"), false)
-	check.Equal(t, "retry after two seconds", b.Retry(2*clock.Second, "model"), true)
+	check.Equal(t, "retry at the start", sendRetry(b, 0), false)
+	check.Equal(t, "retry after two seconds", sendRetry(b, 2*clock.Second), true)
 	full := 0
-	for b.Retry(2*sharedWindow, "model") {
+	for sendRetry(b, 2*sharedWindow) {
 		full++
 	}
 	check.Equal(t, "retries in a later window", full, 13) // 0.7 of 94, divided by 5
@@ -79,10 +90,57 @@
 	b := NewBudget(sharedRatio, sharedWindow)
 	var retries []clock.Millis
 	for now := firstBurst; now < 4*sharedWindow; now++ {
-		for b.Take(now, sharedAllowance) {
+		for b.Reserve(now, sharedAllowance) {
+			b.Use(now)
 			retries = append(retries, now)
 		}
 	}
 	check.AtMost(t, "retries in a window", maxInWindow(retries, sharedWindow), sharedAllowance)
 	check.AtMost(t, "three full budgets", 3*sharedAllowance, len(retries))
 }
+
+// Guards against retries that are allowed, wait for an upstream and leave the budget sooner
+// than the upstreams get them, as in an outage: those of the next outage then arrive within
+// the same window.
+func TestRetriesCountFromWhenTheyAreSent(t *testing.T) {
+	const sentAt = 1400 * clock.Millis(1)
+	b, _ := fixture(1, func(u *fleet.Upstream) { u.Slots = sharedAllowance })
+	b.SetOthersInFlight(map[string]int{"model0": sharedAllowance})
+	var retries []clock.Millis
+	for {
+		waits := ticket(0)
+		if !b.Retry(0, waits) {
+			break
+		}
+		waiting(t, b.Acquire(0, waits))
+	}
+	b.SetOthersInFlight(nil)
+	for _, d := range b.Tick(sentAt) {
+		retries = append(retries, sentAt)
+		b.Release(sentAt, granted(t, d), Succeeded)
+	}
+	check.Equal(t, "sent at once", len(retries), 7) // 0.7 of 10
+	for now := sentAt + 1; now < 2*sharedWindow; now++ {
+		for next := ticket(now); b.Retry(now, next); next = ticket(now) {
+			retries = append(retries, now)
+			b.Release(now, granted(t, b.Acquire(now, next)), Succeeded)
+		}
+	}
+	check.AtMost(t, "retries in a window", maxInWindow(retries, sharedWindow), 7)
+}
+
+// Guards against a budget that stays used by retries that were never sent, because no
+// upstream could take them or their callers left.
+func TestUnsentRetriesAreGivenBack(t *testing.T) {
+	b, _ := fixture(0, nil)
+	allowed := 0
+	for range 2 * sharedAllowance {
+		unsent := ticket(0)
+		if b.Retry(0, unsent) {
+			allowed++
+		}
+		rejected(t, b.Acquire(0, unsent))
+		b.Finish(unsent)
+	}
+	check.Equal(t, "retries allowed", allowed, 2*sharedAllowance)
+}
--- a/entry/request/forward/attempt.go
+++ b/entry/request/forward/attempt.go
@@ -110,17 +110,18 @@
 }
 
 // shouldFailOver reports whether the request should be moved from a stalled or
-// slow upstream to another one. If so, it counts the retry against the retry
-// budget. possibleRuns includes the current attempt.
+// slow upstream to another one. If so, it reserves the retry in the retry budget.
+// possibleRuns includes the current attempt.
 func (c *call) shouldFailOver(possibleRuns int) bool {
 	r := c.request
 	if !r.retryable() || possibleRuns >= r.route.MaxUpstreams || (c.responseStarted && !c.resumable()) {
 		return false
 	}
+	failOver := false
 	c.server.Scheduler.WithBalancer(func(now clock.Millis, b *balance.Balancer) {
-		c.retryCounted = b.ShouldFailOver(now, c.ticket) && b.Retry(now, r.service)
+		failOver = b.ShouldFailOver(now, c.ticket) && b.Retry(now, c.ticket)
 	})
-	return c.retryCounted
+	return failOver
 }
 
 // resumable reports whether another upstream may continue the stream: that is the case if
--- a/entry/request/forward/run.go
+++ b/entry/request/forward/run.go
@@ -28,6 +28,7 @@
 func (s *Server) forwardRequest(ctx context.Context, w http.ResponseWriter, q *http.Request, r *request) {
 	t := s.ticket(r)
 	c := &call{server: s, request: r, writer: w, ticket: t, lastEventID: r.lastEventID}
+	defer s.Scheduler.finish(t)
 	for {
 		d := s.Scheduler.acquire(ctx, t)
 		grantedAt := s.Clock.Now()
@@ -88,9 +89,6 @@
 	// interruption describes how the response of the last attempt broke off; its
 	// framing is empty if none did.
 	interruption interruption
-	// retryCounted is set when the next retry is already counted against the
-	// retry budget.
-	retryCounted bool
 	// budgetExhausted is set when the retry budget did not allow a retry, and
 	// retryBudget is the state of the budget at the last decision.
 	budgetExhausted bool
@@ -113,7 +111,7 @@
 }
 
 // mayRetry reports whether another attempt may follow a failed one. If so, it
-// counts the retry against the retry budget and sets a new queue timeout.
+// reserves the retry in the retry budget and sets a new queue timeout.
 func (c *call) mayRetry() bool {
 	r := c.request
 	if c.possibleRuns > 0 && !r.retryable() {
@@ -125,7 +123,7 @@
 	if c.possibleRuns >= max(r.route.MaxUpstreams, 1) || c.refusals > maxRefusals {
 		return false
 	}
-	if !c.countRetry() {
+	if !c.reserveRetry() {
 		return false
 	}
 	eventKind := event.RequestResent
@@ -140,13 +138,11 @@
 	return true
 }
 
-// countRetry counts a retry against the retry budget, unless it is counted already. It
-// reports whether the budget allows the retry.
-func (c *call) countRetry() bool {
-	counted := c.retryCounted
-	c.retryCounted = false
+// reserveRetry reserves a retry in the retry budget and reports whether the budget allows
+// it.
+func (c *call) reserveRetry() bool {
 	c.server.Scheduler.WithBalancer(func(now clock.Millis, b *balance.Balancer) {
-		c.budgetExhausted = !counted && !b.Retry(now, c.request.service)
+		c.budgetExhausted = !b.Retry(now, c.ticket)
 		c.retryBudget = b.RetryBudget(now, c.request.service)
 	})
 	return !c.budgetExhausted
--- a/entry/request/forward/scheduler.go
+++ b/entry/request/forward/scheduler.go
@@ -85,6 +85,13 @@
 	s.deliver(s.Balancer.Release(s.Clock.Now(), t, o))
 }
 
+// finish gives back what the ticket of a request that has ended has reserved.
+func (s *Scheduler) finish(t *balance.Ticket) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Balancer.Finish(t)
+}
+
 // deliver sends decisions to the requests that wait for them.
 func (s *Scheduler) deliver(decisions []balance.Decision) {
 	for _, d := range decisions {
