--- a/entry/request/balance/budget_test.go
+++ b/entry/request/balance/budget_test.go
@@ -144,3 +144,25 @@
 	}
 	check.Equal(t, "retries allowed", allowed, 2*sharedAllowance)
 }
+
+// Guards against entries that take over the share of those that have just left, whose retries
+// still count.
+func TestLeavingEntriesKeepTheirRetries(t *testing.T) {
+	const entries, staying = 5, 2
+	var retries []clock.Millis
+	running := make([]*Balancer, entries)
+	for i := range running {
+		running[i] = startEntry(0, entries)
+		running[i].SetEntries(sharedWindow, entries)
+	}
+	for now := sharedWindow; now < 4*sharedWindow; now += 20 {
+		for _, b := range running {
+			b.SetEntries(now, len(running))
+			for sendRetry(b, now) {
+				retries = append(retries, now)
+			}
+		}
+		running = running[:min(len(running), staying)]
+	}
+	check.AtMost(t, "retries in a window", maxInWindow(retries, sharedWindow), sharedAllowance)
+}
