Log the limit of requests that an upstream states

Change: event 1259 when a limit begins or ends, upstream state rateLimited in the metrics and in goldcrestctl explain. No decision changes.

--- a/core/process/event/catalogue.go
+++ b/core/process/event/catalogue.go
@@ -52,6 +52,7 @@
 	ProcessSuspended  = define(1256, logrus.WarnLevel, "process was paused; the view is loaded again")
 	SettingsReloaded  = define(1257, logrus.InfoLevel, "settings were reloaded")
 	ViewMirrored      = define(1258, logrus.InfoLevel, "objects of the store were loaded from another entry")
+	UpstreamLimited   = define(1259, logrus.InfoLevel, "upstream states how many requests it takes, or no longer does")
 )
 
 // Events of requests at an entry, 1300-1399.
--- a/ctl/process/explain/explain.go
+++ b/ctl/process/explain/explain.go
@@ -131,6 +131,7 @@
 	event.StoreUnavailable.Number():   "kind",
 	event.StoreRecovered.Number():     "kind",
 	event.UpstreamChanged.Number():    "upstream",
+	event.UpstreamLimited.Number():    "upstream",
 	event.DataCentreChanged.Number():  "dataCentre",
 	event.ProcessSuspended.Number():   "",
 	event.ProcessStopping.Number():    "",
--- a/entry/request/balance/status.go
+++ b/entry/request/balance/status.go
@@ -14,6 +14,8 @@
 	Usable State = "usable"
 	// Cold upstreams take few requests per second.
 	Cold State = "cold"
+	// RateLimited upstreams state how many requests per second they take.
+	RateLimited State = "rateLimited"
 	// Skipped upstreams failed and get no requests for a while.
 	Skipped State = "skipped"
 	// Unresponsive upstreams have requests in flight but send nothing, and neither
@@ -29,7 +31,7 @@
 )
 
 // States lists all states, so that states without upstreams are reported too.
-var States = []State{Usable, Cold, Skipped, Unresponsive, Slow, Closed, OutOfService}
+var States = []State{Usable, Cold, RateLimited, Skipped, Unresponsive, Slow, Closed, OutOfService}
 
 // Status is the state of one service, for metrics.
 type Status struct {
@@ -106,6 +108,8 @@
 		return Slow
 	case u.info.Cold(now):
 		return Cold
+	case u.rateLimit.perSecond > 0:
+		return RateLimited
 	}
 	return Usable
 }
--- a/entry/request/balance/upstream.go
+++ b/entry/request/balance/upstream.go
@@ -39,6 +39,7 @@
 	// deniedUntil is the time until which the upstream gets nothing, because
 	// another one answers at its address.
 	deniedUntil clock.Millis
+	rateLimit   rateLimit
 }
 
 // failureWeight is the weight of a new outcome in the failure rate.
--- a/entry/request/forward/forward_test.go
+++ b/entry/request/forward/forward_test.go
@@ -25,6 +25,7 @@
 var headers = Headers{
 	RequestID: "X-Id", Deadline: "X-Deadline", Key: "X-Key", Customer: "X-Customer", Target: "X-Target",
 	Signature: "X-Signature", NotRun: "X-Not-Run", LastEventID: "X-Last-Event", Tokens: "X-Tokens", PromptParts: "X-Prompt",
+	RateLimit: "X-Rate-Limit",
 }
 
 // testEntry is an entry with upstreams whose responses the test defines.
--- a/entry/request/forward/server.go
+++ b/entry/request/forward/server.go
@@ -42,6 +42,9 @@
 	// Tokens gives the number of prompt tokens and the maximum number of output
 	// tokens.
 	Tokens string
+	// RateLimit states how many requests per second an upstream takes from all entries
+	// together, for as long as its responses carry it.
+	RateLimit string
 	// PromptParts lists the parts of the prompt in order, as ID:TOKENS separated by
 	// commas. Requests share parts; the last one belongs to a single request or session.
 	PromptParts string
