Reject at once what stated limits keep from being sent in time

Callers saw: while all upstreams state limits, requests wait for the full 1.5 s and are then rejected, and are told to return before an upstream can take another one. Cause: the queue estimates waits from the completions of the last two seconds, which are few and from before the limits, and delays of returning callers are capped at 2.5 s. Change: where all usable upstreams state a limit, the times at which they take the next requests of this entry decide who may wait, and from when on callers return; the reason is limitReached. Conclusion: what does not fit is rejected on arrival.

--- a/entry/request/balance/balance.go
+++ b/entry/request/balance/balance.go
@@ -36,6 +36,9 @@
 	NoUpstream Reason = "noUpstream"
 	QueueFull  Reason = "queueFull"
 	TooLate    Reason = "tooLate"
+	// LimitReached means that all usable upstreams state a limit, and this entry's shares
+	// of them are used up for longer than the request may wait.
+	LimitReached Reason = "limitReached"
 )
 
 // Ticket is a request that waits for an upstream or was granted one.
@@ -166,14 +169,31 @@
 	if usable == 0 && !s.opensBefore(now, t.WaitDeadline) {
 		return b.reject(now, s, t, NoUpstream, usable)
 	}
-	wait := s.expectedWait(now, t)
-	if now+wait > t.WaitDeadline {
-		return b.reject(now, s, t, QueueFull, usable)
+	if reason := b.tooManyAhead(now, s, t); reason != "" {
+		return b.reject(now, s, t, reason, usable)
 	}
 	s.queue = append(s.queue, t) // dispatch sorts the queue
 	return Wait{}
 }
 
+// tooManyAhead returns the reason for which the queue does not reach t by its deadline, or an
+// empty one if it does. Where stated limits bind, they tell when requests are sent; otherwise
+// the rate of completions does.
+func (b *Balancer) tooManyAhead(now clock.Millis, s *service, t *Ticket) Reason {
+	ahead := s.ahead(now, t)
+	if slots, bind := b.limitSlots(now, s); bind {
+		slots.skip(ahead)
+		if slots.take() > t.WaitDeadline {
+			return LimitReached
+		}
+		return ""
+	}
+	if now+s.completionWait(now, ahead) > t.WaitDeadline {
+		return QueueFull
+	}
+	return ""
+}
+
 func (b *Balancer) grant(now clock.Millis, s *service, t *Ticket, u *upstream) Grant {
 	if u.inFlight == 0 {
 		u.lastActive = now
--- a/entry/request/balance/queue.go
+++ b/entry/request/balance/queue.go
@@ -20,20 +20,25 @@
 	return a.Due < b.Due
 }
 
-// expectedWait estimates how long t would wait, from its position in the queue and
-// the rate of completions. It returns 0 if there are no recent completions.
-func (s *service) expectedWait(now clock.Millis, t *Ticket) clock.Millis {
-	ahead := 1
+// ahead returns how many waiting requests go before t.
+func (s *service) ahead(now clock.Millis, t *Ticket) int {
+	n := 0
 	for _, q := range s.queue {
 		if !s.before(now, t, q) {
-			ahead++
+			n++
 		}
 	}
+	return n
+}
+
+// completionWait estimates how long a request with others ahead of it waits, from the rate
+// of completions. It returns 0 if there are no recent ones.
+func (s *service) completionWait(now clock.Millis, ahead int) clock.Millis {
 	perSecond := s.completions.perSecond(now)
 	if perSecond <= 0 {
 		return 0
 	}
-	return clock.Millis(float64(ahead) / perSecond * float64(clock.Second))
+	return clock.Millis(float64(ahead+1) / perSecond * float64(clock.Second))
 }
 
 // dispatch grants upstreams to waiting requests in the order of the queue.
@@ -62,18 +67,19 @@
 	return out
 }
 
-// expire rejects the requests whose wait deadline has passed, and all waiting
-// requests while the group is down.
+// expire rejects the waiting requests for which waiting is useless. The queue must be sorted.
 func (b *Balancer) expire(now clock.Millis, s *service) []Decision {
 	var out []Decision
 	usable := b.usable(now, s)
+	slots, limitsBind := b.limitSlots(now, s)
 	for i := 0; i < len(s.queue); {
 		t := s.queue[i]
-		reason := TooLate
-		switch {
-		case usable == 0 && (s.down || s.reportedClosed()) && !s.opensBefore(now, t.WaitDeadline):
-			reason = NoUpstream // waiting is useless while the group is down
-		case now < t.WaitDeadline:
+		sentBy := now // at the earliest
+		if limitsBind {
+			sentBy = slots.take()
+		}
+		reason := s.uselessWait(now, t, usable, sentBy)
+		if reason == "" {
 			i++
 			continue
 		}
@@ -82,3 +88,18 @@
 	}
 	return out
 }
+
+// uselessWait returns the reason for which t need not wait any longer, or an empty one. sentBy
+// is when stated limits allow it to be sent.
+func (s *service) uselessWait(now clock.Millis, t *Ticket, usable int, sentBy clock.Millis) Reason {
+	groupDown := usable == 0 && (s.down || s.reportedClosed())
+	switch {
+	case groupDown && !s.opensBefore(now, t.WaitDeadline):
+		return NoUpstream
+	case now >= t.WaitDeadline:
+		return TooLate
+	case sentBy > t.WaitDeadline:
+		return LimitReached
+	}
+	return ""
+}
--- a/entry/request/balance/ratelimit.go
+++ b/entry/request/balance/ratelimit.go
@@ -65,6 +65,47 @@
 	return u.lastSend + interval
 }
 
+// limitSlots is when each of some upstreams that state a limit takes requests of this entry.
+type limitSlots []limitSlot
+
+// limitSlot is when an upstream takes the next request, and the interval of further ones.
+type limitSlot struct{ next, interval clock.Millis }
+
+// limitSlots returns the slots of all usable upstreams. It reports whether stated limits bind,
+// which is the case if all of these state one.
+func (b *Balancer) limitSlots(now clock.Millis, s *service) (slots limitSlots, bind bool) {
+	for _, u := range s.upstreams {
+		if !b.inService(now, u) || now < u.skipUntil {
+			continue
+		}
+		if u.rateLimit.perSecond == 0 {
+			return nil, false
+		}
+		slots = append(slots, limitSlot{max(now, b.nextAllowed(now, u)), b.rateInterval(now, u)})
+	}
+	return slots, len(slots) > 0
+}
+
+// take returns when the next request is taken, and uses up its slot.
+func (l limitSlots) take() clock.Millis {
+	first := 0
+	for i := range l {
+		if l[i].next < l[first].next {
+			first = i
+		}
+	}
+	at := l[first].next
+	l[first].next += l[first].interval
+	return at
+}
+
+// skip uses up the slots of n requests.
+func (l limitSlots) skip(n int) {
+	for range n {
+		l.take()
+	}
+}
+
 // phase returns a fraction from 0 to 1 that differs between entries and upstreams.
 func (b *Balancer) phase(u *upstream) float64 {
 	const bits = 53 // of precision of a float64
--- a/entry/request/balance/ratelimit_test.go
+++ b/entry/request/balance/ratelimit_test.go
@@ -96,3 +96,45 @@
 		})
 	}
 }
+
+// Guards, while all upstreams state limits, against requests that wait until their deadline
+// for an upstream that cannot take them by then, and against callers that are told to return
+// before it can.
+func TestRequestsBeyondAllLimitsAreRejectedAtOnce(t *testing.T) {
+	const (
+		wait = 1500 * clock.Millis(1)
+		tick = 20 * clock.Millis(1)
+		end  = clock.Minute
+	)
+	f := newLimitedFleet(5, 2)
+	b := f.entries[0]
+	limits := map[string]float64{"u0": 1, "u1": 2}
+	for now := clock.Millis(0); len(f.sent["u0"]) == 0 || len(f.sent["u1"]) == 0; now++ {
+		f.request(now, 0, limits)
+	}
+	var served []clock.Millis
+	rejections := make(map[clock.Millis]clock.Millis) // the time of the caller's return by that of the rejection
+	for now := clock.Second; now < end; now += tick {
+		arriving := &Ticket{Service: "plain", Due: now + 100, WaitDeadline: now + wait}
+		for _, d := range append([]Decision{b.Acquire(now, arriving)}, b.Tick(now)...) {
+			switch d := d.(type) {
+			case Grant:
+				served = append(served, now)
+				b.Release(now, d.Ticket, Succeeded)
+			case Reject:
+				check.Equal(t, "reason", d.Reason, LimitReached)
+				rejections[now] = now + d.RetryAfter
+			case Wait:
+			}
+		}
+	}
+	check.AtMost(t, "three quarters of the share of 3 a second", 0.75*60*3/5, float64(len(served)))
+	check.AtMost(t, "served", len(served), 60*3/5)
+	for at, returns := range rejections {
+		if returns > end {
+			continue
+		}
+		taken := slices.ContainsFunc(served, func(s clock.Millis) bool { return at < s && s <= returns+tick })
+		check.Equal(t, "an upstream takes a request before the caller returns", taken, true)
+	}
+}
--- a/entry/request/balance/returns.go
+++ b/entry/request/balance/returns.go
@@ -3,7 +3,7 @@
 import "goldcrestshore/core/process/clock"
 
 func (b *Balancer) reject(now clock.Millis, s *service, t *Ticket, reason Reason, usable int) Reject {
-	return Reject{Ticket: t, Reason: reason, RetryAfter: s.retryAfter(now, usable), Queued: len(s.queue), Usable: usable}
+	return Reject{Ticket: t, Reason: reason, RetryAfter: b.retryAfter(now, s, usable), Queued: len(s.queue), Usable: usable}
 }
 
 // Bounds of the delay after which a rejected caller should retry.
@@ -18,8 +18,9 @@
 // retryAfter spreads the retries of rejected callers: the delays run from the time
 // that the queue needs to empty to twice that time. Without recent completions they
 // run from half of maxRetryAfter to maxRetryAfter. Without a usable upstream they are
-// near maxRetryAfter, or behind the expected opening of a closed group.
-func (s *service) retryAfter(now clock.Millis, usable int) clock.Millis {
+// near maxRetryAfter, or behind the expected opening of a closed group. While all usable
+// upstreams state a limit they begin when the limits allow another request.
+func (b *Balancer) retryAfter(now clock.Millis, s *service, usable int) clock.Millis {
 	s.rejections++
 	if opening := s.opensAt - now; s.reportedClosed() && opening > 0 {
 		spread := maxRetryAfter / 4
@@ -34,6 +35,10 @@
 		needed := clock.Millis(float64(len(s.queue)) / perSecond * float64(clock.Second))
 		wait = min(max(needed, minRetryAfter), maxRetryAfter/2)
 	}
+	if slots, bind := b.limitSlots(now, s); bind {
+		slots.skip(len(s.queue))
+		wait = max(wait, slots.take()-now)
+	}
 	return wait + wait*clock.Millis(s.rejections*7%retryAfterSteps)/retryAfterSteps
 }
 
@@ -41,5 +46,5 @@
 // should retry if the request cannot be run now.
 func (b *Balancer) RetryAfter(now clock.Millis, name string) clock.Millis {
 	s := b.service(name)
-	return s.retryAfter(now, b.usable(now, s))
+	return b.retryAfter(now, s, b.usable(now, s))
 }
