Tell other entries through agents what upstreams state about their limits

Entries that send seldom also keep to a limit long after its end. Cause: each entry went by its own responses (docs/incidents/stated-limit.md, H3). Change: beside its heartbeats an entry tells an agent what the agent's upstream, and upstreams without an agent, have stated to it; agents keep the latest statement of each and pass it on beside their replies. Messages of their own, sent only while there is something to tell, so heartbeats do not change and builds with and without them understand each other's counts. Conclusion: on a deployment without any agent entries still go by their own responses, and assume 16 entries.

--- a/agent/connection/sidecar/sidecar.go
+++ b/agent/connection/sidecar/sidecar.go
@@ -37,6 +37,7 @@
 	mu sync.Mutex
 	// inFlight holds the last heartbeat of each entry, by the entry's ID.
 	inFlight map[string]entryState
+	limits   rateLimits
 }
 
 // entryState is the content of the last heartbeat of an entry.
@@ -50,7 +51,7 @@
 
 // Run serves until ctx is done.
 func (s *Server) Run(ctx context.Context) error {
-	s.inFlight = make(map[string]entryState)
+	s.inFlight, s.limits = make(map[string]entryState), make(rateLimits)
 	packets, err := net.ListenPacket("udp4", s.Listen)
 	if err != nil {
 		return errors.Wrap(err, "listen for heartbeats")
@@ -69,17 +70,43 @@
 }
 
 func (s *Server) serveHeartbeats(ctx context.Context, c net.PacketConn) {
-	frame.ServeDatagrams(ctx, c, s.logMalformed, func(id frame.ID, from net.Addr, heartbeat *frame.EntryHeartbeat) {
-		reply := s.handleHeartbeat(&heartbeat.EntryHeartbeat)
-		datagram, err := frame.Append(nil, id, &frame.GroupLoad{Load: *reply})
-		if err != nil {
-			s.Log.Error(event.PeerMalformed, err, nil)
-			return
+	frame.ServeDatagrams(ctx, c, s.logMalformed, func(id frame.ID, from net.Addr, m frame.Message) {
+		switch m := m.(type) {
+		case *frame.EntryHeartbeat:
+			s.send(c, from, id, &frame.GroupLoad{Load: *s.handleHeartbeat(&m.EntryHeartbeat)})
+			if limits := s.recentLimits(); len(limits) > 0 {
+				s.send(c, from, id, &frame.RateLimits{RateLimits: group.RateLimits{Limits: limits}})
+			}
+		case *frame.RateLimits:
+			s.recordLimits(m.Limits)
+		default:
+			s.logMalformed(from)
 		}
-		_, _ = c.WriteTo(datagram, from) // a lost reply is superseded by the next one
 	})
 }
 
+// send replies to an entry's datagram. A lost reply is superseded by the next one.
+func (s *Server) send(c net.PacketConn, to net.Addr, id frame.ID, m frame.Message) {
+	datagram, err := frame.Append(nil, id, m)
+	if err != nil {
+		s.Log.Error(event.PeerMalformed, err, nil)
+		return
+	}
+	_, _ = c.WriteTo(datagram, to)
+}
+
+func (s *Server) recordLimits(limits []group.RateLimit) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limits.record(s.Clock.Now(), limits)
+}
+
+func (s *Server) recentLimits() []group.RateLimit {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.limits.recent(s.Clock.Now())
+}
+
 func (s *Server) logMalformed(from net.Addr) {
 	s.Log.Emit(event.PeerMalformed, event.Fields{"from": from.String()})
 }
--- a/agent/connection/sidecar/sidecar_test.go
+++ b/agent/connection/sidecar/sidecar_test.go
@@ -16,7 +16,7 @@
 	log, err := event.NewLog(io.Discard, "error", "agent", "a")
 	check.NoError(t, "NewLog", err)
 	c := clock.NewManual(10 * clock.Second)
-	return &Server{Clock: c, Log: log, Executor: &orders.Executor{Clock: c, Log: log}, inFlight: make(map[string]entryState)}, c
+	return &Server{Clock: c, Log: log, Executor: &orders.Executor{Clock: c, Log: log}, inFlight: make(map[string]entryState), limits: make(rateLimits)}, c
 }
 
 // Guards against limits that are divided by the wrong number of entries, and
--- a/core/connection/frame/kind.go
+++ b/core/connection/frame/kind.go
@@ -125,6 +125,8 @@
 		return unmarshal[SnapshotRequest](body)
 	case kindSnapshotReply:
 		return unmarshal[SnapshotReply](body)
+	case kindRateLimits:
+		return unmarshal[RateLimits](body)
 	}
 	return nil, errors.Wrapf(ErrUnknownKind, "kind %d", kind)
 }
@@ -153,6 +155,8 @@
 
 	kindSnapshotRequest = 44
 	kindSnapshotReply   = 45
+
+	kindRateLimits = 46
 )
 
 // EntryHeartbeat is an entry's heartbeat to the agent of a rank.
@@ -161,6 +165,10 @@
 // GroupLoad replies to EntryHeartbeat.
 type GroupLoad struct{ group.Load }
 
+// RateLimits tells what upstreams have stated about how many requests they take. An entry
+// sends it to agents beside its heartbeats, and an agent beside its replies.
+type RateLimits struct{ group.RateLimits }
+
 // RankCall is a call of the owner of expert maps to the agent of a rank.
 type RankCall struct{ group.Call }
 
@@ -177,5 +185,6 @@
 func (*SnapshotReply) frameKind() byte   { return kindSnapshotReply }
 func (*EntryHeartbeat) frameKind() byte  { return kindEntryHeartbeat }
 func (*GroupLoad) frameKind() byte       { return kindGroupLoad }
+func (*RateLimits) frameKind() byte      { return kindRateLimits }
 func (*RankCall) frameKind() byte        { return kindRankCall }
 func (*RankReply) frameKind() byte       { return kindRankReply }
--- a/core/version/group/group.go
+++ b/core/version/group/group.go
@@ -3,12 +3,17 @@
 // calls from the owner of the maps to the agents of the ranks.
 package group
 
-import "goldcrestshore/core/process/clock"
+import (
+	"cmp"
+	"slices"
+
+	"goldcrestshore/core/process/clock"
+)
 
 //go:generate go tool msgp -tests=false -io=false -file group.go -o group_gen.go
 
 //msgp:ignore Op Outcome State
-//msgp:tuple Report Order Call Reply EntryHeartbeat Load
+//msgp:tuple Report Order Call Reply EntryHeartbeat Load RateLimit RateLimits
 
 // None is the value of a version or step that is not set.
 const None = -1
@@ -191,3 +196,27 @@
 
 // OwnerAgeMillis returns OwnerAge as a duration.
 func (l *Load) OwnerAgeMillis() clock.Millis { return clock.Millis(l.OwnerAge) }
+
+// RateLimit is what an upstream has stated about how many requests it takes.
+type RateLimit struct {
+	Upstream string
+	// PerSecond is the number of requests per second that the upstream takes from all
+	// entries together, 0 if it no longer states a limit.
+	PerSecond float64
+	// Age is the time since the upstream stated so, in milliseconds.
+	Age int64
+}
+
+// SortRateLimits puts the latest statements first.
+func SortRateLimits(limits []RateLimit) {
+	slices.SortFunc(limits, func(a, b RateLimit) int {
+		return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.Upstream, b.Upstream))
+	})
+}
+
+// MaxRateLimits bounds the statements in a RateLimits, so that it fits in a datagram.
+const MaxRateLimits = 16
+
+// RateLimits tells an agent what upstreams have stated to an entry, or an entry what they have
+// stated to others.
+type RateLimits struct{ Limits []RateLimit }
--- a/core/version/group/group_gen.go
+++ b/core/version/group/group_gen.go
@@ -337,6 +337,133 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z RateLimit) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendString(o, z.Upstream)
+	o = msgp.AppendFloat64(o, z.PerSecond)
+	o = msgp.AppendInt64(o, z.Age)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *RateLimit) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Upstream, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Upstream")
+		return
+	}
+	z.PerSecond, bts, err = msgp.ReadFloat64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "PerSecond")
+		return
+	}
+	z.Age, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Age")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z RateLimit) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Upstream) + msgp.Float64Size + msgp.Int64Size
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *RateLimits) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 1
+	o = append(o, 0x91)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Limits)))
+	for za0001 := range z.Limits {
+		// array header, size 3
+		o = append(o, 0x93)
+		o = msgp.AppendString(o, z.Limits[za0001].Upstream)
+		o = msgp.AppendFloat64(o, z.Limits[za0001].PerSecond)
+		o = msgp.AppendInt64(o, z.Limits[za0001].Age)
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *RateLimits) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 1 {
+		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Limits")
+		return
+	}
+	if cap(z.Limits) >= int(zb0002) {
+		z.Limits = (z.Limits)[:zb0002]
+	} else {
+		z.Limits = make([]RateLimit, zb0002)
+	}
+	for za0001 := range z.Limits {
+		var zb0003 uint32
+		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Limits", za0001)
+			return
+		}
+		if zb0003 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0003}
+			return
+		}
+		z.Limits[za0001].Upstream, bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Limits", za0001, "Upstream")
+			return
+		}
+		z.Limits[za0001].PerSecond, bts, err = msgp.ReadFloat64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Limits", za0001, "PerSecond")
+			return
+		}
+		z.Limits[za0001].Age, bts, err = msgp.ReadInt64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Limits", za0001, "Age")
+			return
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *RateLimits) Msgsize() (s int) {
+	s = 1 + msgp.ArrayHeaderSize
+	for za0001 := range z.Limits {
+		s += 1 + msgp.StringPrefixSize + len(z.Limits[za0001].Upstream) + msgp.Float64Size + msgp.Int64Size
+	}
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Reply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/entry/connection/sidecar/beacon.go
+++ b/entry/connection/sidecar/beacon.go
@@ -52,6 +52,11 @@
 	// Peer returns the address on which this entry serves other entries. It is
 	// empty while the store does not serve this entry.
 	Peer func() string
+	// Limits returns what upstreams have stated to this entry about how many requests they
+	// take. An agent is told of its own upstream and of those that have no agent.
+	Limits func() []group.RateLimit
+	// OnLimits receives what upstreams have stated to other entries.
+	OnLimits func([]group.RateLimit)
 	// OnLoads receives the current loads by upstream before each round of
 	// heartbeats, and the upstreams whose agents have stopped replying.
 	OnLoads func(loads map[string]group.Load, unresponsive map[string]bool)
@@ -86,7 +91,7 @@
 
 func (b *Beacon) sendHeartbeats(c net.PacketConn) {
 	b.OnLoads(b.freshLoads(), b.unresponsive())
-	inFlight := b.InFlight()
+	inFlight, limits := b.InFlight(), b.Limits()
 	agents := b.Agents()
 	b.mu.Lock()
 	clear(b.pending)
@@ -102,13 +107,33 @@
 		}
 	}
 	b.mu.Unlock()
+	hasAgent := make(map[string]bool, len(agents))
+	for _, a := range agents {
+		hasAgent[a.Upstream] = true
+	}
 	for i, a := range agents {
-		b.send(c, a, inFlight[a.Upstream], firstSequence+uint64(i))
+		sequence := firstSequence + uint64(i)
+		if told := limitsFor(a, hasAgent, limits); len(told) > 0 {
+			b.send(c, a, sequence, &frame.RateLimits{RateLimits: group.RateLimits{Limits: told}})
+		}
+		heartbeat := group.EntryHeartbeat{Entry: b.Entry, InFlight: inFlight[a.Upstream], Term: b.Term(a.Service), Peer: b.Peer()}
+		b.send(c, a, sequence, &frame.EntryHeartbeat{EntryHeartbeat: heartbeat})
 	}
 }
 
-func (b *Beacon) send(c net.PacketConn, a Agent, inFlight int, sequence uint64) {
-	m := &frame.EntryHeartbeat{EntryHeartbeat: group.EntryHeartbeat{Entry: b.Entry, InFlight: inFlight, Term: b.Term(a.Service), Peer: b.Peer()}}
+// limitsFor returns the statements of which agent a is told. hasAgent has the upstreams that
+// have an agent.
+func limitsFor(a Agent, hasAgent map[string]bool, limits []group.RateLimit) []group.RateLimit {
+	var out []group.RateLimit
+	for _, l := range limits {
+		if (l.Upstream == a.Upstream || !hasAgent[l.Upstream]) && len(out) < group.MaxRateLimits {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
+func (b *Beacon) send(c net.PacketConn, a Agent, sequence uint64, m frame.Message) {
 	out, err := frame.Append(nil, frame.NewID(0, sequence), m)
 	if err != nil {
 		b.Log.Error(event.PeerMalformed, err, nil)
@@ -123,15 +148,37 @@
 }
 
 func (b *Beacon) receive(ctx context.Context, c net.PacketConn) {
-	frame.ServeDatagrams(ctx, c, b.malformed, func(id frame.ID, _ net.Addr, load *frame.GroupLoad) {
-		b.mu.Lock()
-		defer b.mu.Unlock()
-		if upstream, found := b.pending[id.Sequence()]; found {
-			b.loads[upstream] = loadReport{load.Load, b.loads[upstream].service, b.Clock.Now()}
+	frame.ServeDatagrams(ctx, c, b.malformed, func(id frame.ID, from net.Addr, m frame.Message) {
+		switch m := m.(type) {
+		case *frame.GroupLoad:
+			b.recordLoad(id, m.Load)
+		case *frame.RateLimits:
+			if b.isPending(id) {
+				b.OnLimits(m.Limits)
+			}
+		default:
+			b.malformed(from)
 		}
 	})
 }
 
+// recordLoad records the load in the reply to a heartbeat of the current round.
+func (b *Beacon) recordLoad(id frame.ID, load group.Load) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if upstream, found := b.pending[id.Sequence()]; found {
+		b.loads[upstream] = loadReport{load, b.loads[upstream].service, b.Clock.Now()}
+	}
+}
+
+// isPending reports whether id is that of a heartbeat of the current round. The ages in a
+// reply that arrives later are outdated.
+func (b *Beacon) isPending(id frame.ID) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.pending[id.Sequence()] != ""
+}
+
 func (b *Beacon) malformed(from net.Addr) {
 	b.Log.Emit(event.PeerMalformed, event.Fields{"from": from.String()})
 }
--- a/entry/request/balance/balance.go
+++ b/entry/request/balance/balance.go
@@ -109,6 +109,8 @@
 	entries   entryCount
 	view      *fleet.View
 	services  map[string]*service
+	// upstreams holds the upstreams of all services by ID.
+	upstreams map[string]*upstream
 }
 
 // New returns a balancer without upstreams for a process that starts now.
@@ -142,8 +144,12 @@
 	for name, spec := range v.Config().Services() {
 		b.service(name).spec = spec
 	}
+	b.upstreams = make(map[string]*upstream, len(v.Upstreams()))
 	for _, s := range b.services {
 		s.updateUpstreams(v)
+		for _, u := range s.upstreams {
+			b.upstreams[u.info.ID] = u
+		}
 	}
 }
 
--- a/entry/request/balance/ratelimit.go
+++ b/entry/request/balance/ratelimit.go
@@ -3,11 +3,16 @@
 import (
 	"goldcrestshore/core/process/clock"
 	"goldcrestshore/core/request/fingerprint"
+	"goldcrestshore/core/version/group"
 )
 
-// rateLimitFraction is the fraction of a stated limit that entries use. They do not
-// coordinate when they send, so the requests of several may coincide.
-const rateLimitFraction = 0.9
+const (
+	// rateLimitFraction is the fraction of a stated limit that entries use. They do not
+	// coordinate when they send, so the requests of several may coincide.
+	rateLimitFraction = 0.9
+	// endedLimitShareTime is how long other entries are told that a limit has ended.
+	endedLimitShareTime = 10 * clock.Second
+)
 
 // rateLimit is the last statement of an upstream about how many requests it takes.
 type rateLimit struct {
@@ -16,8 +21,10 @@
 	perSecond float64
 	// statedAt is when the upstream stated so.
 	statedAt clock.Millis
-	// since is when it first stated a limit without an interruption.
-	since clock.Millis
+	// own is set if it stated so in a response to this entry.
+	own bool
+	// changedAt is when this entry learned that a limit has begun or ended.
+	changedAt clock.Millis
 }
 
 // RecordRateLimit records what the upstream of a ticket has just stated: the requests per
@@ -27,23 +34,53 @@
 	if t.upstream == nil {
 		return false
 	}
-	return t.upstream.setRateLimit(now, perSecond, now)
+	return t.upstream.setRateLimit(now, rateLimit{perSecond: perSecond, statedAt: now, own: true})
 }
 
-// setRateLimit applies a statement that the upstream made at statedAt, unless a later one is
-// known. It reports whether a limit has begun or ended.
-func (u *upstream) setRateLimit(now clock.Millis, perSecond float64, statedAt clock.Millis) bool {
-	if statedAt < u.rateLimit.statedAt {
+// setRateLimit applies a statement unless a later one is known. It reports whether a limit has
+// begun or ended.
+func (u *upstream) setRateLimit(now clock.Millis, l rateLimit) bool {
+	if l.statedAt < u.rateLimit.statedAt {
 		return false
 	}
-	changed := (perSecond > 0) != (u.rateLimit.perSecond > 0)
-	u.rateLimit.perSecond, u.rateLimit.statedAt = perSecond, statedAt
+	changed := (l.perSecond > 0) != (u.rateLimit.perSecond > 0)
+	l.changedAt = u.rateLimit.changedAt
 	if changed {
-		u.rateLimit.since = now
+		l.changedAt = now
 	}
+	u.rateLimit = l
 	return changed
 }
 
+// SetRateLimits applies what upstreams have stated to other entries. It returns the statements
+// by which a limit has begun or ended.
+func (b *Balancer) SetRateLimits(now clock.Millis, limits []group.RateLimit) []group.RateLimit {
+	var changes []group.RateLimit
+	for _, l := range limits {
+		u := b.upstreams[l.Upstream]
+		statedAt := now - clock.Millis(max(l.Age, 0))
+		if u != nil && u.rateLimit.statedAt < statedAt && u.setRateLimit(now, rateLimit{perSecond: l.PerSecond, statedAt: statedAt}) {
+			changes = append(changes, l)
+		}
+	}
+	return changes
+}
+
+// RateLimits returns what upstreams have stated to this entry last and other entries should
+// know: limits, and that one has ended. The latest statements come first.
+func (b *Balancer) RateLimits(now clock.Millis) []group.RateLimit {
+	var out []group.RateLimit
+	for id, u := range b.upstreams {
+		l := u.rateLimit
+		ended := l.perSecond == 0 && l.changedAt > 0 && now-l.changedAt < endedLimitShareTime
+		if l.own && (l.perSecond > 0 || ended) {
+			out = append(out, group.RateLimit{Upstream: id, PerSecond: l.perSecond, Age: int64(now - l.statedAt)})
+		}
+	}
+	group.SortRateLimits(out)
+	return out
+}
+
 // rateInterval returns the time between two requests of this entry to an upstream that
 // states a limit: each entry uses an equal share of it.
 func (b *Balancer) rateInterval(now clock.Millis, u *upstream) clock.Millis {
@@ -59,8 +96,8 @@
 		return now
 	}
 	interval := b.rateInterval(now, u)
-	if u.lastSend <= u.rateLimit.since {
-		return u.rateLimit.since + clock.Millis(b.phase(u)*float64(interval))
+	if u.lastSend <= u.rateLimit.changedAt {
+		return u.rateLimit.changedAt + clock.Millis(b.phase(u)*float64(interval))
 	}
 	return u.lastSend + interval
 }
--- a/entry/request/balance/ratelimit_test.go
+++ b/entry/request/balance/ratelimit_test.go
@@ -8,6 +8,7 @@
 
 	"goldcrestshore/core/process/check"
 	"goldcrestshore/core/process/clock"
+	"goldcrestshore/core/version/group"
 	"goldcrestshore/entry/version/config"
 	"goldcrestshore/entry/version/fleet"
 )
@@ -138,3 +139,41 @@
 		check.Equal(t, "an upstream takes a request before the caller returns", taken, true)
 	}
 }
+
+// Guards against an entry that does not know of a limit because it has had no response of the
+// upstream, that goes on with a limit that has ended, or that passes on what it has not seen
+// itself, which would never become old.
+func TestRateLimitsOfOtherEntries(t *testing.T) {
+	f := newLimitedFleet(2, 1)
+	seeing, other := f.entries[0], f.entries[1]
+	f.request(clock.Second, 0, map[string]float64{"u0": 2})
+	now := clock.Second + 50
+	changes := other.SetRateLimits(now, seeing.RateLimits(now))
+	check.Equal(t, "limits that begin", len(changes), 1)
+	check.Equal(t, "limits passed on by others", len(other.RateLimits(now)), 0)
+	check.Equal(t, "limits again", len(other.SetRateLimits(now, seeing.RateLimits(now))), 0)
+	check.AtMost(t, "time of the next request", now+1, other.nextAllowed(now, other.upstreams["u0"]))
+
+	seeing.upstreams["u0"].setRateLimit(now, rateLimit{statedAt: now, own: true})
+	changes = other.SetRateLimits(now+50, seeing.RateLimits(now+50))
+	check.Equal(t, "limits that end", len(changes), 1)
+	check.Equal(t, "time of the next request", other.nextAllowed(now+50, other.upstreams["u0"]), now+50)
+	stale := []group.RateLimit{{Upstream: "u0", PerSecond: 2, Age: 200}, {Upstream: "gone", PerSecond: 2}}
+	check.Equal(t, "changes by an older statement", len(other.SetRateLimits(now+60, stale)), 0)
+	later := now + endedLimitShareTime
+	check.Equal(t, "limits passed on long after the end", len(seeing.RateLimits(later)), 0)
+}
+
+// Guards against a limit that holds for an upstream that has started again under its ID.
+func TestRestartEndsRateLimit(t *testing.T) {
+	const restartedAt = 2 * clock.Second
+	b, state := fixture(1, nil)
+	u := b.upstreams["model0"]
+	u.setRateLimit(clock.Second, rateLimit{perSecond: 0.1, statedAt: clock.Second})
+	again := *u.info
+	again.StartTime, again.FirstSeenAt = 7, restartedAt
+	state.SetUpstream(&again)
+	check.Equal(t, "time of the next request", b.nextAllowed(restartedAt, u), restartedAt)
+	old := []group.RateLimit{{Upstream: "model0", PerSecond: 0.1, Age: 1500}}
+	check.Equal(t, "changes by a statement from before", len(b.SetRateLimits(restartedAt+100, old)), 0)
+}
--- a/entry/request/balance/upstream.go
+++ b/entry/request/balance/upstream.go
@@ -121,6 +121,9 @@
 		if u.info != info {
 			u.deniedUntil = 0 // a new registration may be right
 		}
+		if u.info != nil && u.info.StartTime != info.StartTime {
+			u.rateLimit = rateLimit{statedAt: info.FirstSeenAt} // it has started again since
+		}
 		u.info = info
 		s.upstreams = append(s.upstreams, u)
 	}
