Spread the first requests of many entries to a cold upstream

Callers saw: nothing on the deployments of today; where entries outnumber the requests per second that a cold upstream takes, each sends one as it turns cold, and it crashes. Cause: the same class as the stated limit: a limit of all entries that each keeps for itself. A share below one request a second was spaced after the first request, and the first one was not. Change: cold and stated limits space requests by the same function, which spreads the first ones over the interval.

--- a/entry/request/balance/balance.go
+++ b/entry/request/balance/balance.go
@@ -209,7 +209,6 @@
 	u.promptTokens += t.PromptTokens
 	if u.info.Cold(now) {
 		u.coldSends.add(now)
-		u.lastColdSend = now
 	}
 	t.upstream, t.granted = u, now
 	if t.retryReserved {
--- a/entry/request/balance/limits.go
+++ b/entry/request/balance/limits.go
@@ -4,6 +4,7 @@
 	"math"
 
 	"goldcrestshore/core/process/clock"
+	"goldcrestshore/core/request/fingerprint"
 )
 
 // limit returns how many requests of all entries may be in flight at one upstream:
@@ -70,5 +71,22 @@
 		return u.coldSends.allows(now, int(limit))
 	}
 	interval := clock.Millis(float64(clock.Second) / limit)
-	return u.lastColdSend == 0 || now-u.lastColdSend >= interval
+	return now >= b.nextSpaced(u, u.coldSince, interval)
+}
+
+// nextSpaced returns when u may get the next request of this entry by a limit that began at
+// since and leaves this entry one request in each interval. After a limit has begun, entries
+// send their first request at different points of the interval, so that they do not all send
+// at once.
+func (b *Balancer) nextSpaced(u *upstream, since, interval clock.Millis) clock.Millis {
+	if u.lastSend <= since {
+		return since + clock.Millis(b.phase(u)*float64(interval))
+	}
+	return u.lastSend + interval
+}
+
+// phase returns a fraction from 0 to 1 that differs between entries and upstreams.
+func (b *Balancer) phase(u *upstream) float64 {
+	const bits = 53 // of precision of a float64
+	return float64(fingerprint.OfValues(b.settings.Entry, u.info.ID)>>(64-bits)) / (1 << bits)
 }
--- a/entry/request/balance/ratelimit.go
+++ b/entry/request/balance/ratelimit.go
@@ -2,7 +2,6 @@
 
 import (
 	"goldcrestshore/core/process/clock"
-	"goldcrestshore/core/request/fingerprint"
 	"goldcrestshore/core/version/group"
 )
 
@@ -89,17 +88,12 @@
 }
 
 // nextAllowed returns when u may get the next request of this entry by the limit that it
-// states. After the limit has begun, entries send their first request at different points
-// of the interval, so that they do not all send at once.
+// states.
 func (b *Balancer) nextAllowed(now clock.Millis, u *upstream) clock.Millis {
 	if u.rateLimit.perSecond == 0 {
 		return now
 	}
-	interval := b.rateInterval(now, u)
-	if u.lastSend <= u.rateLimit.changedAt {
-		return u.rateLimit.changedAt + clock.Millis(b.phase(u)*float64(interval))
-	}
-	return u.lastSend + interval
+	return b.nextSpaced(u, u.rateLimit.changedAt, b.rateInterval(now, u))
 }
 
 // limitSlots is when each of some upstreams that state a limit takes requests of this entry.
@@ -142,9 +136,3 @@
 		l.take()
 	}
 }
-
-// phase returns a fraction from 0 to 1 that differs between entries and upstreams.
-func (b *Balancer) phase(u *upstream) float64 {
-	const bits = 53 // of precision of a float64
-	return float64(fingerprint.OfValues(b.settings.Entry, u.info.ID)>>(64-bits)) / (1 << bits)
-}
--- a/entry/request/balance/upstream.go
+++ b/entry/request/balance/upstream.go
@@ -23,8 +23,8 @@
 	lastSend clock.Millis
 	// coldSends counts the requests sent while the upstream is cold.
 	coldSends slidingSecond
-	// lastColdSend is when the last of them was sent, 0 for never.
-	lastColdSend        clock.Millis
+	// coldSince is when this entry learned that the upstream has become cold.
+	coldSince           clock.Millis
 	skipUntil           clock.Millis
 	consecutiveFailures int
 	// lastActive is when the upstream last sent something, or got a request while
@@ -124,6 +124,9 @@
 		if u.info != nil && u.info.StartTime != info.StartTime {
 			u.rateLimit = rateLimit{statedAt: info.FirstSeenAt} // it has started again since
 		}
+		if info.ColdRemaining > 0 && (u.info == nil || !u.info.Cold(info.FirstSeenAt)) {
+			u.coldSince = info.FirstSeenAt
+		}
 		u.info = info
 		s.upstreams = append(s.upstreams, u)
 	}
