--- a/entry/request/forward/forward_test.go
+++ b/entry/request/forward/forward_test.go
@@ -71,6 +71,7 @@
 	c := clock.System()
 	scheduler := &Scheduler{Clock: c, Balancer: balance.New(c.Now()-clock.Hour, balance.Settings{RetryRatio: 1, RetryAllowance: 10, RetryWindow: 10 * clock.Second})}
 	scheduler.SetView(state.View())
+	scheduler.Balancer.SetEntries(c.Now()-clock.Hour, 1)
 	s.server = &Server{
 		Clock: c, Log: log, Headers: headers, State: state, Scheduler: scheduler, Pool: &upstream.Pool{Clock: c},
 		Current: func(clock.Millis) bool { return s.viewCurrent }, Quarantine: warmQuarantine(log),
