Promise that a request has not run only where its upstream does

Callers saw (by test): a request that must not run twice is answered 408, 429 or 503, which callers take for a promise that it has not run, although its upstream does not state so; the caller sends it again. Cause: a failure of an upstream was passed on with its status, whatever callers read in it. Evidence: TestRefusalWithoutPromise fails before: 408, 429 and 503 reach the caller, with the upstream's signature. Change: such a response to a request that may not be sent again ends as a failure of the upstream, 502 without a signature. Requests that may run again keep the status. Conclusion: a refusal of a request that must not run twice is either the entry's own or states that it has not run.

--- a/entry/request/forward/attempt.go
+++ b/entry/request/forward/attempt.go
@@ -159,6 +159,13 @@
 	return c.request.route.Retry == config.Resumable && (c.events == 0 || c.lastEventID != "")
 }
 
+// promisesNotRun reports whether callers take the status for a promise that the request has
+// not run and never will. Without Headers.NotRun an upstream does not promise that, so that a
+// request which must not run twice cannot get the status.
+func promisesNotRun(status int) bool {
+	return status == http.StatusRequestTimeout || status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
+}
+
 // handleResponse reads the response of an upstream and forwards it unless the
 // request should be retried at another upstream. It reports whether the caller was
 // sent a complete response.
@@ -176,6 +183,10 @@
 		c.failure = "refused" + strconv.Itoa(resp.Status)
 		drainResponse(resp)
 		return balance.Refused, false
+	case !r.retryable() && promisesNotRun(resp.Status):
+		c.possibleRuns++
+		c.failure = "status" + strconv.Itoa(resp.Status)
+		return balance.Failed, false
 	case resp.Header.Get("Content-Encoding") != "":
 		c.possibleRuns++
 		c.failure = "encoded"
--- a/entry/request/forward/faulty_test.go
+++ b/entry/request/forward/faulty_test.go
@@ -48,6 +48,20 @@
 	}
 }
 
+// Guards against a refusal that promises that a request has not run where its upstream does
+// not say so: its caller would send a request again that may have run.
+func TestRefusalWithoutPromise(t *testing.T) {
+	for _, code := range []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+		t.Run(fmt.Sprint(code), func(t *testing.T) {
+			s := newTestEntry(t, status(code, "X-Signature: s\r\n"))
+			got := s.call(t, "/once/", nil)
+			check.Equal(t, "status", got.status, http.StatusBadGateway)
+			check.Equal(t, "signature", got.header.Get("X-Signature"), "")
+			check.Equal(t, "requests at upstreams", len(s.requests()), 1)
+		})
+	}
+}
+
 // Guards against the text or the head of an error in the middle of a stream, and against a
 // stream that looks complete, when the upstream that is to resume a broken stream answers
 // with an error.
