Resume a stream only with events that have an id

Callers saw (by test): the text of an error in the middle of their stream, which then ends as complete, where the upstream that is to resume it answers 200 without a type and with an error's text. Cause: a response of status 200 without a type counts as a stream, and text up to a blank line as an event. Evidence: the case error without a type of TestErrorInsteadOfResumedStream fails before. Change: the first event of a resumed part must have an id, which is what a stream is resumed by. Otherwise the attempt has failed, and the stream is resumed elsewhere or broken off. Conclusion: what another upstream adds to a begun stream is an event that follows a known one.

--- a/entry/request/forward/events.go
+++ b/entry/request/forward/events.go
@@ -47,6 +47,24 @@
 	return false
 }
 
+// firstEvent returns the first of the complete events that is more than comments, or nil if
+// there is none.
+func firstEvent(events []byte) []byte {
+	for len(events) > 0 {
+		end := len(events)
+		for _, blank := range blankLines {
+			if i := bytes.Index(events, blank); i >= 0 {
+				end = min(end, i+len(blank))
+			}
+		}
+		if hasEvent(events[:end]) {
+			return events[:end]
+		}
+		events = events[end:]
+	}
+	return nil
+}
+
 // lastEvent returns the last of the complete events that is more than comments, without
 // the blank line at its end, or nil if there is none.
 func lastEvent(events []byte) []byte {
--- a/entry/request/forward/faulty_test.go
+++ b/entry/request/forward/faulty_test.go
@@ -80,6 +80,7 @@
 		"unknown":                  {text(404, signed, "not found\n\n")},
 		"redirected":               {text(302, signed+"Location: /\r\n", "moved\n\n")},
 		"error as a success":       {text(200, signed+"Content-Type: text/plain\r\n", "error\n\n")},
+		"error without a type":     {text(200, signed, "error: out of memory\n\n")},
 		"unsigned success":         {text(200, "Content-Type: text/event-stream\r\n", eventTwo)},
 		"no response":              {closeConnection},
 		"half of a head":           {func(*http.Request) string { return "HTTP/1.1 500 X\r\nContent-Ty" + closeMark }},
--- a/entry/request/forward/stream.go
+++ b/entry/request/forward/stream.go
@@ -53,6 +53,10 @@
 		n, err := resp.Read(buffer[len(buffer):cap(buffer)])
 		buffer = buffer[:len(buffer)+n]
 		if end := completeEventsLen(buffer); end > 0 {
+			if c.resumesWithoutID(buffer[:end]) {
+				c.failure = "notResumed"
+				return balance.Failed, false
+			}
 			if hasEvent(buffer[:end]) {
 				resp.SetReadTimeout(idleTimeout)
 				c.recordEvents()
@@ -78,6 +82,17 @@
 	}
 }
 
+// resumesWithoutID reports whether the first event of an upstream that is to resume a stream
+// has no id. It then cannot be told from the text of an error, and does not continue the
+// stream after a known event.
+func (c *call) resumesWithoutID(events []byte) bool {
+	if c.events == 0 || c.attemptEvents > 0 {
+		return false
+	}
+	first := firstEvent(events)
+	return first != nil && parseEventID(first) == ""
+}
+
 // finishStream forwards what follows the last event of a complete stream, unless the
 // stream has broken off.
 func (c *call) finishStream(resp *upstream.ResponseReader, rest []byte) (balance.Outcome, bool) {
