End a stream where another response begins in it

Callers saw (by test): the whole head and the text of a refusal in the middle of their stream, where the upstream ends the stream with its connection and has written another response into it. Cause: such a body has no end but that of its connection, and any lines up to a blank one count as an event. Evidence: TestResponseWithinStream and the case stream ends with an error of TestErrorInsteadOfResumedStream fail before. Change: a line that begins like a status line is not part of a stream. The events before it are forwarded, then the stream is resumed elsewhere or broken off. What forwards the events of one read is a function of its own. Conclusion: the error of another request does not get into a stream.

--- a/entry/request/forward/faulty_test.go
+++ b/entry/request/forward/faulty_test.go
@@ -73,17 +73,18 @@
 	}
 	const signed = "X-Signature: s\r\n"
 	errors := map[string][]responder{
-		"failed":                   {text(500, signed, "out of memory\n\n")},
-		"failed without signature": {text(500, "", "out of memory\n\n")},
-		"refused twice":            {text(503, notRunLine, "full\n\n"), text(503, notRunLine, "full\n\n")},
-		"unavailable, no promise":  {text(503, signed, "full\n\n")},
-		"unknown":                  {text(404, signed, "not found\n\n")},
-		"redirected":               {text(302, signed+"Location: /\r\n", "moved\n\n")},
-		"error as a success":       {text(200, signed+"Content-Type: text/plain\r\n", "error\n\n")},
-		"error without a type":     {text(200, signed, "error: out of memory\n\n")},
-		"unsigned success":         {text(200, "Content-Type: text/event-stream\r\n", eventTwo)},
-		"no response":              {closeConnection},
-		"half of a head":           {func(*http.Request) string { return "HTTP/1.1 500 X\r\nContent-Ty" + closeMark }},
+		"failed":                    {text(500, signed, "out of memory\n\n")},
+		"failed without signature":  {text(500, "", "out of memory\n\n")},
+		"refused twice":             {text(503, notRunLine, "full\n\n"), text(503, notRunLine, "full\n\n")},
+		"unavailable, no promise":   {text(503, signed, "full\n\n")},
+		"unknown":                   {text(404, signed, "not found\n\n")},
+		"redirected":                {text(302, signed+"Location: /\r\n", "moved\n\n")},
+		"error as a success":        {text(200, signed+"Content-Type: text/plain\r\n", "error\n\n")},
+		"error without a type":      {text(200, signed, "error: out of memory\n\n")},
+		"unsigned success":          {text(200, "Content-Type: text/event-stream\r\n", eventTwo)},
+		"no response":               {closeConnection},
+		"half of a head":            {func(*http.Request) string { return "HTTP/1.1 500 X\r\nContent-Ty" + closeMark }},
+		"stream ends with an error": {respondUntilClose(refusalOf("r0", 503))},
 	}
 	for name, responders := range errors {
 		t.Run(name, func(t *testing.T) {
@@ -102,6 +103,15 @@
 	})
 }
 
+// Guards against a stream into which its upstream, which ends it with the connection, has
+// written another response.
+func TestResponseWithinStream(t *testing.T) {
+	s := newTestEntry(t, closing([]responder{respondUntilClose(eventOne + refusalOf("r0", 503) + "\n\n"), respondEvents(true, eventTwo)})...)
+	got := s.call(t, "/stream/", nil)
+	check.NoError(t, "call", got.err)
+	check.Equal(t, "body", got.body, eventOne+eventTwo)
+}
+
 // Guards against a success with an empty or short body that an entry frames as whole because
 // the upstream stopped within the head of its response.
 func TestHalfOfAHead(t *testing.T) {
--- a/entry/request/forward/stream.go
+++ b/entry/request/forward/stream.go
@@ -53,15 +53,9 @@
 		n, err := resp.Read(buffer[len(buffer):cap(buffer)])
 		buffer = buffer[:len(buffer)+n]
 		if end := completeEventsLen(buffer); end > 0 {
-			if c.resumesWithoutID(buffer[:end]) {
-				c.failure = "notResumed"
+			if !c.forwardComplete(resp, buffer[:end], idleTimeout) {
 				return balance.Failed, false
 			}
-			if hasEvent(buffer[:end]) {
-				resp.SetReadTimeout(idleTimeout)
-				c.recordEvents()
-			}
-			c.forwardEvents(resp, buffer[:end])
 			buffer = buffer[:copy(buffer, buffer[end:])]
 			if err == nil && c.shouldFailOver(c.possibleRuns) {
 				c.failure = "stalled"
@@ -82,6 +76,31 @@
 	}
 }
 
+// forwardComplete forwards complete events and comments, and extends the read timeout if there
+// is an event. It reports whether all of them belong to the stream.
+func (c *call) forwardComplete(resp *upstream.ResponseReader, events []byte, idleTimeout clock.Millis) bool {
+	if c.resumesWithoutID(events) {
+		c.failure = "notResumed"
+		return false
+	}
+	foreign := anotherResponse(events)
+	if foreign >= 0 {
+		events = events[:completeEventsLen(events[:foreign])]
+	}
+	if hasEvent(events) {
+		resp.SetReadTimeout(idleTimeout)
+		c.recordEvents()
+	}
+	if len(events) > 0 {
+		c.forwardEvents(resp, events)
+	}
+	if foreign >= 0 {
+		c.failure = "anotherResponse"
+		return false
+	}
+	return true
+}
+
 // resumesWithoutID reports whether the first event of an upstream that is to resume a stream
 // has no id. It then cannot be told from the text of an error, and does not continue the
 // stream after a known event.
