Take turns at upstreams whose limit all entries share

Callers saw (by test): an upstream that states a limit gets up to one request of each entry at the same moment after they have had none for it for a while, as when another upstream fails. Where entries outnumber the requests that the limit allows, that exceeds it at once. Cause: each entry kept to its interval since its own last request, which does not keep different entries apart. Their first requests were spread by a hash, so that several could fall together. Change: entries take turns. Agents tell each entry its position among them, and the start of a limit is passed on with it, so that the turns are evenly spaced; a turn that is not used within 2 s ends (250 ms at cold upstreams, whose limit holds in each second). With 0.9 of the limit used, at most 5.4 times the limit + 1 fit into 4 s, where the users allow 6 times the limit + 5. Entries without an agent's word draw their places as before. One type merges statements in agents and entries. Conclusion: the sum of all entries holds for bursts after idle time too.

--- a/agent/connection/sidecar/ratelimits_test.go
+++ b/agent/connection/sidecar/ratelimits_test.go
@@ -38,3 +38,15 @@
 	check.Equal(t, "limits", len(got), group.MaxRateLimits)
 	check.Equal(t, "latest", got[0].Upstream, fmt.Sprint("u", 3*group.MaxRateLimits-1))
 }
+
+// Guards against entries that take their turns at the same time, because they do not know how
+// many others come before them.
+func TestPositionsOfEntries(t *testing.T) {
+	s, _ := newServer(t)
+	for _, name := range []string{"b", "c", "a"} {
+		s.handleHeartbeat(&group.EntryHeartbeat{Entry: name})
+	}
+	for position, name := range []string{"a", "b", "c"} {
+		check.Equal(t, name, s.limitsFor(name).Position, position)
+	}
+}
--- a/agent/connection/sidecar/sidecar.go
+++ b/agent/connection/sidecar/sidecar.go
@@ -74,8 +74,8 @@
 		switch m := m.(type) {
 		case *frame.EntryHeartbeat:
 			s.send(c, from, id, &frame.GroupLoad{Load: *s.handleHeartbeat(&m.EntryHeartbeat)})
-			if limits := s.recentLimits(); len(limits) > 0 {
-				s.send(c, from, id, &frame.RateLimits{RateLimits: group.RateLimits{Limits: limits}})
+			if limits := s.limitsFor(m.Entry); len(limits.Limits) > 0 {
+				s.send(c, from, id, &frame.RateLimits{RateLimits: limits})
 			}
 		case *frame.RateLimits:
 			s.recordLimits(m.Limits)
@@ -101,10 +101,17 @@
 	s.limits.record(s.Clock.Now(), limits)
 }
 
-func (s *Server) recentLimits() []group.RateLimit {
+// limitsFor returns what an entry is told about the limits of upstreams.
+func (s *Server) limitsFor(entry string) group.RateLimits {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.limits.recent(s.Clock.Now())
+	position := 0
+	for other := range s.inFlight {
+		if other < entry {
+			position++
+		}
+	}
+	return group.RateLimits{Limits: s.limits.recent(s.Clock.Now()), Position: position}
 }
 
 func (s *Server) logMalformed(from net.Addr) {
--- a/core/version/group/group.go
+++ b/core/version/group/group.go
@@ -3,12 +3,7 @@
 // calls from the owner of the maps to the agents of the ranks.
 package group
 
-import (
-	"cmp"
-	"slices"
-
-	"goldcrestshore/core/process/clock"
-)
+import "goldcrestshore/core/process/clock"
 
 //go:generate go tool msgp -tests=false -io=false -file group.go -o group_gen.go
 
@@ -205,18 +200,15 @@
 	PerSecond float64
 	// Age is the time since the upstream stated so, in milliseconds.
 	Age int64
+	// SinceAge is the time since the limit began or ended, in milliseconds.
+	SinceAge int64
 }
 
-// SortRateLimits puts the latest statements first.
-func SortRateLimits(limits []RateLimit) {
-	slices.SortFunc(limits, func(a, b RateLimit) int {
-		return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.Upstream, b.Upstream))
-	})
-}
-
-// MaxRateLimits bounds the statements in a RateLimits, so that it fits in a datagram.
-const MaxRateLimits = 16
-
 // RateLimits tells an agent what upstreams have stated to an entry, or an entry what they have
 // stated to others.
-type RateLimits struct{ Limits []RateLimit }
+type RateLimits struct {
+	Limits []RateLimit
+	// Position is the place of the entry among those that the agent hears from, from 0 in
+	// the order of their names. Only an agent sets it.
+	Position int
+}
--- a/core/version/group/group_gen.go
+++ b/core/version/group/group_gen.go
@@ -338,13 +338,14 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z RateLimit) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *RateLimit) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 3
-	o = append(o, 0x93)
+	// array header, size 4
+	o = append(o, 0x94)
 	o = msgp.AppendString(o, z.Upstream)
 	o = msgp.AppendFloat64(o, z.PerSecond)
 	o = msgp.AppendInt64(o, z.Age)
+	o = msgp.AppendInt64(o, z.SinceAge)
 	return
 }
 
@@ -356,8 +357,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	z.Upstream, bts, err = msgp.ReadStringBytes(bts)
@@ -375,29 +376,35 @@
 		err = msgp.WrapError(err, "Age")
 		return
 	}
+	z.SinceAge, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "SinceAge")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z RateLimit) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Upstream) + msgp.Float64Size + msgp.Int64Size
+func (z *RateLimit) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Upstream) + msgp.Float64Size + msgp.Int64Size + msgp.Int64Size
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *RateLimits) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 1
-	o = append(o, 0x91)
+	// array header, size 2
+	o = append(o, 0x92)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Limits)))
 	for za0001 := range z.Limits {
-		// array header, size 3
-		o = append(o, 0x93)
-		o = msgp.AppendString(o, z.Limits[za0001].Upstream)
-		o = msgp.AppendFloat64(o, z.Limits[za0001].PerSecond)
-		o = msgp.AppendInt64(o, z.Limits[za0001].Age)
+		o, err = z.Limits[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Limits", za0001)
+			return
+		}
 	}
+	o = msgp.AppendInt(o, z.Position)
 	return
 }
 
@@ -409,8 +416,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 1 {
-		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
 		return
 	}
 	var zb0002 uint32
@@ -425,31 +432,16 @@
 		z.Limits = make([]RateLimit, zb0002)
 	}
 	for za0001 := range z.Limits {
-		var zb0003 uint32
-		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		bts, err = z.Limits[za0001].UnmarshalMsg(bts)
 		if err != nil {
 			err = msgp.WrapError(err, "Limits", za0001)
 			return
 		}
-		if zb0003 != 3 {
-			err = msgp.ArrayError{Wanted: 3, Got: zb0003}
-			return
-		}
-		z.Limits[za0001].Upstream, bts, err = msgp.ReadStringBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Limits", za0001, "Upstream")
-			return
-		}
-		z.Limits[za0001].PerSecond, bts, err = msgp.ReadFloat64Bytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Limits", za0001, "PerSecond")
-			return
-		}
-		z.Limits[za0001].Age, bts, err = msgp.ReadInt64Bytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Limits", za0001, "Age")
-			return
-		}
+	}
+	z.Position, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Position")
+		return
 	}
 	o = bts
 	return
@@ -459,8 +451,9 @@
 func (z *RateLimits) Msgsize() (s int) {
 	s = 1 + msgp.ArrayHeaderSize
 	for za0001 := range z.Limits {
-		s += 1 + msgp.StringPrefixSize + len(z.Limits[za0001].Upstream) + msgp.Float64Size + msgp.Int64Size
+		s += z.Limits[za0001].Msgsize()
 	}
+	s += msgp.IntSize
 	return
 }
 
--- /dev/null
+++ b/core/version/group/ratelimit.go
@@ -0,0 +1,56 @@
+package group
+
+import (
+	"cmp"
+	"slices"
+
+	"goldcrestshore/core/process/clock"
+)
+
+// MaxRateLimits bounds the statements in a RateLimits, so that it fits in a datagram.
+const MaxRateLimits = 16
+
+// SortRateLimits puts the latest statements first.
+func SortRateLimits(limits []RateLimit) {
+	slices.SortFunc(limits, func(a, b RateLimit) int {
+		return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.Upstream, b.Upstream))
+	})
+}
+
+// Statement is what an upstream has stated about how many requests it takes, in the time of
+// this process. The zero value is that of an upstream that has never stated a limit.
+type Statement struct {
+	// PerSecond is the number of requests per second, 0 for no limit.
+	PerSecond float64
+	// At is when the upstream stated so.
+	At clock.Millis
+	// Since is when the limit began or ended.
+	Since clock.Millis
+}
+
+// Statement returns the statement in a message that has just been received.
+func (l *RateLimit) Statement(now clock.Millis) Statement {
+	return Statement{l.PerSecond, now - clock.Millis(max(l.Age, 0)), now - clock.Millis(max(l.SinceAge, 0))}
+}
+
+// RateLimit returns a message with the statement that an upstream has made.
+func (s Statement) RateLimit(now clock.Millis, upstream string) RateLimit {
+	return RateLimit{upstream, s.PerSecond, int64(now - s.At), int64(now - s.Since)}
+}
+
+// Limited reports whether the upstream stated a limit.
+func (s Statement) Limited() bool { return s.PerSecond > 0 }
+
+// Merge returns the later one of two statements of an upstream, other if both were made at
+// once. If the earlier one was made during the same limit, the earlier start of it counts, so
+// that all who merge their statements agree on the start.
+func (s Statement) Merge(other Statement) Statement {
+	later, earlier := other, s
+	if s.At > other.At {
+		later, earlier = s, other
+	}
+	if later.Limited() == earlier.Limited() && earlier.At >= later.Since {
+		later.Since = min(later.Since, earlier.Since)
+	}
+	return later
+}
--- a/entry/connection/sidecar/beacon.go
+++ b/entry/connection/sidecar/beacon.go
@@ -55,8 +55,8 @@
 	// Limits returns what upstreams have stated to this entry about how many requests they
 	// take. An agent is told of its own upstream and of those that have no agent.
 	Limits func() []group.RateLimit
-	// OnLimits receives what upstreams have stated to other entries.
-	OnLimits func([]group.RateLimit)
+	// OnLimits receives what upstreams have stated to other entries, from an agent.
+	OnLimits func(group.RateLimits)
 	// OnLoads receives the current loads by upstream before each round of
 	// heartbeats, and the upstreams whose agents have stopped replying.
 	OnLoads func(loads map[string]group.Load, unresponsive map[string]bool)
@@ -154,7 +154,7 @@
 			b.recordLoad(id, m.Load)
 		case *frame.RateLimits:
 			if b.isPending(id) {
-				b.OnLimits(m.Limits)
+				b.OnLimits(m.RateLimits)
 			}
 		default:
 			b.malformed(from)
--- a/entry/request/balance/balance.go
+++ b/entry/request/balance/balance.go
@@ -107,15 +107,17 @@
 	// startedAt is when this process started.
 	startedAt clock.Millis
 	entries   entryCount
-	view      *fleet.View
-	services  map[string]*service
+	// position is the place of this entry among all entries, or unknownPosition.
+	position int
+	view     *fleet.View
+	services map[string]*service
 	// upstreams holds the upstreams of all services by ID.
 	upstreams map[string]*upstream
 }
 
 // New returns a balancer without upstreams for a process that starts now.
 func New(now clock.Millis, s Settings) *Balancer {
-	return &Balancer{settings: s, startedAt: now, services: make(map[string]*service)}
+	return &Balancer{settings: s, startedAt: now, position: unknownPosition, services: make(map[string]*service)}
 }
 
 const (
--- a/entry/request/balance/limits.go
+++ b/entry/request/balance/limits.go
@@ -4,7 +4,6 @@
 	"math"
 
 	"goldcrestshore/core/process/clock"
-	"goldcrestshore/core/request/fingerprint"
 )
 
 // limit returns how many requests of all entries may be in flight at one upstream:
@@ -63,30 +62,17 @@
 	return max(s.spec.ColdRequestsPerSecond, 1) / float64(b.entries.value(now))
 }
 
-// coldAllows reports whether a cold upstream may get another request of this entry. An
-// entry with a share below one request per second sends one in several seconds.
+// coldTurnLifetime is how long an entry may use its turn to send to a cold upstream. The
+// limit of a cold upstream holds in each second.
+const coldTurnLifetime = clock.Second / 4
+
+// coldAllows reports whether a cold upstream may get another request of this entry. Entries
+// with a share below one request per second take turns.
 func (b *Balancer) coldAllows(now clock.Millis, s *service, u *upstream) bool {
 	limit := b.coldLimit(now, s)
 	if limit >= 1 {
 		return u.coldSends.allows(now, int(limit))
 	}
-	interval := clock.Millis(float64(clock.Second) / limit)
-	return now >= b.nextSpaced(u, u.coldSince, interval)
-}
-
-// nextSpaced returns when u may get the next request of this entry by a limit that began at
-// since and leaves this entry one request in each interval. After a limit has begun, entries
-// send their first request at different points of the interval, so that they do not all send
-// at once.
-func (b *Balancer) nextSpaced(u *upstream, since, interval clock.Millis) clock.Millis {
-	if u.lastSend <= since {
-		return since + clock.Millis(b.phase(u)*float64(interval))
-	}
-	return u.lastSend + interval
-}
-
-// phase returns a fraction from 0 to 1 that differs between entries and upstreams.
-func (b *Balancer) phase(u *upstream) float64 {
-	const bits = 53 // of precision of a float64
-	return float64(fingerprint.OfValues(b.settings.Entry, u.info.ID)>>(64-bits)) / (1 << bits)
+	perSecond := max(s.spec.ColdRequestsPerSecond, 1)
+	return now >= b.turns(now, u, u.coldSince, perSecond, coldTurnLifetime).next(now, u.lastSend)
 }
--- a/entry/request/balance/ratelimit.go
+++ b/entry/request/balance/ratelimit.go
@@ -6,49 +6,48 @@
 )
 
 const (
-	// rateLimitFraction is the fraction of a stated limit that entries use. They do not
-	// coordinate when they send, so the requests of several may coincide.
+	// rateLimitFraction is the fraction of a stated limit that entries use. The rest covers
+	// entries that do not agree yet on their number or on who sends when.
 	rateLimitFraction = 0.9
+	// rateTurnLifetime is how long an entry may use its turn to send to an upstream that
+	// states a limit. Upstreams take more than their limit for a moment, not for seconds.
+	rateTurnLifetime = 2 * clock.Second
 	// endedLimitShareTime is how long other entries are told that a limit has ended.
 	endedLimitShareTime = 10 * clock.Second
 )
 
 // rateLimit is the last statement of an upstream about how many requests it takes.
 type rateLimit struct {
-	// perSecond is the number of requests per second that the upstream takes from all
-	// entries together, 0 if it states no limit.
-	perSecond float64
-	// statedAt is when the upstream stated so.
-	statedAt clock.Millis
+	group.Statement
 	// own is set if it stated so in a response to this entry.
 	own bool
-	// changedAt is when this entry learned that a limit has begun or ended.
-	changedAt clock.Millis
 }
 
 // RecordRateLimit records what the upstream of a ticket has just stated: the requests per
 // second that it takes from all entries together, 0 if it states no limit. It reports
 // whether a limit has begun or ended.
 func (b *Balancer) RecordRateLimit(now clock.Millis, t *Ticket, perSecond float64) bool {
-	if t.upstream == nil {
+	u := t.upstream
+	if u == nil {
 		return false
 	}
-	return t.upstream.setRateLimit(now, rateLimit{perSecond: perSecond, statedAt: now, own: true})
+	stated := group.Statement{PerSecond: perSecond, At: now, Since: now}
+	if stated.Limited() == u.rateLimit.Limited() {
+		stated.Since = u.rateLimit.Since
+	}
+	return u.setRateLimit(rateLimit{stated, true})
 }
 
 // setRateLimit applies a statement unless a later one is known. It reports whether a limit has
 // begun or ended.
-func (u *upstream) setRateLimit(now clock.Millis, l rateLimit) bool {
-	if l.statedAt < u.rateLimit.statedAt {
-		return false
-	}
-	changed := (l.perSecond > 0) != (u.rateLimit.perSecond > 0)
-	l.changedAt = u.rateLimit.changedAt
-	if changed {
-		l.changedAt = now
+func (u *upstream) setRateLimit(l rateLimit) bool {
+	known := u.rateLimit
+	if l.At <= known.At {
+		l.own = l.own || known.own
 	}
+	l.Statement = known.Merge(l.Statement)
 	u.rateLimit = l
-	return changed
+	return l.Limited() != known.Limited()
 }
 
 // SetRateLimits applies what upstreams have stated to other entries. It returns the statements
@@ -57,43 +56,46 @@
 	var changes []group.RateLimit
 	for _, l := range limits {
 		u := b.upstreams[l.Upstream]
-		statedAt := now - clock.Millis(max(l.Age, 0))
-		if u != nil && u.rateLimit.statedAt < statedAt && u.setRateLimit(now, rateLimit{perSecond: l.PerSecond, statedAt: statedAt}) {
+		if u != nil && u.setRateLimit(rateLimit{Statement: l.Statement(now)}) {
 			changes = append(changes, l)
 		}
 	}
 	return changes
 }
 
+// unknownPosition is the position of an entry that no agent has told its position.
+const unknownPosition = -1
+
+// SetPosition sets the place of this entry among all entries, from 0, by which they take turns.
+func (b *Balancer) SetPosition(position int) { b.position = position }
+
 // RateLimits returns what upstreams have stated to this entry last and other entries should
 // know: limits, and that one has ended. The latest statements come first.
 func (b *Balancer) RateLimits(now clock.Millis) []group.RateLimit {
 	var out []group.RateLimit
 	for id, u := range b.upstreams {
 		l := u.rateLimit
-		ended := l.perSecond == 0 && l.changedAt > 0 && now-l.changedAt < endedLimitShareTime
-		if l.own && (l.perSecond > 0 || ended) {
-			out = append(out, group.RateLimit{Upstream: id, PerSecond: l.perSecond, Age: int64(now - l.statedAt)})
+		ended := !l.Limited() && l.Since > 0 && now-l.Since < endedLimitShareTime
+		if l.own && (l.Limited() || ended) {
+			out = append(out, l.RateLimit(now, id))
 		}
 	}
 	group.SortRateLimits(out)
 	return out
 }
 
-// rateInterval returns the time between two requests of this entry to an upstream that
-// states a limit: each entry uses an equal share of it.
-func (b *Balancer) rateInterval(now clock.Millis, u *upstream) clock.Millis {
-	entries := float64(b.entries.value(now))
-	return clock.Millis(float64(clock.Second) * entries / (u.rateLimit.perSecond * rateLimitFraction))
+// rateTurns returns the turns of this entry at an upstream that states a limit.
+func (b *Balancer) rateTurns(now clock.Millis, u *upstream) turns {
+	return b.turns(now, u, u.rateLimit.Since, u.rateLimit.PerSecond*rateLimitFraction, rateTurnLifetime)
 }
 
 // nextAllowed returns when u may get the next request of this entry by the limit that it
 // states.
 func (b *Balancer) nextAllowed(now clock.Millis, u *upstream) clock.Millis {
-	if u.rateLimit.perSecond == 0 {
+	if !u.rateLimit.Limited() {
 		return now
 	}
-	return b.nextSpaced(u, u.rateLimit.changedAt, b.rateInterval(now, u))
+	return b.rateTurns(now, u).next(now, u.lastSend)
 }
 
 // limitSlots is when each of some upstreams that state a limit takes requests of this entry.
@@ -109,10 +111,11 @@
 		if !b.inService(now, u) || now < u.skipUntil {
 			continue
 		}
-		if u.rateLimit.perSecond == 0 {
+		if !u.rateLimit.Limited() {
 			return nil, false
 		}
-		slots = append(slots, limitSlot{max(now, b.nextAllowed(now, u)), b.rateInterval(now, u)})
+		turns := b.rateTurns(now, u)
+		slots = append(slots, limitSlot{turns.next(now, u.lastSend), turns.interval})
 	}
 	return slots, len(slots) > 0
 }
--- a/entry/request/balance/ratelimit_test.go
+++ b/entry/request/balance/ratelimit_test.go
@@ -68,6 +68,27 @@
 	b.Release(now, t, Succeeded)
 }
 
+// tellInterval is the time between two rounds in which entries tell each other of limits.
+const tellInterval = 120 * clock.Millis(1)
+
+// tellEachOther passes on what upstreams have stated to any entry, as agents do.
+func (f *limitedFleet) tellEachOther(now clock.Millis) {
+	stated := make(map[string]group.Statement)
+	for _, b := range f.entries {
+		for _, l := range b.RateLimits(now) {
+			stated[l.Upstream] = stated[l.Upstream].Merge(l.Statement(now))
+		}
+	}
+	var limits []group.RateLimit
+	for id, s := range stated {
+		limits = append(limits, s.RateLimit(now, id))
+	}
+	for i, b := range f.entries {
+		b.SetPosition(i)
+		b.SetRateLimits(now, limits)
+	}
+}
+
 // Guards against entries that each keep to a limit and together exceed it, because a limit
 // is less than one request per second for each of them, and against requests that are held
 // back although another upstream could take them.
@@ -98,6 +119,38 @@
 	}
 }
 
+// Guards against entries that have all had no request for a while and then send one each at
+// the same moment, as when another upstream fails. More entries than the limit allows requests
+// would exceed it at once.
+func TestStatedLimitBindsAfterIdleTime(t *testing.T) {
+	const (
+		idle = 90 * clock.Second
+		end  = 20 * idle
+	)
+	for _, tc := range []struct {
+		entries   int
+		perSecond float64
+	}{{5, 1}, {16, 1}, {16, 2}, {200, 3}, {300, 1}} {
+		t.Run(fmt.Sprintf("%d entries, %g per second", tc.entries, tc.perSecond), func(t *testing.T) {
+			f := newLimitedFleet(tc.entries, 1)
+			limits := map[string]float64{"u0": tc.perSecond}
+			f.request(1, 0, limits)
+			for now := tellInterval; now < end; now += tellInterval {
+				f.tellEachOther(now)
+				if now < idle || now%idle > 5*clock.Second {
+					continue
+				}
+				for i := range f.entries {
+					f.request(now, i, limits)
+				}
+			}
+			bound := int(limitOvershoot*tc.perSecond*float64(limitWindow)/float64(clock.Second)) + limitSlack
+			check.AtMost(t, "requests in a window", maxInWindow(f.sent["u0"], limitWindow), bound)
+			check.AtMost(t, "half of what 5 s in each 90 allow", int(19*5*tc.perSecond/2), len(f.sent["u0"]))
+		})
+	}
+}
+
 // Guards, while all upstreams state limits, against requests that wait until their deadline
 // for an upstream that cannot take them by then, and against callers that are told to return
 // before it can.
@@ -154,7 +207,7 @@
 	check.Equal(t, "limits again", len(other.SetRateLimits(now, seeing.RateLimits(now))), 0)
 	check.AtMost(t, "time of the next request", now+1, other.nextAllowed(now, other.upstreams["u0"]))
 
-	seeing.upstreams["u0"].setRateLimit(now, rateLimit{statedAt: now, own: true})
+	seeing.upstreams["u0"].setRateLimit(rateLimit{group.Statement{At: now, Since: now}, true})
 	changes = other.SetRateLimits(now+50, seeing.RateLimits(now+50))
 	check.Equal(t, "limits that end", len(changes), 1)
 	check.Equal(t, "time of the next request", other.nextAllowed(now+50, other.upstreams["u0"]), now+50)
@@ -169,7 +222,7 @@
 	const restartedAt = 2 * clock.Second
 	b, state := fixture(1, nil)
 	u := b.upstreams["model0"]
-	u.setRateLimit(clock.Second, rateLimit{perSecond: 0.1, statedAt: clock.Second})
+	u.setRateLimit(rateLimit{Statement: group.Statement{PerSecond: 0.1, At: clock.Second, Since: clock.Second}})
 	again := *u.info
 	again.StartTime, again.FirstSeenAt = 7, restartedAt
 	state.SetUpstream(&again)
--- a/entry/request/balance/status.go
+++ b/entry/request/balance/status.go
@@ -108,7 +108,7 @@
 		return Slow
 	case u.info.Cold(now):
 		return Cold
-	case u.rateLimit.perSecond > 0:
+	case u.rateLimit.Limited():
 		return RateLimited
 	}
 	return Usable
--- a/entry/request/balance/upstream.go
+++ b/entry/request/balance/upstream.go
@@ -122,7 +122,7 @@
 			u.deniedUntil = 0 // a new registration may be right
 		}
 		if u.info != nil && u.info.StartTime != info.StartTime {
-			u.rateLimit = rateLimit{statedAt: info.FirstSeenAt} // it has started again since
+			u.rateLimit = rateLimit{Statement: group.Statement{At: info.FirstSeenAt}} // it has started again since
 		}
 		if info.ColdRemaining > 0 && (u.info == nil || !u.info.Cold(info.FirstSeenAt)) {
 			u.coldSince = info.FirstSeenAt
