Use each connection to an engine for one call

Callers saw (by test): the response of another caller, where an engine writes a response once more on a kept connection. Engines' responses do not name their call, and the agent's client kept the connections of idempotent calls. net/http takes bytes that arrive with the next call for its response. Change: all calls to an engine use the transport without kept connections that calls which must not run twice have used. On the users' platform this client is not in use; entries check there that a response echoes the ID of its request. Conclusion: a copy ends with its connection. A call costs a new connection on loopback.

--- a/agent/request/upstream/client.go
+++ b/agent/request/upstream/client.go
@@ -35,9 +35,7 @@
 	dialTimeout = 1 * time.Second
 	// maxHeadBytes bounds the head of a response: an upstream in trouble may send bytes
 	// without end.
-	maxHeadBytes = 64 << 10
-	// idleConnections bounds the kept-alive connections to the upstream.
-	idleConnections = 64
+	maxHeadBytes    = 64 << 10
 	copyBufferBytes = 4 << 10
 	// transportBufferBytes is the size of the read and write buffers of
 	// http.Transport for each connection. A slow reader keeps them in use.
@@ -71,34 +69,26 @@
 
 // Client calls one upstream.
 type Client struct {
-	address       string
-	idempotent    httpc.Service
-	nonIdempotent httpc.Service
+	address string
+	service httpc.Service
 }
 
 // New returns a client of the upstream at address, an IP address and a port.
 //
-// Non-idempotent calls use a transport without kept-alive connections: on a
-// reused connection http.Transport may send a request a second time by itself.
+// No connection is used twice. A response does not name its call, so that one which an engine
+// writes once more would be taken for that of the next call; and on a reused connection
+// http.Transport may send a request a second time by itself.
 // The circuit breaker of httpc is disabled, because only admission decides
 // whether an upstream is called.
 func New(address string) *Client {
 	name := "upstream " + address
 	breaker.NoBreakerFor(name)
-	dial := (&net.Dialer{Timeout: dialTimeout}).DialContext
-	idempotent := &http.Transport{
-		DialContext: dial, MaxIdleConnsPerHost: idleConnections, DisableCompression: true,
+	transport := &http.Transport{
+		DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext, DisableKeepAlives: true, DisableCompression: true,
 		ReadBufferSize: transportBufferBytes, WriteBufferSize: transportBufferBytes, MaxResponseHeaderBytes: maxHeadBytes,
 	}
-	nonIdempotent := &http.Transport{
-		DialContext: dial, DisableKeepAlives: true, DisableCompression: true,
-		ReadBufferSize: transportBufferBytes, WriteBufferSize: transportBufferBytes, MaxResponseHeaderBytes: maxHeadBytes,
-	}
-	return &Client{
-		address:       address,
-		idempotent:    httpc.NewServiceWithClient(name, &http.Client{Transport: idempotent, CheckRedirect: noRedirect}),
-		nonIdempotent: httpc.NewServiceWithClient(name, &http.Client{Transport: nonIdempotent, CheckRedirect: noRedirect}),
-	}
+	client := &http.Client{Transport: transport, CheckRedirect: noRedirect}
+	return &Client{address: address, service: httpc.NewServiceWithClient(name, client)}
 }
 
 // noRedirect returns a redirect to the caller; following it could run the call
@@ -133,11 +123,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(ErrNotStarted, "build request: %v", err)
 	}
-	service := c.nonIdempotent
-	if m.RequestOptions().Idempotent() {
-		service = c.idempotent
-	}
-	response, err := service.DoRequest(request)
+	response, err := c.service.DoRequest(request)
 	if err != nil {
 		return nil, classify(err)
 	}
--- a/agent/request/upstream/load.go
+++ b/agent/request/upstream/load.go
@@ -39,7 +39,7 @@
 	if err != nil {
 		return Load{}, errors.Wrap(err, "build load request")
 	}
-	response, err := c.idempotent.DoRequest(request)
+	response, err := c.service.DoRequest(request)
 	if err != nil {
 		return Load{}, classify(err)
 	}
