--- a/agent/request/upstream/upstream_test.go
+++ b/agent/request/upstream/upstream_test.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"fmt"
@@ -93,7 +92,10 @@
 // call then gets the response of another, or is told that it has not run.
 func TestSecondCopyOfResponse(t *testing.T) {
 	var calls atomic.Int32
-	client := New(serveCopies(t, &calls))
+	client := New(check.ServeCopies(t, func() string {
+		body := strconv.Itoa(int(calls.Add(1)))
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	}))
 	for n := range 4 {
 		var r responseRecorder
 		check.NoError(t, "Run", client.Run(context.Background(), "id", call("GET", true), &r))
@@ -102,31 +104,6 @@
 	}
 }
 
-// serveCopies answers each call with its number, after a copy of the response before it on the
-// same connection. It returns its address.
-func serveCopies(t *testing.T, calls *atomic.Int32) string {
-	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	check.NoError(t, "Listen", err)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for c, err := l.Accept(); err == nil; c, err = l.Accept() {
-			go func() {
-				defer c.Close()
-				r, previous := bufio.NewReader(c), ""
-				for q, err := http.ReadRequest(r); err == nil; q, err = http.ReadRequest(r) {
-					_, _ = io.Copy(io.Discard, q.Body)
-					body := strconv.Itoa(int(calls.Add(1)))
-					response := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
-					_, _ = io.WriteString(c, previous+response)
-					previous = response
-				}
-			}()
-		}
-	}()
-	return l.Addr().String()
-}
-
 // Guards against a response assembled from two incarnations of an engine.
 func TestResumeOnlyOnTheSameIncarnation(t *testing.T) {
 	for _, c := range []struct {
--- a/entry/connection/upstream/trouble_test.go
+++ b/entry/connection/upstream/trouble_test.go
@@ -21,23 +21,14 @@
 // each interval, until the peer closes the connection.
 func endless(t *testing.T, prefix, chunk string, interval time.Duration) string {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	check.NoError(t, "Listen", err)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for c, err := l.Accept(); err == nil; c, err = l.Accept() {
-			go func() {
-				defer c.Close()
-				bytes := []byte(chunk) // converted once, since the test counts allocations
-				_, err := io.WriteString(c, prefix)
-				for err == nil {
-					time.Sleep(interval)
-					_, err = c.Write(bytes)
-				}
-			}()
+	bytes := []byte(chunk) // converted once, since the test counts allocations
+	return check.ServeConns(t, func(c net.Conn) {
+		_, err := io.WriteString(c, prefix)
+		for err == nil {
+			time.Sleep(interval)
+			_, err = c.Write(bytes)
 		}
-	}()
-	return l.Addr().String()
+	}).Addr().String()
 }
 
 // Guards against a back end in trouble whose bytes come without end and fill the memory
--- a/entry/request/forward/forward_test.go
+++ b/entry/request/forward/forward_test.go
@@ -84,27 +84,14 @@
 // listen serves upstreams on one address until the listener that it returns is closed.
 func (s *testEntry) listen(t *testing.T, responders []responder) net.Listener {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	check.NoError(t, "Listen", err)
-	t.Cleanup(func() { _ = l.Close() })
 	pending := make(chan responder, len(responders))
 	for _, f := range responders {
 		pending <- f
 	}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go s.serve(c, pending)
-		}
-	}()
-	return l
+	return check.ServeConns(t, func(c net.Conn) { s.serve(c, pending) })
 }
 
 func (s *testEntry) serve(c net.Conn, pending chan responder) {
-	defer c.Close()
 	r := bufio.NewReader(c)
 	for {
 		q, err := http.ReadRequest(r)
