Split tickets, retries and stated limits from larger files

Cause: balance.go had grown to 393 lines with three jobs, attempt.go read headers between two steps. Conclusion: no change of behaviour.

--- a/entry/request/balance/balance.go
+++ b/entry/request/balance/balance.go
@@ -28,78 +28,6 @@
 	Policy Policy
 }
 
-// Reason is the reason for which a request is rejected.
-type Reason string
-
-// Reasons for rejections.
-const (
-	NoUpstream Reason = "noUpstream"
-	QueueFull  Reason = "queueFull"
-	TooLate    Reason = "tooLate"
-	// LimitReached means that all usable upstreams state a limit, and this entry's shares
-	// of them are used up for longer than the request may wait.
-	LimitReached Reason = "limitReached"
-)
-
-// Ticket is a request that waits for an upstream or was granted one.
-type Ticket struct {
-	// Service is the name of the service that runs the request.
-	Service string
-	// Priority ranks requests; 0 is the most urgent.
-	Priority int
-	// PromptTokens is the number of prompt tokens, 0 for plain services.
-	PromptTokens int
-	// Due is the time by which the first byte of the response should be sent.
-	Due clock.Millis
-	// WaitDeadline is the time at which a waiting request is rejected.
-	WaitDeadline clock.Millis
-	// Avoid lists the upstreams that refused the request or failed it.
-	Avoid []string
-
-	upstream *upstream
-	// granted is the time at which the upstream was granted.
-	granted clock.Millis
-	// retryReserved is set while the next grant is a retry that the budget allows.
-	retryReserved bool
-}
-
-// Upstream returns the ID and address of the granted upstream.
-func (t *Ticket) Upstream() (id, address string) {
-	return t.upstream.info.ID, t.upstream.info.Address
-}
-
-// Decision is the result of a request for an upstream: Grant, Wait or Reject.
-type Decision interface{ decision() }
-
-// Grant assigns an upstream to a ticket.
-type Grant struct {
-	Ticket *Ticket
-	// InFlight is the number of requests of all entries in flight there.
-	InFlight int
-	// Limit is the number of requests that may be in flight there.
-	Limit int
-}
-
-// Wait means that the ticket is in the queue.
-type Wait struct{}
-
-// Reject ends a ticket without an upstream.
-type Reject struct {
-	Ticket     *Ticket
-	Reason     Reason
-	RetryAfter clock.Millis
-	// Queued is the length of the queue.
-	Queued int
-	// Usable is the number of upstreams that can take requests.
-	Usable int
-}
-
-func (Grant) decision() {}
-
-func (Wait) decision() {}
-
-func (Reject) decision() {}
-
 // Balancer assigns upstreams for all services of an entry. It is not safe for
 // concurrent use.
 type Balancer struct {
@@ -120,15 +48,6 @@
 	return &Balancer{settings: s, startedAt: now, position: unknownPosition, services: make(map[string]*service)}
 }
 
-const (
-	// budgetShare is the share of the common retry budget that entries use.
-	budgetShare = 0.7
-	// startBudgetShare is the share of the fixed number of retries that entries use which
-	// have started within the retry window. An entry does not know what it used before it
-	// was restarted, so both shares together must not exceed the budget.
-	startBudgetShare = 1 - budgetShare
-)
-
 // SetEntries sets the number of entries that share the limits, 0 if it is unknown.
 func (b *Balancer) SetEntries(now clock.Millis, n int) { b.entries.record(now, n) }
 
@@ -297,56 +216,6 @@
 	}
 }
 
-// Retry reports whether a request may be sent to another upstream, and reserves the retry
-// in the budget if so. The retry counts from when an upstream is granted, since it may wait
-// for one.
-func (b *Balancer) Retry(now clock.Millis, t *Ticket) bool {
-	if !t.retryReserved {
-		t.retryReserved = b.service(t.Service).budget.Reserve(now, b.retryAllowance(now))
-	}
-	return t.retryReserved
-}
-
-// Finish gives back the retry that a ticket has reserved and not used. It must be called
-// once the request has ended.
-func (b *Balancer) Finish(t *Ticket) {
-	if t.retryReserved {
-		t.retryReserved = false
-		b.service(t.Service).budget.Release()
-	}
-}
-
-// RetryBudget is the state of a service's retry budget at this entry.
-type RetryBudget struct {
-	// Used is the number of retries in the window or reserved, and Allowed how many this
-	// entry may make in a window.
-	Used, Allowed float64
-	// Entries is the number of entries among which the fixed allowance is divided.
-	Entries int
-}
-
-// RetryBudget returns the state of a service's retry budget.
-func (b *Balancer) RetryBudget(now clock.Millis, name string) RetryBudget {
-	used, allowed := b.service(name).budget.usage(now, b.retryAllowance(now))
-	return RetryBudget{Used: used, Allowed: allowed, Entries: b.entries.value(now)}
-}
-
-// retryAllowance returns this entry's share of the fixed number of retries. Within the
-// first window it grows with the age of the process, so that an entry that is restarted
-// again and again does not use more than one that starts once.
-func (b *Balancer) retryAllowance(now clock.Millis) float64 {
-	share := budgetShare
-	if age := now - b.startedAt; age < b.settings.RetryWindow {
-		share = startBudgetShare * float64(age) / float64(b.settings.RetryWindow)
-	}
-	return b.settings.RetryAllowance * share / float64(b.entries.value(now))
-}
-
-// RecordFirstSend counts the first send of a request.
-func (b *Balancer) RecordFirstSend(now clock.Millis, name string) {
-	b.service(name).budget.RecordFirstSend(now)
-}
-
 // SetOthersInFlight sets, by upstream ID, how many requests of other entries are
 // in flight.
 func (b *Balancer) SetOthersInFlight(inFlight map[string]int) {
--- a/entry/request/forward/attempt.go
+++ b/entry/request/forward/attempt.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"maps"
-	"math"
 	"net/http"
 	"strconv"
-	"strings"
 
 	"github.com/cockroachdb/errors"
 
@@ -72,32 +70,6 @@
 	return done
 }
 
-// minRateLimit replaces a stated limit that is lower, in requests per second. An upstream
-// that got nothing could not state that its limit has ended.
-const minRateLimit = 0.1
-
-// recordRateLimit records how many requests the upstream states that it takes. A statement
-// that cannot be read changes nothing.
-func (c *call) recordRateLimit(resp *upstream.ResponseReader) {
-	if resp.Status == http.StatusMisdirectedRequest {
-		return // the response is another upstream's
-	}
-	s, perSecond := c.server, 0.0
-	if stated := resp.Header.Get(s.Headers.RateLimit); stated != "" {
-		parsed, err := strconv.ParseFloat(strings.TrimSpace(stated), 64)
-		if err != nil || math.IsNaN(parsed) || parsed < 0 {
-			s.Log.Emit(event.UpstreamLimited, event.Fields{"upstream": c.upstream, "unreadable": stated})
-			return
-		}
-		perSecond = max(parsed, minRateLimit)
-	}
-	changed := false
-	s.Scheduler.WithBalancer(func(now clock.Millis, b *balance.Balancer) { changed = b.RecordRateLimit(now, c.ticket, perSecond) })
-	if changed {
-		s.Log.Emit(event.UpstreamLimited, event.Fields{"upstream": c.upstream, "perSecond": perSecond, "source": "response"})
-	}
-}
-
 // logFailure logs an attempt that the upstream failed. err is the error of the exchange,
 // nil if a response has begun.
 func (c *call) logFailure(err error) {
