Bound the smallest shares of many entries by the limit of a customer

Callers saw (by test): nothing; a customer gets several times its limit where more than ten entries serve it alike. Evidence: the shares of many entries add up to the limit, of TestLimits, fails before: 4 times. Change: the smallest share is at most an equal one. Conclusion: the shares of entries with equal use add up to the limit.

--- a/entry/request/customer/customer_test.go
+++ b/entry/request/customer/customer_test.go
@@ -1,6 +1,7 @@
 package customer
 
 import (
+	"fmt"
 	"testing"
 
 	"goldcrestshore/core/connection/frame"
@@ -152,6 +153,21 @@
 		h.apply(Tick{})
 		check.Equal(t, "share without the other entry", h.q.localShare(h.now, h.q.account("a")), 1)
 	})
+	// Guards against many entries that each apply the smallest share and together exceed the
+	// limit of a customer that uses all of them alike.
+	t.Run("the shares of many entries add up to the limit", func(t *testing.T) {
+		const entries = 40
+		h := newHarness(t, NewLimits("a", 1, 100, 0))
+		for range 20 {
+			h.now += 100
+			h.enqueue("a", 1, 0, clock.Minute)
+		}
+		shares := h.q.Shares(h.now)
+		for i := range entries - 1 {
+			h.apply(NewShares(fmt.Sprint("other", i), shares))
+		}
+		check.AtMost(t, "shares of all entries", entries*h.q.localShare(h.now, h.q.account("a")), 1.01)
+	})
 	t.Run("requests in flight at other entries count", func(t *testing.T) {
 		h := newHarness(t, NewLimits("a", 1, 0, 4))
 		h.apply(NewShares("other", []frame.Share{frame.NewShare("a", 0, 3)}))
--- a/entry/request/customer/share.go
+++ b/entry/request/customer/share.go
@@ -12,10 +12,10 @@
 	// shareTTL is how long the last shares of an unresponsive entry still count.
 	// Shares are sent every second, so two consecutive messages may be lost.
 	shareTTL = 3 * clock.Second
-	// minShare is the smallest share of a customer's limits that an entry
-	// applies. It keeps an entry that the customer has not used yet from
+	// maxMinShare bounds the smallest share of a customer's limits that an entry
+	// applies. That share keeps an entry that the customer has not used yet from
 	// refusing the customer's first request.
-	minShare = 0.1
+	maxMinShare = 0.1
 )
 
 // peer holds the shares last received from another entry.
@@ -83,5 +83,12 @@
 	if peerUsage <= 0 {
 		return 1
 	}
-	return max(c.rate.eventsPerSecond/(c.rate.eventsPerSecond+peerUsage), minShare)
+	return max(c.rate.eventsPerSecond/(c.rate.eventsPerSecond+peerUsage), q.minShare())
+}
+
+// minShare returns the smallest share of a customer's limits that this entry applies. It is
+// not more than an equal one, so that the shares of many entries do not exceed the limits.
+func (q *Queue) minShare() float64 {
+	entries := len(q.peers) + 1
+	return min(maxMinShare, 1/float64(entries))
 }
