Say what the lifetime of a turn bounds

Cause: the comment on rateTurnLifetime told a property of upstreams, not of the constant. Conclusion: no change of behaviour.

--- a/entry/request/balance/ratelimit.go
+++ b/entry/request/balance/ratelimit.go
@@ -10,7 +10,8 @@
 	// entries that do not agree yet on their number or on who sends when.
 	rateLimitFraction = 0.9
 	// rateTurnLifetime is how long an entry may use its turn to send to an upstream that
-	// states a limit. Upstreams take more than their limit for a moment, not for seconds.
+	// states a limit. Entries that have all been idle send at most the requests of so long
+	// at once.
 	rateTurnLifetime = 2 * clock.Second
 	// endedLimitShareTime is how long other entries are told that a limit has ended.
 	endedLimitShareTime = 10 * clock.Second
