Count turns by what a stated limit has allowed

What callers saw: nothing; found in reading. An upstream would get up to 2.5 times the requests that it states if it states another number in each response. Cause: the turns of entries were counted in steps of the present interval from the beginning of the limit. Each other limit, and each other number of entries, moved all turns, and an entry whose turn had moved sent again at once. Same class: a limit of all entries that each keeps for itself. Change: a statement carries how many requests the limit has allowed since it began instead of its age. It goes on when the limit changes, and turns begin at numbers of it. A turn begins a whole round after the last one that was used. Turns at cold upstreams are counted in the same way.

--- a/core/version/group/group.go
+++ b/core/version/group/group.go
@@ -200,8 +200,8 @@
 	PerSecond float64
 	// Age is the time since the upstream stated so, in milliseconds.
 	Age int64
-	// SinceAge is the time since the limit began or ended, in milliseconds.
-	SinceAge int64
+	// Allowed is how many requests the limit had allowed by then since it began.
+	Allowed float64
 }
 
 // RateLimits tells an agent what upstreams have stated to an entry, or an entry what they have
--- a/core/version/group/group_gen.go
+++ b/core/version/group/group_gen.go
@@ -345,7 +345,7 @@
 	o = msgp.AppendString(o, z.Upstream)
 	o = msgp.AppendFloat64(o, z.PerSecond)
 	o = msgp.AppendInt64(o, z.Age)
-	o = msgp.AppendInt64(o, z.SinceAge)
+	o = msgp.AppendFloat64(o, z.Allowed)
 	return
 }
 
@@ -376,9 +376,9 @@
 		err = msgp.WrapError(err, "Age")
 		return
 	}
-	z.SinceAge, bts, err = msgp.ReadInt64Bytes(bts)
+	z.Allowed, bts, err = msgp.ReadFloat64Bytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "SinceAge")
+		err = msgp.WrapError(err, "Allowed")
 		return
 	}
 	o = bts
@@ -387,7 +387,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *RateLimit) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Upstream) + msgp.Float64Size + msgp.Int64Size + msgp.Int64Size
+	s = 1 + msgp.StringPrefixSize + len(z.Upstream) + msgp.Float64Size + msgp.Int64Size + msgp.Float64Size
 	return
 }
 
--- a/core/version/group/ratelimit.go
+++ b/core/version/group/ratelimit.go
@@ -24,33 +24,39 @@
 	PerSecond float64
 	// At is when the upstream stated so.
 	At clock.Millis
-	// Since is when the limit began or ended.
-	Since clock.Millis
+	// Allowed is how many requests the limit has allowed from its beginning until At. All who
+	// share the limit count their turns by it, so that turns do not move when the limit changes.
+	Allowed float64
 }
 
 // Statement returns the statement in a message that has just been received.
 func (l *RateLimit) Statement(now clock.Millis) Statement {
-	return Statement{l.PerSecond, now - clock.Millis(max(l.Age, 0)), now - clock.Millis(max(l.SinceAge, 0))}
+	return Statement{l.PerSecond, now - clock.Millis(max(l.Age, 0)), l.Allowed}
 }
 
 // RateLimit returns a message with the statement that an upstream has made.
 func (s Statement) RateLimit(now clock.Millis, upstream string) RateLimit {
-	return RateLimit{upstream, s.PerSecond, int64(now - s.At), int64(now - s.Since)}
+	return RateLimit{upstream, s.PerSecond, int64(now - s.At), s.Allowed}
 }
 
 // Limited reports whether the upstream stated a limit.
 func (s Statement) Limited() bool { return s.PerSecond > 0 }
 
+// AllowedUntil returns how many requests the limit has allowed until a time at or after At.
+func (s Statement) AllowedUntil(t clock.Millis) float64 {
+	return s.Allowed + s.PerSecond*float64(t-s.At)/float64(clock.Second)
+}
+
 // Merge returns the later one of two statements of an upstream, other if both were made at
-// once. If the earlier one was made during the same limit, the earlier start of it counts, so
-// that all who merge their statements agree on the start.
+// once. If both are limits, the later one goes on with what the earlier one has allowed, so
+// that all who merge the same statements agree on it.
 func (s Statement) Merge(other Statement) Statement {
 	later, earlier := other, s
 	if s.At > other.At {
 		later, earlier = s, other
 	}
-	if later.Limited() == earlier.Limited() && earlier.At >= later.Since {
-		later.Since = min(later.Since, earlier.Since)
+	if later.Limited() && earlier.Limited() {
+		later.Allowed = max(later.Allowed, earlier.AllowedUntil(later.At))
 	}
 	return later
 }
--- a/entry/request/balance/balance.go
+++ b/entry/request/balance/balance.go
@@ -126,11 +126,8 @@
 		u.lastActive = now
 	}
 	u.inFlight++
-	u.lastSend = now
 	u.promptTokens += t.PromptTokens
-	if u.info.Cold(now) {
-		u.coldSends.add(now)
-	}
+	b.countSend(now, s, u)
 	t.upstream, t.granted = u, now
 	if t.retryReserved {
 		t.retryReserved = false
--- a/entry/request/balance/limits.go
+++ b/entry/request/balance/limits.go
@@ -73,6 +73,23 @@
 	if limit >= 1 {
 		return u.coldSends.allows(now, int(limit))
 	}
+	return now >= b.coldTurns(now, s, u).next(u.nextColdTurn)
+}
+
+// coldTurns returns the turns of this entry at a cold upstream.
+func (b *Balancer) coldTurns(now clock.Millis, s *service, u *upstream) turns {
 	perSecond := max(s.spec.ColdRequestsPerSecond, 1)
-	return now >= b.turns(now, u, u.coldSince, perSecond, coldTurnLifetime).next(now, u.lastSend)
+	allowed := perSecond * float64(now-u.coldSince) / float64(clock.Second)
+	return b.turns(now, u, allowed, perSecond, 1, coldTurnLifetime)
+}
+
+// countSend counts a request that is sent to u now against the limits that are in force there.
+func (b *Balancer) countSend(now clock.Millis, s *service, u *upstream) {
+	if u.info.Cold(now) {
+		u.coldSends.add(now)
+		u.nextColdTurn = b.coldTurns(now, s, u).use(u.nextColdTurn)
+	}
+	if u.rateLimit.Limited() {
+		u.rateLimit.nextTurn = b.rateTurns(now, u).use(u.rateLimit.nextTurn)
+	}
 }
--- a/entry/request/balance/ratelimit.go
+++ b/entry/request/balance/ratelimit.go
@@ -22,6 +22,10 @@
 	group.Statement
 	// own is set if it stated so in a response to this entry.
 	own bool
+	// endedAt is when a limit ended last, 0 for never.
+	endedAt clock.Millis
+	// nextTurn is where the next turn of this entry begins at the earliest.
+	nextTurn float64
 }
 
 // RecordRateLimit records what the upstream of a ticket has just stated: the requests per
@@ -32,23 +36,22 @@
 	if u == nil {
 		return false
 	}
-	stated := group.Statement{PerSecond: perSecond, At: now, Since: now}
-	if stated.Limited() == u.rateLimit.Limited() {
-		stated.Since = u.rateLimit.Since
-	}
-	return u.setRateLimit(rateLimit{stated, true})
+	return u.setRateLimit(group.Statement{PerSecond: perSecond, At: now}, true)
 }
 
-// setRateLimit applies a statement unless a later one is known. It reports whether a limit has
-// begun or ended.
-func (u *upstream) setRateLimit(l rateLimit) bool {
+// setRateLimit applies a statement unless a later one is known. own is set if it was made to
+// this entry. It reports whether a limit has begun or ended.
+func (u *upstream) setRateLimit(stated group.Statement, own bool) bool {
 	known := u.rateLimit
-	if l.At <= known.At {
-		l.own = l.own || known.own
+	u.rateLimit.Statement = known.Merge(stated)
+	u.rateLimit.own = own || known.own && stated.At <= known.At
+	if u.rateLimit.Limited() == known.Limited() {
+		return false
+	}
+	if known.Limited() {
+		u.rateLimit.endedAt, u.rateLimit.nextTurn = stated.At, 0
 	}
-	l.Statement = known.Merge(l.Statement)
-	u.rateLimit = l
-	return l.Limited() != known.Limited()
+	return true
 }
 
 // SetRateLimits applies what upstreams have stated to other entries. It returns the statements
@@ -57,7 +60,7 @@
 	var changes []group.RateLimit
 	for _, l := range limits {
 		u := b.upstreams[l.Upstream]
-		if u != nil && u.setRateLimit(rateLimit{Statement: l.Statement(now)}) {
+		if u != nil && u.setRateLimit(l.Statement(now), false) {
 			changes = append(changes, l)
 		}
 	}
@@ -76,7 +79,7 @@
 	var out []group.RateLimit
 	for id, u := range b.upstreams {
 		l := u.rateLimit
-		ended := !l.Limited() && l.Since > 0 && now-l.Since < endedLimitShareTime
+		ended := !l.Limited() && l.endedAt > 0 && now-l.endedAt < endedLimitShareTime
 		if l.own && (l.Limited() || ended) {
 			out = append(out, l.RateLimit(now, id))
 		}
@@ -87,7 +90,8 @@
 
 // rateTurns returns the turns of this entry at an upstream that states a limit.
 func (b *Balancer) rateTurns(now clock.Millis, u *upstream) turns {
-	return b.turns(now, u, u.rateLimit.Since, u.rateLimit.PerSecond*rateLimitFraction, rateTurnLifetime)
+	l := u.rateLimit
+	return b.turns(now, u, l.AllowedUntil(now), l.PerSecond, rateLimitFraction, rateTurnLifetime)
 }
 
 // nextAllowed returns when u may get the next request of this entry by the limit that it
@@ -96,7 +100,7 @@
 	if !u.rateLimit.Limited() {
 		return now
 	}
-	return b.rateTurns(now, u).next(now, u.lastSend)
+	return b.rateTurns(now, u).next(u.rateLimit.nextTurn)
 }
 
 // limitSlots is when each of some upstreams that state a limit takes requests of this entry.
@@ -116,7 +120,7 @@
 			return nil, false
 		}
 		turns := b.rateTurns(now, u)
-		slots = append(slots, limitSlot{turns.next(now, u.lastSend), turns.interval})
+		slots = append(slots, limitSlot{turns.next(u.rateLimit.nextTurn), turns.interval()})
 	}
 	return slots, len(slots) > 0
 }
--- a/entry/request/balance/ratelimit_test.go
+++ b/entry/request/balance/ratelimit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -151,6 +152,56 @@
 	}
 }
 
+// Guards against entries that get another turn each time that an upstream states another limit,
+// or that agents count the entries anew, and together exceed any of the limits.
+func TestChangingLimitBindsAllEntriesTogether(t *testing.T) {
+	const (
+		start = 10 * clock.Second
+		end   = 3 * clock.Minute
+		// mean is the mean of all changing limits.
+		mean = 0.75
+	)
+	random := rand.New(rand.NewPCG(1, 2))
+	for _, change := range []struct {
+		name string
+		// limit returns the limit at a time, from a half to 1.
+		limit func(now clock.Millis) float64
+		// countedEntries returns how many of n entries agents count at a time.
+		countedEntries func(now clock.Millis, n int) int
+	}{
+		{"another limit in each response", func(clock.Millis) float64 { return 1 - random.Float64()/2 }, nil},
+		{"limit that rises and falls", func(now clock.Millis) float64 { return 0.75 + math.Sin(float64(now)/2000)/4 }, nil},
+		{"limit that jumps", func(now clock.Millis) float64 { return 1 - float64(now/(3*clock.Second)%2)/2 }, nil},
+		{"number of entries", func(clock.Millis) float64 { return mean }, func(now clock.Millis, n int) int { return n + int(now/clock.Second)%4 }},
+	} {
+		for _, tc := range []struct {
+			entries   int
+			perSecond float64
+		}{{5, 1}, {5, 6}, {16, 2.3}, {60, 6}} {
+			t.Run(fmt.Sprintf("%s, %d entries, at most %g per second", change.name, tc.entries, tc.perSecond), func(t *testing.T) {
+				f := newLimitedFleet(tc.entries, 2)
+				limits := map[string]float64{"u0": tc.perSecond}
+				f.request(start, 0, limits)
+				for now := start; now < end; now += 5 {
+					limits["u0"] = tc.perSecond * change.limit(now)
+					if now%tellInterval < 5 {
+						f.tellEachOther(now)
+					}
+					if change.countedEntries != nil {
+						f.entries[random.IntN(tc.entries)].SetEntries(now, change.countedEntries(now, tc.entries))
+					}
+					f.request(now, random.IntN(tc.entries), limits)
+				}
+				bound := int(limitOvershoot*tc.perSecond*float64(limitWindow)/float64(clock.Second)) + limitSlack
+				check.AtMost(t, "requests in a window", maxInWindow(f.sent["u0"], limitWindow), bound)
+				perSecond := float64(len(f.sent["u0"])) * float64(clock.Second) / float64(end-start)
+				check.AtMost(t, "requests per second", perSecond, mean*tc.perSecond)
+				check.AtMost(t, "half of the limit", mean*tc.perSecond/2, perSecond)
+			})
+		}
+	}
+}
+
 // Guards, while all upstreams state limits, against requests that wait until their deadline
 // for an upstream that cannot take them by then, and against callers that are told to return
 // before it can.
@@ -207,7 +258,7 @@
 	check.Equal(t, "limits again", len(other.SetRateLimits(now, seeing.RateLimits(now))), 0)
 	check.AtMost(t, "time of the next request", now+1, other.nextAllowed(now, other.upstreams["u0"]))
 
-	seeing.upstreams["u0"].setRateLimit(rateLimit{group.Statement{At: now, Since: now}, true})
+	seeing.upstreams["u0"].setRateLimit(group.Statement{At: now}, true)
 	changes = other.SetRateLimits(now+50, seeing.RateLimits(now+50))
 	check.Equal(t, "limits that end", len(changes), 1)
 	check.Equal(t, "time of the next request", other.nextAllowed(now+50, other.upstreams["u0"]), now+50)
@@ -222,7 +273,7 @@
 	const restartedAt = 2 * clock.Second
 	b, state := fixture(1, nil)
 	u := b.upstreams["model0"]
-	u.setRateLimit(rateLimit{Statement: group.Statement{PerSecond: 0.1, At: clock.Second, Since: clock.Second}})
+	u.setRateLimit(group.Statement{PerSecond: 0.1, At: clock.Second}, false)
 	again := *u.info
 	again.StartTime, again.FirstSeenAt = 7, restartedAt
 	state.SetUpstream(&again)
--- a/entry/request/balance/turns.go
+++ b/entry/request/balance/turns.go
@@ -7,36 +7,61 @@
 	"goldcrestshore/core/request/fingerprint"
 )
 
-// turns are the times at which this entry may send a request to an upstream whose limit all
-// entries share. Entries send one after another, and a turn that is not used ends, so that
-// entries that have been idle do not send at the same moment.
+// turns are the turns of this entry to send a request to an upstream whose limit all entries
+// share. Entries send one after another, and a turn that is not used ends, so that entries that
+// have been idle do not send at the same moment.
+//
+// Turns begin at numbers of requests that the limit has allowed since its beginning. They do not
+// move when the limit changes, so that no turn is used twice.
 type turns struct {
-	first clock.Millis
-	// interval is the time from one turn to the next.
-	interval clock.Millis
-	// lifetime is how long a turn may be used.
-	lifetime clock.Millis
+	now clock.Millis
+	// allowed is how many requests the limit has allowed until now.
+	allowed float64
+	// perSecond is how many more requests the limit allows each second.
+	perSecond float64
+	// first is the beginning of the first turn.
+	first float64
+	// round is the distance from one turn to the next: each entry has one in a round.
+	round float64
+	// lifetime is how long a turn may be used, in requests that the limit allows meanwhile.
+	lifetime float64
 }
 
-// next returns when the next request may be sent after the last one was sent at lastSend.
-func (t turns) next(now, lastSend clock.Millis) clock.Millis {
-	if now < t.first {
-		return t.first
+// turns returns the turns of this entry at an upstream whose limit has allowed some requests
+// until now. fraction is the fraction of the limit that entries use.
+func (b *Balancer) turns(now clock.Millis, u *upstream, allowed, perSecond, fraction float64, lifetime clock.Millis) turns {
+	entries := b.entries.value(now)
+	round := float64(entries) / fraction
+	return turns{
+		now: now, allowed: allowed, perSecond: perSecond,
+		first: b.place(u, entries) * round, round: round,
+		lifetime: perSecond * float64(lifetime) / float64(clock.Second),
 	}
-	current := now - (now-t.first)%t.interval
-	if lastSend < current && now < current+t.lifetime {
-		return now
+}
+
+// next returns when the next request may be sent in a turn that begins at from or later.
+func (t turns) next(from float64) clock.Millis {
+	earliest := max(t.allowed, t.first, from)
+	begin := t.beginning(earliest)
+	if earliest >= begin+t.lifetime {
+		earliest = begin + t.round
 	}
-	return current + t.interval
+	wait := (earliest - t.allowed) / t.perSecond * float64(clock.Second)
+	return t.now + clock.Millis(math.Ceil(wait))
 }
 
-// turns returns the turns of this entry at an upstream that takes perSecond requests from all
-// entries together since the time since.
-func (b *Balancer) turns(now clock.Millis, u *upstream, since clock.Millis, perSecond float64, lifetime clock.Millis) turns {
-	entries := b.entries.value(now)
-	interval := clock.Millis(math.Ceil(float64(entries) / perSecond * float64(clock.Second)))
-	first := since + clock.Millis(b.place(u, entries)*float64(interval))
-	return turns{first, interval, lifetime}
+// use returns where the turn after the one that is used now begins. from is what the last use
+// returned.
+func (t turns) use(from float64) float64 { return max(t.beginning(t.allowed), from) + t.round }
+
+// beginning returns the beginning of the turn in which the limit has allowed some requests.
+func (t turns) beginning(allowed float64) float64 {
+	return t.first + math.Floor((allowed-t.first)/t.round)*t.round
+}
+
+// interval returns the time from one turn to the next.
+func (t turns) interval() clock.Millis {
+	return clock.Millis(math.Ceil(t.round / t.perSecond * float64(clock.Second)))
 }
 
 // place returns where among the turns of all entries this entry's turn is, from 0 to 1. The
--- a/entry/request/balance/upstream.go
+++ b/entry/request/balance/upstream.go
@@ -19,12 +19,13 @@
 	othersInFlight int
 	// promptTokens is the number of prompt tokens that wait for prefill.
 	promptTokens int
-	// lastSend is when this entry last sent a request, 0 for never.
-	lastSend clock.Millis
 	// coldSends counts the requests sent while the upstream is cold.
 	coldSends slidingSecond
 	// coldSince is when this entry learned that the upstream has become cold.
-	coldSince           clock.Millis
+	coldSince clock.Millis
+	// nextColdTurn is where the next turn of this entry at the cold upstream begins at the
+	// earliest.
+	nextColdTurn        float64
 	skipUntil           clock.Millis
 	consecutiveFailures int
 	// lastActive is when the upstream last sent something, or got a request while
@@ -125,7 +126,7 @@
 			u.rateLimit = rateLimit{Statement: group.Statement{At: info.FirstSeenAt}} // it has started again since
 		}
 		if info.ColdRemaining > 0 && (u.info == nil || !u.info.Cold(info.FirstSeenAt)) {
-			u.coldSince = info.FirstSeenAt
+			u.coldSince, u.nextColdTurn = info.FirstSeenAt, 0
 		}
 		u.info = info
 		s.upstreams = append(s.upstreams, u)
