--- a/entry/request/balance/ratelimit_test.go
+++ b/entry/request/balance/ratelimit_test.go
@@ -22,6 +22,11 @@
 	limitSlack     = 5
 )
 
+// limitBound returns the bound for an upstream that states perSecond.
+func limitBound(perSecond float64) int {
+	return int(limitOvershoot*perSecond*float64(limitWindow)/float64(clock.Second)) + limitSlack
+}
+
 // limitedFleet is a number of entries in front of upstreams of a plain service with ample
 // slots, in virtual time.
 type limitedFleet struct {
@@ -110,8 +115,7 @@
 				f.request(now, random.IntN(tc.entries), limits)
 			}
 			settled := slices.DeleteFunc(f.sent["u0"], func(at clock.Millis) bool { return at < settleTime })
-			bound := int(limitOvershoot*tc.perSecond*float64(limitWindow)/float64(clock.Second)) + limitSlack
-			check.AtMost(t, "requests in a window", maxInWindow(settled, limitWindow), bound)
+			check.AtMost(t, "requests in a window", maxInWindow(settled, limitWindow), limitBound(tc.perSecond))
 			perSecond := float64(len(settled)) * float64(clock.Second) / float64(end-settleTime)
 			check.AtMost(t, "requests per second", perSecond, tc.perSecond)
 			check.AtMost(t, "half of the limit", tc.perSecond/2, perSecond)
@@ -145,8 +149,7 @@
 					f.request(now, i, limits)
 				}
 			}
-			bound := int(limitOvershoot*tc.perSecond*float64(limitWindow)/float64(clock.Second)) + limitSlack
-			check.AtMost(t, "requests in a window", maxInWindow(f.sent["u0"], limitWindow), bound)
+			check.AtMost(t, "requests in a window", maxInWindow(f.sent["u0"], limitWindow), limitBound(tc.perSecond))
 			check.AtMost(t, "half of what 5 s in each 90 allow", int(19*5*tc.perSecond/2), len(f.sent["u0"]))
 		})
 	}
@@ -192,8 +195,7 @@
 					}
 					f.request(now, random.IntN(tc.entries), limits)
 				}
-				bound := int(limitOvershoot*tc.perSecond*float64(limitWindow)/float64(clock.Second)) + limitSlack
-				check.AtMost(t, "requests in a window", maxInWindow(f.sent["u0"], limitWindow), bound)
+				check.AtMost(t, "requests in a window", maxInWindow(f.sent["u0"], limitWindow), limitBound(tc.perSecond))
 				perSecond := float64(len(f.sent["u0"])) * float64(clock.Second) / float64(end-start)
 				check.AtMost(t, "requests per second", perSecond, mean*tc.perSecond)
 				check.AtMost(t, "half of the limit", mean*tc.perSecond/2, perSecond)
