--- a/entry/request/balance/limits.go
+++ b/entry/request/balance/limits.go
@@ -80,7 +80,7 @@
 func (b *Balancer) coldTurns(now clock.Millis, s *service, u *upstream) turns {
 	perSecond := max(s.spec.ColdRequestsPerSecond, 1)
 	allowed := perSecond * float64(now-u.coldSince) / float64(clock.Second)
-	return b.turns(now, u, allowed, perSecond, 1, coldTurnLifetime)
+	return b.turns(now, u, sharedLimit{allowed: allowed, perSecond: perSecond, turnLifetime: coldTurnLifetime})
 }
 
 // countSend counts a request that is sent to u now against the limits that are in force there.
--- a/entry/request/balance/ratelimit.go
+++ b/entry/request/balance/ratelimit.go
@@ -24,7 +24,8 @@
 	own bool
 	// endedAt is when a limit ended last, 0 for never.
 	endedAt clock.Millis
-	// nextTurn is where the next turn of this entry begins at the earliest.
+	// nextTurn is the number of allowed requests at which the next turn of this entry begins
+	// at the earliest.
 	nextTurn float64
 }
 
@@ -90,8 +91,12 @@
 
 // rateTurns returns the turns of this entry at an upstream that states a limit.
 func (b *Balancer) rateTurns(now clock.Millis, u *upstream) turns {
-	l := u.rateLimit
-	return b.turns(now, u, l.AllowedUntil(now), l.PerSecond, rateLimitFraction, rateTurnLifetime)
+	stated := u.rateLimit
+	return b.turns(now, u, sharedLimit{
+		allowed:      stated.AllowedUntil(now) * rateLimitFraction,
+		perSecond:    stated.PerSecond * rateLimitFraction,
+		turnLifetime: rateTurnLifetime,
+	})
 }
 
 // nextAllowed returns when u may get the next request of this entry by the limit that it
--- a/entry/request/balance/turns.go
+++ b/entry/request/balance/turns.go
@@ -7,61 +7,64 @@
 	"goldcrestshore/core/request/fingerprint"
 )
 
+// sharedLimit is a limit on the requests of all entries to an upstream.
+type sharedLimit struct {
+	// allowed is how many requests entries could have sent since the limit began.
+	allowed float64
+	// perSecond is how many more they may send each second.
+	perSecond float64
+	// turnLifetime is how long an entry may use its turn.
+	turnLifetime clock.Millis
+}
+
 // turns are the turns of this entry to send a request to an upstream whose limit all entries
 // share. Entries send one after another, and a turn that is not used ends, so that entries that
 // have been idle do not send at the same moment.
 //
-// Turns begin at numbers of requests that the limit has allowed since its beginning. They do not
-// move when the limit changes, so that no turn is used twice.
+// A turn begins when the limit has allowed a certain number of requests. Turns therefore do not
+// move when the limit changes, and none is used twice.
 type turns struct {
+	sharedLimit
 	now clock.Millis
-	// allowed is how many requests the limit has allowed until now.
-	allowed float64
-	// perSecond is how many more requests the limit allows each second.
-	perSecond float64
-	// first is the beginning of the first turn.
+	// first is the number of allowed requests at which the first turn begins.
 	first float64
-	// round is the distance from one turn to the next: each entry has one in a round.
+	// round is the number of requests from one turn to the next: one of each entry.
 	round float64
-	// lifetime is how long a turn may be used, in requests that the limit allows meanwhile.
-	lifetime float64
 }
 
-// turns returns the turns of this entry at an upstream whose limit has allowed some requests
-// until now. fraction is the fraction of the limit that entries use.
-func (b *Balancer) turns(now clock.Millis, u *upstream, allowed, perSecond, fraction float64, lifetime clock.Millis) turns {
+// turns returns the turns of this entry at an upstream.
+func (b *Balancer) turns(now clock.Millis, u *upstream, l sharedLimit) turns {
 	entries := b.entries.value(now)
-	round := float64(entries) / fraction
-	return turns{
-		now: now, allowed: allowed, perSecond: perSecond,
-		first: b.place(u, entries) * round, round: round,
-		lifetime: perSecond * float64(lifetime) / float64(clock.Second),
-	}
+	round := float64(entries)
+	return turns{sharedLimit: l, now: now, first: b.place(u, entries) * round, round: round}
 }
 
-// next returns when the next request may be sent in a turn that begins at from or later.
+// next returns when the next request may be sent, in a turn that begins at from or later.
 func (t turns) next(from float64) clock.Millis {
 	earliest := max(t.allowed, t.first, from)
 	begin := t.beginning(earliest)
-	if earliest >= begin+t.lifetime {
+	end := begin + t.perSecond*float64(t.turnLifetime)/float64(clock.Second)
+	if earliest >= end {
 		earliest = begin + t.round
 	}
-	wait := (earliest - t.allowed) / t.perSecond * float64(clock.Second)
-	return t.now + clock.Millis(math.Ceil(wait))
+	return t.now + t.timeFor(earliest-t.allowed)
 }
 
-// use returns where the turn after the one that is used now begins. from is what the last use
-// returned.
+// use returns the beginning of the turn after the one that is used now. from is what the last
+// call of use returned.
 func (t turns) use(from float64) float64 { return max(t.beginning(t.allowed), from) + t.round }
 
-// beginning returns the beginning of the turn in which the limit has allowed some requests.
+// beginning returns the beginning of the latest turn once the limit has allowed some requests.
 func (t turns) beginning(allowed float64) float64 {
 	return t.first + math.Floor((allowed-t.first)/t.round)*t.round
 }
 
 // interval returns the time from one turn to the next.
-func (t turns) interval() clock.Millis {
-	return clock.Millis(math.Ceil(t.round / t.perSecond * float64(clock.Second)))
+func (t turns) interval() clock.Millis { return t.timeFor(t.round) }
+
+// timeFor returns the time in which the limit allows some requests.
+func (t turns) timeFor(requests float64) clock.Millis {
+	return clock.Millis(math.Ceil(requests / t.perSecond * float64(clock.Second)))
 }
 
 // place returns where among the turns of all entries this entry's turn is, from 0 to 1. The
--- a/entry/request/balance/upstream.go
+++ b/entry/request/balance/upstream.go
@@ -23,8 +23,8 @@
 	coldSends slidingSecond
 	// coldSince is when this entry learned that the upstream has become cold.
 	coldSince clock.Millis
-	// nextColdTurn is where the next turn of this entry at the cold upstream begins at the
-	// earliest.
+	// nextColdTurn is the number of allowed requests at which the next turn of this entry
+	// at the cold upstream begins at the earliest.
 	nextColdTurn        float64
 	skipUntil           clock.Millis
 	consecutiveFailures int
