--- a/entry/request/balance/ratelimit_test.go
+++ b/entry/request/balance/ratelimit_test.go
@@ -72,50 +72,61 @@
 	}
 }
 
-// Guards against entries that get another turn each time that an upstream states another limit,
-// or that agents count the entries anew, and together exceed any of the limits.
-func TestChangingLimitBindsAllEntriesTogether(t *testing.T) {
+// limitChange is a way in which what entries share changes while an upstream states a limit.
+type limitChange struct {
+	name string
+	// limit returns the limit at a time, as a fraction of the highest one. Its mean is
+	// meanLimit.
+	limit func(now clock.Millis) float64
+	// counted returns how many of n entries agents count at a time, nil for all.
+	counted func(now clock.Millis, n int) int
+}
+
+const meanLimit = 0.75
+
+// check checks the requests to an upstream that states at most perSecond.
+func (c limitChange) check(t *testing.T, entries int, perSecond float64) {
+	t.Helper()
 	const (
 		start = 10 * clock.Second
 		end   = 3 * clock.Minute
-		// mean is the mean of all changing limits.
-		mean = 0.75
 	)
+	random := rand.New(rand.NewPCG(1, uint64(entries)))
+	f := newLimitedFleet(entries, 2)
+	limits := map[string]float64{"u0": perSecond}
+	f.request(start, 0, limits)
+	for now := start; now < end; now += 5 {
+		limits["u0"] = perSecond * c.limit(now)
+		if now%tellInterval < 5 {
+			f.tellEachOther(now)
+		}
+		if c.counted != nil {
+			f.entries[random.IntN(entries)].SetEntries(now, c.counted(now, entries))
+		}
+		f.request(now, random.IntN(entries), limits)
+	}
+	check.AtMost(t, "requests in a window", maxInWindow(f.sent["u0"], limitWindow), limitBound(perSecond))
+	sentPerSecond := float64(len(f.sent["u0"])) * float64(clock.Second) / float64(end-start)
+	check.AtMost(t, "requests per second", sentPerSecond, meanLimit*perSecond)
+	check.AtMost(t, "half of the limit", meanLimit*perSecond/2, sentPerSecond)
+}
+
+// Guards against entries that get another turn each time that an upstream states another limit,
+// or that agents count the entries anew, and together exceed any of the limits.
+func TestChangingLimitBindsAllEntriesTogether(t *testing.T) {
 	random := rand.New(rand.NewPCG(1, 2))
-	for _, change := range []struct {
-		name string
-		// limit returns the limit at a time, from a half to 1.
-		limit func(now clock.Millis) float64
-		// countedEntries returns how many of n entries agents count at a time.
-		countedEntries func(now clock.Millis, n int) int
-	}{
+	for _, change := range []limitChange{
 		{"another limit in each response", func(clock.Millis) float64 { return 1 - random.Float64()/2 }, nil},
-		{"limit that rises and falls", func(now clock.Millis) float64 { return 0.75 + math.Sin(float64(now)/2000)/4 }, nil},
+		{"limit that rises and falls", func(now clock.Millis) float64 { return meanLimit + math.Sin(float64(now)/2000)/4 }, nil},
 		{"limit that jumps", func(now clock.Millis) float64 { return 1 - float64(now/(3*clock.Second)%2)/2 }, nil},
-		{"number of entries", func(clock.Millis) float64 { return mean }, func(now clock.Millis, n int) int { return n + int(now/clock.Second)%4 }},
+		{"number of entries", func(clock.Millis) float64 { return meanLimit }, func(now clock.Millis, n int) int { return n + int(now/clock.Second)%4 }},
 	} {
 		for _, tc := range []struct {
 			entries   int
 			perSecond float64
 		}{{5, 1}, {5, 6}, {16, 2.3}, {60, 6}} {
 			t.Run(fmt.Sprintf("%s, %d entries, at most %g per second", change.name, tc.entries, tc.perSecond), func(t *testing.T) {
-				f := newLimitedFleet(tc.entries, 2)
-				limits := map[string]float64{"u0": tc.perSecond}
-				f.request(start, 0, limits)
-				for now := start; now < end; now += 5 {
-					limits["u0"] = tc.perSecond * change.limit(now)
-					if now%tellInterval < 5 {
-						f.tellEachOther(now)
-					}
-					if change.countedEntries != nil {
-						f.entries[random.IntN(tc.entries)].SetEntries(now, change.countedEntries(now, tc.entries))
-					}
-					f.request(now, random.IntN(tc.entries), limits)
-				}
-				check.AtMost(t, "requests in a window", maxInWindow(f.sent["u0"], limitWindow), limitBound(tc.perSecond))
-				perSecond := float64(len(f.sent["u0"])) * float64(clock.Second) / float64(end-start)
-				check.AtMost(t, "requests per second", perSecond, mean*tc.perSecond)
-				check.AtMost(t, "half of the limit", mean*tc.perSecond/2, perSecond)
+				change.check(t, tc.entries, tc.perSecond)
 			})
 		}
 	}
