Apply a quarantine that begins when a request asks for it

Cause: the tracker takes a decision that is due when it is asked about a request. Service.Arrived applied it, Remaining and Track did not: running requests with the part went on, and other entries did not learn of the quarantine, until the next request arrived. Run had no timer left for it. TestDecisionOnRequestIsApplied fails in two of three cases before. Change: all three apply it.

--- a/entry/process/quarantines/service.go
+++ b/entry/process/quarantines/service.go
@@ -59,9 +59,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	remaining, blocked = s.tracker.Arrived(s.Clock.Now(), request)
-	if s.tracker.HasAdded() { // a decision was due before Run could take it
-		s.applyDecisions()
-	}
+	s.applyAdded()
 	return remaining, blocked
 }
 
@@ -70,6 +68,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	remaining, _ := s.tracker.Blocked(s.Clock.Now(), request)
+	s.applyAdded()
 	return remaining
 }
 
@@ -94,6 +93,7 @@
 	if _, blocked := s.tracker.Blocked(s.Clock.Now(), request); blocked {
 		cancel(ErrQuarantined) // since Arrived
 	}
+	s.applyAdded()
 	return tracked, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -138,6 +138,14 @@
 	}
 }
 
+// applyAdded applies a decision that the tracker has taken for a request because it was due
+// before Run could take it. It must be called with mu held.
+func (s *Service) applyAdded() {
+	if s.tracker.HasAdded() {
+		s.applyDecisions()
+	}
+}
+
 // applyDecisions logs new quarantines and ends the contexts of the requests that are in
 // quarantine now. Of the entries that know of the crashes only those that have seen one
 // share the decision. It must be called with mu held.
--- a/entry/process/quarantines/service_test.go
+++ b/entry/process/quarantines/service_test.go
@@ -169,6 +169,38 @@
 	check.Is(t, "tracked later", context.Cause(late), ErrQuarantined)
 }
 
+// Guards against a quarantine that begins when a request asks for it, before Run could decide,
+// and that neither ends running requests nor reaches other entries.
+func TestDecisionOnRequestIsApplied(t *testing.T) {
+	for name, ask := range map[string]func(s *Service){
+		"arrival":   func(s *Service) { s.Arrived(requestWithPart(5)) },
+		"remaining": func(s *Service) { s.Remaining(requestWithPart(5)) },
+		"track": func(s *Service) {
+			_, stop := s.Track(context.Background(), requestWithPart(5))
+			stop()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			log, err := event.NewLog(io.Discard, "error", "entry", "e")
+			check.NoError(t, "NewLog", err)
+			c := clock.NewManual(clock.Hour)
+			s := &Service{Clock: c, Log: log}
+			s.Arrived([]quarantine.Fingerprint{99})
+			s.Succeeded([]quarantine.Fingerprint{99})
+			poisoned, stop := s.Track(context.Background(), requestWithPart(1))
+			defer stop()
+			s.Crashed("u0", 1, requestWithPart(2))
+			s.Crashed("u1", 1, requestWithPart(3))
+			check.NoError(t, "before the decision", poisoned.Err())
+			s.takeUnshared()
+			c.Advance(clock.Minute) // an entry decides once it knows enough sound requests
+			ask(s)
+			check.Is(t, "running request", context.Cause(poisoned), ErrQuarantined)
+			check.Equal(t, "to be shared", s.takeUnshared(), true)
+		})
+	}
+}
+
 // Guards against a stored state that another writer has damaged and that keeps entries from
 // sharing theirs.
 func TestMalformedStateIsReplaced(t *testing.T) {
