Check the end of a stated limit by the upstreams that were called

The case took for granted that the second three of six calls go to three different upstreams. Which ones get them depends on whether the turn of a limited one has begun, which takes up to 1 ms. Change: TestRateLimitEndsWithItsStatement calls until each upstream has been called, and checks after each call that exactly the upstreams that have been called count as limited, and then no longer. Conclusion: the test was wrong; the new one checks each statement instead of the last one.

--- a/entry/request/forward/ratelimit_test.go
+++ b/entry/request/forward/ratelimit_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"net/http"
+	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"goldcrestshore/core/process/check"
@@ -53,19 +55,39 @@
 			check.Equal(t, "upstreams that state a limit", s.rateLimited(), tc.want)
 		})
 	}
-	t.Run("no longer stated", func(t *testing.T) {
-		const upstreams = 3
-		var responders []responder
-		for range upstreams {
-			responders = append(responders, withHeader("X-Rate-Limit: 10000", respondOK("y")))
-		}
-		for range upstreams {
-			responders = append(responders, respondOK("y"))
+}
+
+// Guards against a limit that holds at an upstream although its last response states none.
+func TestRateLimitEndsWithItsStatement(t *testing.T) {
+	const (
+		upstreams = 3
+		maxCalls  = 200 // bounds the calls until each upstream has got two
+	)
+	var stating atomic.Bool
+	respond := func(q *http.Request) string {
+		if stating.Load() {
+			return withHeader("X-Rate-Limit: 10000", respondOK("y"))(q)
 		}
-		s := newTestEntry(t, responders...)
-		for range responders {
+		return respondOK("y")(q)
+	}
+	s := newTestEntry(t, slices.Repeat([]responder{respond}, maxCalls)...)
+	for _, phase := range []struct {
+		name    string
+		stating bool
+		// limited returns how many upstreams are limited once some have been called.
+		limited func(called int) int
+	}{
+		{"stated", true, func(called int) int { return called }},
+		{"no longer stated", false, func(called int) int { return upstreams - called }},
+	} {
+		stating.Store(phase.stating)
+		called := make(map[string]bool)
+		for len(called) < upstreams && len(s.requests()) < maxCalls {
 			s.call(t, "/once/", nil)
+			requests := s.requests()
+			called[requests[len(requests)-1].Header.Get(headers.Target)] = true
+			check.Equal(t, "limited upstreams, "+phase.name, s.rateLimited(), phase.limited(len(called)))
 		}
-		check.Equal(t, "upstreams that state a limit", s.rateLimited(), 0)
-	})
+		check.Equal(t, "upstreams called, "+phase.name, len(called), upstreams)
+	}
 }
