--- /dev/null
+++ b/review/standin/client.go
@@ -0,0 +1,105 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"syscall"
+	"time"
+)
+
+const (
+	// callerSegmentBytes is the segment size of an ordinary Ethernet, which loopback exceeds.
+	callerSegmentBytes = 1460
+	// callerBufferBytes is the receive buffer of a caller with little memory.
+	callerBufferBytes = 4096
+)
+
+// conn is a caller's kept connection to an entry.
+type conn struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+// dial connects a caller. small gives it a small receive buffer.
+func dial(address string, small bool) (*conn, error) {
+	d := net.Dialer{Timeout: time.Second}
+	if small {
+		d.Control = func(_, _ string, raw syscall.RawConn) error {
+			var failure error
+			err := raw.Control(func(fd uintptr) {
+				failure = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, callerBufferBytes)
+				if failure == nil {
+					failure = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, callerSegmentBytes)
+				}
+			})
+			if err != nil {
+				return err
+			}
+			return failure
+		}
+	}
+	c, err := d.Dial("tcp4", address)
+	if err != nil {
+		return nil, err
+	}
+	return &conn{c, bufio.NewReaderSize(c, 512)}, nil
+}
+
+// request is a request of a caller.
+type request struct {
+	id       string
+	method   string
+	path     string
+	body     string
+	deadline time.Duration
+	headers  []string
+}
+
+// send writes the request.
+func (c *conn) send(r request) error {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\nKey: %s\r\n", r.method, r.path, hostName, r.id, r.deadline.Milliseconds(), tenantKey)
+	for _, h := range r.headers {
+		b.WriteString(h + "\r\n")
+	}
+	if r.method == http.MethodPost {
+		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(r.body))
+	}
+	b.WriteString("\r\n" + r.body)
+	_, err := io.WriteString(c, b.String())
+	return err
+}
+
+// receive reads the head of the response.
+func (c *conn) receive(r request) (*http.Response, error) {
+	return http.ReadResponse(c.reader, &http.Request{Method: r.method})
+}
+
+// exchange sends a request and reads the whole response.
+func (c *conn) exchange(r request) (status int, signed bool, err error) {
+	_ = c.SetDeadline(time.Now().Add(r.deadline))
+	if err := c.send(r); err != nil {
+		return 0, false, err
+	}
+	resp, err := c.receive(r)
+	if err != nil {
+		return 0, false, err
+	}
+	_, err = io.Copy(io.Discard, resp.Body)
+	_ = c.SetDeadline(time.Time{})
+	return resp.StatusCode, resp.Header.Get("Response-Signature") != "", err
+}
+
+// once sends a request on a new connection.
+func once(address string, r request) (status int, signed bool, err error) {
+	c, err := dial(address, false)
+	if err != nil {
+		return 0, false, err
+	}
+	defer c.Close()
+	return c.exchange(r)
+}
