--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -79,19 +79,25 @@
 	return http.ReadResponse(c.reader, &http.Request{Method: r.method})
 }
 
-// exchange sends a request and reads the whole response.
-func (c *conn) exchange(r request) (status int, signed bool, err error) {
+// exchangeBody sends a request and reads the whole response.
+func (c *conn) exchangeBody(r request) (status int, signed bool, body string, err error) {
 	_ = c.SetDeadline(time.Now().Add(r.deadline))
 	if err := c.send(r); err != nil {
-		return 0, false, err
+		return 0, false, "", err
 	}
 	resp, err := c.receive(r)
 	if err != nil {
-		return 0, false, err
+		return 0, false, "", err
 	}
-	_, err = io.Copy(io.Discard, resp.Body)
+	raw, err := io.ReadAll(resp.Body)
 	_ = c.SetDeadline(time.Time{})
-	return resp.StatusCode, resp.Header.Get("Response-Signature") != "", err
+	return resp.StatusCode, resp.Header.Get("Response-Signature") != "", string(raw), err
+}
+
+// exchange is like exchangeBody without the body.
+func (c *conn) exchange(r request) (status int, signed bool, err error) {
+	status, signed, _, err = c.exchangeBody(r)
+	return status, signed, err
 }
 
 // once sends a request on a new connection.
--- a/review/standin/crash.go
+++ b/review/standin/crash.go
@@ -16,7 +16,7 @@
 	// allowedRetries is how many retries of it may reach replicas later than contactTime after
 	// it has crashed the third one.
 	allowedRetries = 3
-	poisonInterval = 500 * time.Millisecond
+	poisonInterval = 300 * time.Millisecond
 	callDeadline   = 1500 * time.Millisecond
 	callerInterval = 50 * time.Millisecond
 )
@@ -24,7 +24,7 @@
 // earlyCrash plays a request that crashes replicas and first comes just after the traffic has
 // started.
 func earlyCrash(f *fleet, trouble bool) (bool, error) {
-	return crashingRequest(f, trouble, poison{path: "/record/1", after: time.Second, length: 16 * time.Second})
+	return crashingRequest(f, trouble, poison{path: "/record/1", after: 500 * time.Millisecond, length: 16 * time.Second})
 }
 
 // lateCrash plays a request whose streams crash replicas after their third event.
@@ -32,9 +32,17 @@
 	return crashingRequest(f, trouble, poison{path: "/stream/1", after: 15 * time.Second, length: 30 * time.Second, event: 3})
 }
 
+// otherQuery plays a request that crashes replicas and has another query each time, beside the
+// same path, caller and body.
+func otherQuery(f *fleet, trouble bool) (bool, error) {
+	return crashingRequest(f, trouble, poison{path: "/record/1", query: true, after: 15 * time.Second, length: 20 * time.Second})
+}
+
 // poison describes when a request that crashes replicas comes.
 type poison struct {
 	path string
+	// query reports whether each request has another query.
+	query bool
 	// after is the time from the start of the traffic to the first of them, length how long they
 	// come.
 	after, length time.Duration
@@ -99,7 +107,8 @@
 		if n%2 == 0 {
 			r.method, r.path, r.body = http.MethodPost, "/record/2", "record of "+r.id
 		}
-		status, _, _ := once(f.front(entry), r)
+		status, _, err := once(f.front(entry), r)
+		f.rec.printf("caller at front-%d: %s %s %s got status %d, error %v", entry, r.id, r.method, r.path, status, err)
 		counts.add(status)
 		time.Sleep(callerInterval)
 	}
@@ -110,7 +119,12 @@
 	entry := rand.IntN(entryCount)
 	r := request{
 		id: ids.next(), method: http.MethodPost, path: p.path, body: poisonBody, deadline: callDeadline,
-		headers: []string{"Model: m", "Token-Usage: 674,100", "Prompt-Prefix: 5c1e07a2:40,91bd3f06:634"},
+	}
+	if p.event > 0 {
+		r.headers = []string{"Model: m", "Token-Usage: 674,100", "Prompt-Prefix: 5c1e07a2:40,91bd3f06:634"}
+	}
+	if p.query {
+		r.path += "?attempt=" + r.id
 	}
 	f.rec.printf("caller sends the poison %s to front-%d", r.id, entry)
 	status, _, err := once(f.front(entry), r)
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -24,7 +24,7 @@
 	expiryTime     = 3 * heartbeatTime
 	entryCount     = 3
 	rankCount      = 3
-	plainCount     = 3
+	plainCount     = 6
 	startTimeout   = 15 * time.Second
 	program        = "target/goldcrest-platform"
 	modelService   = "redactor"
@@ -48,6 +48,8 @@
 	prefix string
 	ports  map[string]int
 	store  *store
+	// proxy stands between the processes and the store.
+	proxy *proxy
 
 	entries  []*process
 	agents   []*process
@@ -76,7 +78,11 @@
 	for i, name := range []string{"front", "ready", "control", "internal", "app", "store"} {
 		f.ports[name] = base + i
 	}
-	return f, serve(f.address(250, "store"), f.store)
+	if err := serve(f.address(251, "store"), f.store); err != nil {
+		return nil, err
+	}
+	f.proxy, err = startProxy(f.address(250, "store"), f.address(251, "store"))
+	return f, err
 }
 
 func (f *fleet) ip(machine int) string { return fmt.Sprint(f.prefix, machine) }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -24,10 +24,13 @@
 
 // cases maps names to functions that play a case and report whether the rule was broken.
 var cases = map[string]func(f *fleet, trouble bool) (broken bool, err error){
+	"idle-flows":     idleFlows,
+	"second-answer":  secondAnswer,
 	"slow-reader":    slowReader,
 	"silent-replica": silentReplica,
 	"early-crash":    earlyCrash,
 	"late-crash":     lateCrash,
+	"other-query":    otherQuery,
 }
 
 func main() { os.Exit(run()) }
--- a/review/standin/replica.go
+++ b/review/standin/replica.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -24,6 +25,11 @@
 	// event of its stream.
 	crashes    func(body string) bool
 	crashEvent int
+	// work is how long a plain request takes, 0 for plainWork.
+	work time.Duration
+	// spoil reports whether to spoil an answer; spoiled counts those. They may be nil.
+	spoil   func() bool
+	spoiled *atomic.Int64
 }
 
 const (
@@ -52,6 +58,7 @@
 	listener net.Listener
 	conns    map[net.Conn]bool
 	slotsIn  chan struct{}
+	answers  atomic.Int64
 	// arrivals, by body, are when requests arrived.
 	arrivals map[string][]time.Time
 	// crashTimes are when the replica crashed, by the body of the cause.
@@ -81,13 +88,20 @@
 	r.mu.Unlock()
 	server := &http.Server{Handler: r, ConnState: r.trackConn}
 	go func() { _ = server.Serve(l) }()
-	r.fleet.store.set("servers", r.id, map[string]any{
-		"service": r.service, "address": r.fleet.address(r.machine, "app"), "zone": zoneOf(r.machine), "version": "v1", "slots": r.slots,
-		"state": "ready", "cold_remaining_ms": 0, "sequence": 1, "born": r.born,
-	})
+	r.fleet.store.set("servers", r.id, r.registration("ready"))
 	return nil
 }
 
+// registration returns the entry of the replica in the store.
+func (r *replica) registration(state string) map[string]any {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return map[string]any{
+		"service": r.service, "address": r.fleet.address(r.machine, "app"), "zone": zoneOf(r.machine), "version": "v1", "slots": r.slots,
+		"state": state, "cold_remaining_ms": 0, "sequence": 1, "born": r.born,
+	}
+}
+
 func (r *replica) trackConn(c net.Conn, state http.ConnState) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -179,8 +193,14 @@
 	}
 	w.Header().Set("Response-Signature", "s-"+r.id)
 	if !strings.HasPrefix(q.URL.Path, "/stream") {
-		time.Sleep(plainWork)
-		_, _ = io.WriteString(w, strings.Repeat("x", 800))
+		time.Sleep(max(b.work, plainWork))
+		if b.spoil != nil && b.spoil() {
+			b.spoiled.Add(1)
+			r.fleet.rec.printf("%s writes a second answer behind that to %s", r.id, id)
+			writeSpoiled(w, id, "s-"+r.id)
+			return
+		}
+		_, _ = io.WriteString(w, plainBody(id))
 		return
 	}
 	r.stream(w, q, id, body, crashes, b)
