--- a/review/standin/mixed.go
+++ b/review/standin/mixed.go
@@ -72,7 +72,7 @@
 		if n%2 == 0 {
 			r.method, r.path, r.body = http.MethodPost, "/record/2", "record of "+r.id
 		}
-		c, err := dial(f.front(entry), false)
+		c, err := dial(f.front(entry))
 		if err != nil {
 			continue
 		}
