Review, case 2: a lost response of the store hides a draining replica from an entry (DRAIN)

Replaces the first form, whose proxy silenced idle connections but answered keep-alive probes. Nothing is fixed.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/goldcrest-platform ] && [ -x target/review-standin ] || exit 2
-exec target/review-standin idle-flows review/2
+exec target/review-standin lost-watch review/2
--- a/review/standin/drain.go
+++ b/review/standin/drain.go
@@ -12,17 +12,18 @@
 	drainTime = 2 * time.Second
 	// lingerTime is how long the leaving replica goes on serving after drainTime.
 	lingerTime = 4 * time.Second
-	// flowIdleTime is how long a connection must have been idle to go silent.
-	flowIdleTime = 2 * time.Second
-	warmTime     = 8 * time.Second
-	watchTime    = 12 * time.Second
-	recordWork   = 500 * time.Millisecond
+	// lossTime is how long the store loses responses.
+	lossTime   = 500 * time.Millisecond
+	warmTime   = 8 * time.Second
+	watchTime  = 12 * time.Second
+	recordWork = 500 * time.Millisecond
 	// busyCallersPerEntry keep about four requests at each replica.
 	busyCallersPerEntry = 10
 )
 
-// idleFlows plays connections to the store that go silent, and a replica that leaves afterwards.
-func idleFlows(f *fleet, trouble bool) (bool, error) {
+// lostWatch plays a store that loses some responses while a replica starts, and another replica that
+// leaves seconds later.
+func lostWatch(f *fleet, trouble bool) (bool, error) {
 	routes := []any{route("record", "non_idempotent", plainService, 1, false), route("lookup", "idempotent", plainService, 2, false)}
 	if err := f.start(routes); err != nil {
 		return false, err
@@ -42,8 +43,17 @@
 	}
 	time.Sleep(warmTime)
 	if trouble {
-		silenced, others := f.proxy.silenceIdle(flowIdleTime)
-		f.rec.printf("%d connections to the store go silent that were idle for over %v; %d others and all new ones work", silenced, flowIdleTime, others)
+		f.rec.printf("the store loses one response in %d for %v", loseEvery, lossTime)
+		f.proxy.lose(lossTime)
+	}
+	if err := f.startReplica("i-plain-new", plainService, firstPlain+plainCount, -1); err != nil {
+		return false, err
+	}
+	f.rec.printf("i-plain-new starts")
+	time.Sleep(lossTime)
+	if trouble {
+		lost, responses := f.proxy.lost()
+		f.rec.printf("%d of %d responses were lost; their connections return nothing further, all others and new ones work", lost, responses)
 	}
 	time.Sleep(calmTime)
 	leaving := f.replicas[rankCount]
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -24,7 +24,7 @@
 
 // cases maps names to functions that play a case and report whether the rule was broken.
 var cases = map[string]func(f *fleet, trouble bool) (broken bool, err error){
-	"idle-flows":     idleFlows,
+	"lost-watch":     lostWatch,
 	"second-answer":  secondAnswer,
 	"silent-replica": silentReplica,
 	"early-crash":    earlyCrash,
--- a/review/standin/proxy.go
+++ b/review/standin/proxy.go
@@ -1,32 +1,31 @@
 package main
 
 import (
+	"io"
 	"net"
 	"sync"
 	"time"
 )
 
-// proxy forwards connections to the store. It can make open ones go silent.
+// proxy forwards connections to the store. It can lose responses of the store.
 type proxy struct {
 	target string
 
-	mu    sync.Mutex
-	flows map[*flow]bool
+	mu sync.Mutex
+	// loseUntil is the end of the time in which one response in loseEvery is lost.
+	loseUntil time.Time
+	responses int
 }
 
-// flow is a connection through the proxy.
-type flow struct {
-	mu     sync.Mutex
-	last   time.Time
-	silent bool
-}
+// loseEvery is how many responses there are for each that is lost.
+const loseEvery = 3
 
 func startProxy(address, target string) (*proxy, error) {
 	l, err := net.Listen("tcp4", address)
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{target: target, flows: make(map[*flow]bool)}
+	p := &proxy{target: target}
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -46,57 +45,46 @@
 		return
 	}
 	defer target.Close()
-	f := &flow{last: time.Now()}
-	p.mu.Lock()
-	p.flows[f] = true
-	p.mu.Unlock()
-	defer func() {
-		p.mu.Lock()
-		delete(p.flows, f)
-		p.mu.Unlock()
+	go func() {
+		_, _ = io.Copy(target, caller)
+		_ = target.Close()
 	}()
-	var copying sync.WaitGroup
-	copying.Go(func() { f.copy(target, caller) })
-	copying.Go(func() { f.copy(caller, target) })
-	copying.Wait()
-}
-
-// copy forwards bytes until an end closes the connection. A silent flow drops them, and neither
-// end learns that the other one has closed it.
-func (f *flow) copy(to, from net.Conn) {
-	b := make([]byte, 32<<10)
+	b := make([]byte, 64<<10)
+	silent := false
 	for {
-		n, err := from.Read(b)
-		f.mu.Lock()
-		f.last = time.Now()
-		silent := f.silent
-		f.mu.Unlock()
+		n, err := target.Read(b)
+		silent = silent || (n > 0 && p.loses())
 		if n > 0 && !silent {
-			_, _ = to.Write(b[:n])
+			_, _ = caller.Write(b[:n])
 		}
 		if err != nil {
-			if !silent {
-				_ = to.Close()
-			}
 			return
 		}
 	}
 }
 
-// silenceIdle makes the open connections silent on which nothing was sent for a time, and returns
-// their number and that of the others.
-func (p *proxy) silenceIdle(idle time.Duration) (silenced, others int) {
+// loses reports whether a response that has come from the store is lost. Its connection then
+// returns nothing further.
+func (p *proxy) loses() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for f := range p.flows {
-		f.mu.Lock()
-		if time.Since(f.last) > idle {
-			f.silent = true
-			silenced++
-		} else {
-			others++
-		}
-		f.mu.Unlock()
+	if time.Now().After(p.loseUntil) {
+		return false
 	}
-	return silenced, others
+	p.responses++
+	return p.responses%loseEvery == 1
+}
+
+// lose makes one response in loseEvery of the store be lost for a time, beginning with the next.
+func (p *proxy) lose(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.loseUntil, p.responses = time.Now().Add(d), 0
+}
+
+// lost returns how many of the responses were lost, and how many there were in that time.
+func (p *proxy) lost() (lost, responses int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return (p.responses + loseEvery - 1) / loseEvery, p.responses
 }
