Report how long ago the store last responded for each kind of object

Cause: while the response to a watch is lost, an entry goes on with what it knew, and neither logs nor metrics show it: the kind counts as available until its watch is given up 20.9 s later.

Change: the gauge store_response_age_ms by kind, and event 1265 once the age exceeds the delay that is allowed for the kind. Nothing acts on them yet.

--- a/entry/process/watch/watch.go
+++ b/entry/process/watch/watch.go
@@ -36,15 +36,15 @@
 	// batchDelay is the delay after a watch that returned changes, so that changes
 	// in quick succession take one call.
 	batchDelay clock.Millis = 250
-	// maxStaleness is how long, in milliseconds, a view counts as current after its
-	// calls began to fail or after the last contact with a mirror.
-	maxStaleness = 1500
 )
 
 // Source is one kind of object in the store.
 type Source interface {
 	// Name identifies the kind in logs.
 	Name() string
+	// MaxDelay is how long after the store has acknowledged a change of the kind it may take
+	// until the change is applied.
+	MaxDelay() clock.Millis
 	// List reads all objects, applies them and returns the store's position.
 	List(ctx context.Context) (snapshot.Position, error)
 	// Watch waits for changes after a position, applies them and returns the
@@ -66,65 +66,38 @@
 	failingSince  []clock.Millis
 	cancel        []context.CancelFunc
 	relistPending []bool
+	// respondedAt holds, by kind, when the last response arrived, and overdue whether it is
+	// longer ago than the kind's MaxDelay.
+	respondedAt []clock.Millis
+	overdue     []bool
 	// mirroredAt is when another entry last reported the store's content.
 	mirroredAt clock.Millis
 }
 
 // Run keeps all kinds up to date until ctx is done.
 func (w *Watcher) Run(ctx context.Context) {
-	w.mu.Lock()
-	w.failingSince = make([]clock.Millis, len(w.Sources))
-	w.cancel = make([]context.CancelFunc, len(w.Sources))
-	w.relistPending = make([]bool, len(w.Sources))
-	for i := range w.failingSince {
-		w.failingSince[i] = 1 // no response yet
-	}
-	w.mu.Unlock()
+	w.prepare()
 	var followers sync.WaitGroup
+	followers.Go(func() { clock.Every(ctx, ageCheckInterval, w.checkAges) })
 	for i := range w.Sources {
 		followers.Go(func() { w.follow(ctx, i) })
 	}
 	followers.Wait()
 }
 
-// Current reports whether every kind has been read and none has been failing for
-// longer than maxStaleness, or another entry has reported the store's content within
-// that time. A view that is not current may lack newer routes and keys.
-func (w *Watcher) Current(now clock.Millis) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.failingSince == nil {
-		return false
-	}
-	if w.mirroredAt > 0 && now-w.mirroredAt <= maxStaleness {
-		return true
-	}
-	for _, since := range w.failingSince {
-		if since > 0 && now-since > maxStaleness {
-			return false
-		}
-	}
-	return true
-}
-
-// StoreAvailable reports whether the store itself responds to the calls of every kind.
-func (w *Watcher) StoreAvailable() bool {
+// prepare sets the state of all kinds before their first responses.
+func (w *Watcher) prepare() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for _, since := range w.failingSince {
-		if since > 0 {
-			return false
-		}
+	w.failingSince = make([]clock.Millis, len(w.Sources))
+	w.cancel = make([]context.CancelFunc, len(w.Sources))
+	w.relistPending = make([]bool, len(w.Sources))
+	w.respondedAt = make([]clock.Millis, len(w.Sources))
+	w.overdue = make([]bool, len(w.Sources))
+	for i := range w.failingSince {
+		w.failingSince[i] = 1 // no response yet
+		w.respondedAt[i] = w.Clock.Now()
 	}
-	return w.failingSince != nil
-}
-
-// RecordMirror records that another entry, to which the store responds, has just
-// reported the store's content.
-func (w *Watcher) RecordMirror() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.mirroredAt = w.Clock.Now()
 }
 
 // Reset cancels the calls in progress and lists all kinds again, for use after the
@@ -243,21 +216,3 @@
 	}
 	return source.Watch(ctx, after, watchTimeout)
 }
-
-func (w *Watcher) recordSuccess(i int) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if since := w.failingSince[i]; since > 0 {
-		w.Log.Emit(event.StoreRecovered, event.Fields{"kind": w.Sources[i].Name()})
-	}
-	w.failingSince[i] = 0
-}
-
-func (w *Watcher) recordFailure(i int, err error) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.failingSince[i] == 0 {
-		w.failingSince[i] = w.Clock.Now()
-		w.Log.Error(event.StoreUnavailable, err, event.Fields{"kind": w.Sources[i].Name()})
-	}
-}
--- a/entry/process/watch/watch_test.go
+++ b/entry/process/watch/watch_test.go
@@ -13,6 +13,9 @@
 	"goldcrestshore/core/version/snapshot"
 )
 
+// testMaxDelay is the bound of the kinds in tests.
+const testMaxDelay = 2 * clock.Second
+
 // scriptedSource is a Source whose watches return the results that the test sends.
 type scriptedSource struct {
 	name    string
@@ -27,6 +30,8 @@
 
 func (s *scriptedSource) Name() string { return s.name }
 
+func (s *scriptedSource) MaxDelay() clock.Millis { return testMaxDelay }
+
 func (s *scriptedSource) List(context.Context) (snapshot.Position, error) {
 	return snapshot.Position{Revision: 10 * s.lists.Add(1)}, nil
 }
@@ -99,6 +104,8 @@
 
 func (s *goneSource) Name() string { return "gone" }
 
+func (s *goneSource) MaxDelay() clock.Millis { return testMaxDelay }
+
 func (s *goneSource) List(context.Context) (snapshot.Position, error) {
 	return snapshot.Position{Revision: s.lists.Add(1)}, nil
 }
