--- a/entry/process/watch/status.go
+++ b/entry/process/watch/status.go
@@ -19,14 +19,14 @@
 func (w *Watcher) Current(now clock.Millis) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.failingSince == nil {
+	if w.kinds == nil {
 		return false
 	}
 	if w.mirroredAt > 0 && now-w.mirroredAt <= maxStaleness {
 		return true
 	}
-	for _, since := range w.failingSince {
-		if since > 0 && now-since > maxStaleness {
+	for _, k := range w.kinds {
+		if k.failingSince > 0 && now-k.failingSince > maxStaleness {
 			return false
 		}
 	}
@@ -37,12 +37,12 @@
 func (w *Watcher) StoreAvailable() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for _, since := range w.failingSince {
-		if since > 0 {
+	for _, k := range w.kinds {
+		if k.failingSince > 0 {
 			return false
 		}
 	}
-	return w.failingSince != nil
+	return w.kinds != nil
 }
 
 // RecordMirror records that another entry, to which the store responds, has just
@@ -53,36 +53,33 @@
 	w.mirroredAt = w.Clock.Now()
 }
 
-func (w *Watcher) recordSuccess(i int) {
+func (w *Watcher) recordSuccess(k *kind) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if since := w.failingSince[i]; since > 0 {
-		w.Log.Emit(event.StoreRecovered, event.Fields{"kind": w.Sources[i].Name()})
+	if k.failingSince > 0 {
+		w.Log.Emit(event.StoreRecovered, event.Fields{"kind": k.source.Name()})
 	}
-	w.failingSince[i] = 0
-	w.respondedAt[i], w.overdue[i] = w.Clock.Now(), false
+	k.failingSince = 0
+	k.respondedAt, k.overdue = w.Clock.Now(), false
 }
 
-func (w *Watcher) recordFailure(i int, err error) {
+func (w *Watcher) recordFailure(k *kind, err error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.failingSince[i] == 0 {
-		w.failingSince[i] = w.Clock.Now()
-		w.Log.Error(event.StoreUnavailable, err, event.Fields{"kind": w.Sources[i].Name()})
+	if k.failingSince == 0 {
+		k.failingSince = w.Clock.Now()
+		w.Log.Error(event.StoreUnavailable, err, event.Fields{"kind": k.source.Name()})
 	}
 }
 
 // Ages returns by the name of each kind how long ago its last response arrived: changes since
-// then are unknown. It returns nil before Run.
+// then are unknown. It is empty before Run.
 func (w *Watcher) Ages(now clock.Millis) map[string]clock.Millis {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.respondedAt == nil {
-		return nil
-	}
-	ages := make(map[string]clock.Millis, len(w.Sources))
-	for i, source := range w.Sources {
-		ages[source.Name()] = now - w.respondedAt[i]
+	ages := make(map[string]clock.Millis, len(w.kinds))
+	for _, k := range w.kinds {
+		ages[k.source.Name()] = now - k.respondedAt
 	}
 	return ages
 }
@@ -93,12 +90,12 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := w.Clock.Now()
-	for i, source := range w.Sources {
-		age := now - w.respondedAt[i]
-		if age <= source.MaxDelay() || w.overdue[i] {
+	for _, k := range w.kinds {
+		age, limit := now-k.respondedAt, k.source.MaxDelay()
+		if age <= limit || k.overdue {
 			continue
 		}
-		w.overdue[i] = true
-		w.Log.Emit(event.ViewOverdue, event.Fields{"kind": source.Name(), "ageMs": age, "maxDelayMs": source.MaxDelay()})
+		k.overdue = true
+		w.Log.Emit(event.ViewOverdue, event.Fields{"kind": k.source.Name(), "ageMs": age, "maxDelayMs": limit})
 	}
 }
--- a/entry/process/watch/status_test.go
+++ b/entry/process/watch/status_test.go
@@ -20,7 +20,7 @@
 	w := &Watcher{Clock: c, Log: log, Sources: []Source{newScriptedSource("silent"), newScriptedSource("answered")}}
 	w.prepare()
 	c.Advance(testMaxDelay + 1)
-	w.recordSuccess(1)
+	w.recordSuccess(w.kinds[1])
 	w.checkAges()
 	w.checkAges()
 	check.Equal(t, "age of the kind without a response", w.Ages(c.Now())["silent"], testMaxDelay+1)
--- a/entry/process/watch/watch.go
+++ b/entry/process/watch/watch.go
@@ -61,26 +61,36 @@
 	Sources []Source
 
 	mu sync.Mutex
-	// failingSince holds, by kind, when its calls began to fail, 0 if they
-	// succeed and 1 before the first response after Run or Reset.
-	failingSince  []clock.Millis
-	cancel        []context.CancelFunc
-	relistPending []bool
-	// respondedAt holds, by kind, when the last response arrived, and overdue whether it is
-	// longer ago than the kind's MaxDelay.
-	respondedAt []clock.Millis
-	overdue     []bool
+	// kinds holds the state of each source, nil before Run.
+	kinds []*kind
 	// mirroredAt is when another entry last reported the store's content.
 	mirroredAt clock.Millis
 }
 
+// kind is the state of one source.
+type kind struct {
+	source Source
+	// isFirst is set for the source that detects lost watches.
+	isFirst bool
+	// failingSince is when its calls began to fail, 0 if they succeed and 1 before the first
+	// response after Run or Reset.
+	failingSince clock.Millis
+	// cancel ends the call in progress.
+	cancel        context.CancelFunc
+	relistPending bool
+	// respondedAt is when the last response arrived, and overdue whether it is longer ago than
+	// the source's MaxDelay.
+	respondedAt clock.Millis
+	overdue     bool
+}
+
 // Run keeps all kinds up to date until ctx is done.
 func (w *Watcher) Run(ctx context.Context) {
 	w.prepare()
 	var followers sync.WaitGroup
 	followers.Go(func() { clock.Every(ctx, ageCheckInterval, w.checkAges) })
-	for i := range w.Sources {
-		followers.Go(func() { w.follow(ctx, i) })
+	for _, k := range w.kinds {
+		followers.Go(func() { w.follow(ctx, k) })
 	}
 	followers.Wait()
 }
@@ -89,14 +99,8 @@
 func (w *Watcher) prepare() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.failingSince = make([]clock.Millis, len(w.Sources))
-	w.cancel = make([]context.CancelFunc, len(w.Sources))
-	w.relistPending = make([]bool, len(w.Sources))
-	w.respondedAt = make([]clock.Millis, len(w.Sources))
-	w.overdue = make([]bool, len(w.Sources))
-	for i := range w.failingSince {
-		w.failingSince[i] = 1 // no response yet
-		w.respondedAt[i] = w.Clock.Now()
+	for i, source := range w.Sources {
+		w.kinds = append(w.kinds, &kind{source: source, isFirst: i == 0, failingSince: 1, respondedAt: w.Clock.Now()})
 	}
 }
 
@@ -105,61 +109,60 @@
 func (w *Watcher) Reset() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for i := range w.cancel {
-		if w.failingSince[i] == 0 {
-			w.failingSince[i] = 1
+	for _, k := range w.kinds {
+		if k.failingSince == 0 {
+			k.failingSince = 1
 		}
-		w.requestRelist(i)
+		k.requestRelist()
 	}
 }
 
 // relistOthers requests a relist of all other kinds: if one watch has missed
 // changes, those still waiting may have missed some too.
-func (w *Watcher) relistOthers(except int) {
+func (w *Watcher) relistOthers(except *kind) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for i := range w.cancel {
-		if i != except {
-			w.requestRelist(i)
+	for _, k := range w.kinds {
+		if k != except {
+			k.requestRelist()
 		}
 	}
 }
 
 // requestRelist cancels the call of a kind so that it is listed again. It must be
-// called with mu held.
-func (w *Watcher) requestRelist(i int) {
-	w.relistPending[i] = true
-	if w.cancel[i] != nil {
-		w.cancel[i]()
+// called with the watcher's mutex held.
+func (k *kind) requestRelist() {
+	k.relistPending = true
+	if k.cancel != nil {
+		k.cancel()
 	}
 }
 
 // consumeRelist reports whether a relist of a kind was requested and clears the
 // request.
-func (w *Watcher) consumeRelist(i int) bool {
+func (w *Watcher) consumeRelist(k *kind) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	pending := w.relistPending[i]
-	w.relistPending[i] = false
+	pending := k.relistPending
+	k.relistPending = false
 	return pending
 }
 
 // follow lists one kind and then watches it until ctx is done.
-func (w *Watcher) follow(ctx context.Context, i int) {
-	source := w.Sources[i]
+func (w *Watcher) follow(ctx context.Context, k *kind) {
 	var at snapshot.Position
 	listed := false
 	var failures, relists backoff
 	for ctx.Err() == nil {
-		if w.consumeRelist(i) {
+		if w.consumeRelist(k) {
 			listed = false
 		}
-		next, err := w.listOrWatch(ctx, i, listed, at)
+		next, err := w.listOrWatch(ctx, k, listed, at)
 		switch {
 		case err == nil:
 			changed := listed && next != at
 			failures.reset()
-			w.recordSuccess(i)
+			w.recordSuccess(k)
 			if listed {
 				relists.reset()
 			}
@@ -169,23 +172,23 @@
 			}
 			continue
 		case errors.Is(err, ErrHistoryGone) || errors.Is(err, ErrRestored):
-			w.Log.Emit(event.StoreHistoryGone, event.Fields{"kind": source.Name(), "timeline": at.Timeline, "revision": at.Revision, "cause": err.Error()})
+			w.Log.Emit(event.StoreHistoryGone, event.Fields{"kind": k.source.Name(), "timeline": at.Timeline, "revision": at.Revision, "cause": err.Error()})
 			listed = false
 			if errors.Is(err, ErrHistoryGone) {
-				w.relistOthers(i) // Reset follows a restore
+				w.relistOthers(k) // Reset follows a restore
 			}
 			if !relists.pauseUnlessFirst(ctx) {
 				return
 			}
 			continue
 		}
-		if w.needsRelist(i) {
+		if w.needsRelist(k) {
 			continue // cancelled by requestRelist
 		}
-		w.recordFailure(i, err)
-		if ctx.Err() == nil && i == 0 {
+		w.recordFailure(k, err)
+		if ctx.Err() == nil && k.isFirst {
 			listed = false
-			w.relistOthers(i)
+			w.relistOthers(k)
 		}
 		if !failures.pause(ctx) {
 			return
@@ -194,25 +197,24 @@
 }
 
 // needsRelist reports whether a relist of a kind was requested.
-func (w *Watcher) needsRelist(i int) bool {
+func (w *Watcher) needsRelist(k *kind) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.relistPending[i]
+	return k.relistPending
 }
 
 // listOrWatch watches a kind after a position if it has been listed, and lists it otherwise.
-func (w *Watcher) listOrWatch(ctx context.Context, i int, listed bool, after snapshot.Position) (snapshot.Position, error) {
+func (w *Watcher) listOrWatch(ctx context.Context, k *kind, listed bool, after snapshot.Position) (snapshot.Position, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	w.mu.Lock()
-	w.cancel[i] = cancel
+	k.cancel = cancel
 	w.mu.Unlock()
-	source := w.Sources[i]
 	switch {
 	case !listed:
-		return source.List(ctx)
-	case i == 0:
-		return source.Watch(ctx, after, sentinelWatchTimeout)
+		return k.source.List(ctx)
+	case k.isFirst:
+		return k.source.Watch(ctx, after, sentinelWatchTimeout)
 	}
-	return source.Watch(ctx, after, watchTimeout)
+	return k.source.Watch(ctx, after, watchTimeout)
 }
