Give up each watch of the store within the delay that is allowed for its kind

Cause: only the watch of the configuration was short, and stood for all others ("if one watch is lost, all are"). A connection on which one response is lost returns nothing further while all others work, so the other kinds waited until their own timeout, 20.9 s from the start of the watch. The configuration itself took up to 2.7 s, where 2 s are allowed.

Change: the wait of each watch follows from the delay that is allowed for its kind, less the delay after a change, the margin for the response, and the time of a repeated call. A call without a response is repeated at once by a short one, which also shows whether the store responds; two in a row are an outage. A lost watch no longer lists the kinds again: the changes since the known position are what was lost.

Why it works: in the worst case, a change right after a watch has returned changes and the response to the next watch lost, the change is applied after 250 + wait + 500 ms and one call, which is below the allowed delay by design.

--- a/entry/process/watch/watch.go
+++ b/entry/process/watch/watch.go
@@ -1,5 +1,9 @@
 // Package watch keeps an entry's view up to date with the store: it lists each
 // kind of object once and then watches for changes.
+//
+// The response to any call may be lost, and nothing but time shows it. Each watch is therefore
+// short enough that a change whose response was lost is applied within the delay that is allowed
+// for its kind.
 package watch
 
 import (
@@ -25,18 +29,9 @@
 	ErrUnavailable = errors.New("store did not respond")
 )
 
-// Timeouts and delays of the calls.
-const (
-	// sentinelWatchTimeout and watchTimeout are how long a watch waits for a change;
-	// each completed watch counts as one call. If one watch is lost without a
-	// response, all are. The first source uses the shorter timeout to detect this
-	// early.
-	sentinelWatchTimeout = 1800 * clock.Millis(1)
-	watchTimeout         = 20 * clock.Second
-	// batchDelay is the delay after a watch that returned changes, so that changes
-	// in quick succession take one call.
-	batchDelay clock.Millis = 250
-)
+// batchDelay is the delay after a watch that returned changes, so that changes in quick
+// succession take one call.
+const batchDelay clock.Millis = 250
 
 // Source is one kind of object in the store.
 type Source interface {
@@ -48,16 +43,15 @@
 	// List reads all objects, applies them and returns the store's position.
 	List(ctx context.Context) (snapshot.Position, error)
 	// Watch waits for changes after a position, applies them and returns the
-	// position from which to continue.
+	// position from which to continue. It gives up ResponseMargin after the end of the
+	// wait; its error wraps context.DeadlineExceeded then.
 	Watch(ctx context.Context, after snapshot.Position, wait clock.Millis) (snapshot.Position, error)
 }
 
 // Watcher keeps several kinds up to date. Exported fields must be set before Run.
 type Watcher struct {
-	Clock *clock.Clock
-	Log   *event.Log
-	// Sources are the kinds; the first one detects lost watches (see
-	// sentinelWatchTimeout).
+	Clock   *clock.Clock
+	Log     *event.Log
 	Sources []Source
 
 	mu sync.Mutex
@@ -70,8 +64,6 @@
 // kind is the state of one source.
 type kind struct {
 	source Source
-	// isFirst is set for the source that detects lost watches.
-	isFirst bool
 	// failingSince is when its calls began to fail, 0 if they succeed and 1 before the first
 	// response after Run or Reset.
 	failingSince clock.Millis
@@ -99,8 +91,8 @@
 func (w *Watcher) prepare() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for i, source := range w.Sources {
-		w.kinds = append(w.kinds, &kind{source: source, isFirst: i == 0, failingSince: 1, respondedAt: w.Clock.Now()})
+	for _, source := range w.Sources {
+		w.kinds = append(w.kinds, &kind{source: source, failingSince: 1, respondedAt: w.Clock.Now()})
 	}
 }
 
@@ -150,52 +142,66 @@
 
 // follow lists one kind and then watches it until ctx is done.
 func (w *Watcher) follow(ctx context.Context, k *kind) {
-	var at snapshot.Position
-	listed := false
-	var failures, relists backoff
+	var f follower
 	for ctx.Err() == nil {
 		if w.consumeRelist(k) {
-			listed = false
-		}
-		next, err := w.listOrWatch(ctx, k, listed, at)
-		switch {
-		case err == nil:
-			changed := listed && next != at
-			failures.reset()
-			w.recordSuccess(k)
-			if listed {
-				relists.reset()
-			}
-			at, listed = next, true
-			if changed && !clock.Sleep(ctx, batchDelay) {
-				return
-			}
-			continue
-		case errors.Is(err, ErrHistoryGone) || errors.Is(err, ErrRestored):
-			w.Log.Emit(event.StoreHistoryGone, event.Fields{"kind": k.source.Name(), "timeline": at.Timeline, "revision": at.Revision, "cause": err.Error()})
-			listed = false
-			if errors.Is(err, ErrHistoryGone) {
-				w.relistOthers(k) // Reset follows a restore
-			}
-			if !relists.pauseUnlessFirst(ctx) {
-				return
-			}
-			continue
-		}
-		if w.needsRelist(k) {
-			continue // cancelled by requestRelist
-		}
-		w.recordFailure(k, err)
-		if ctx.Err() == nil && k.isFirst {
-			listed = false
-			w.relistOthers(k)
+			f.listed = false
 		}
-		if !failures.pause(ctx) {
+		next, err := w.listOrWatch(ctx, k, &f)
+		if !w.handle(ctx, k, &f, next, err) {
 			return
 		}
 	}
 }
 
+// follower is the state in which a kind is followed.
+type follower struct {
+	// at is the position of the store up to which changes are known, once the kind is listed.
+	at     snapshot.Position
+	listed bool
+	// failed is set if the last call had no response. The next one is short then, so that it
+	// shows soon whether the store responds.
+	failed            bool
+	failures, relists backoff
+}
+
+// handle applies the result of a call and pauses where necessary. It returns false if ctx is done.
+func (w *Watcher) handle(ctx context.Context, k *kind, f *follower, next snapshot.Position, err error) bool {
+	switch {
+	case err == nil:
+		w.recordSuccess(k)
+		return f.succeeded(ctx, next)
+	case errors.Is(err, ErrHistoryGone) || errors.Is(err, ErrRestored):
+		w.Log.Emit(event.StoreHistoryGone, event.Fields{"kind": k.source.Name(), "timeline": f.at.Timeline, "revision": f.at.Revision, "cause": err.Error()})
+		f.listed = false
+		if errors.Is(err, ErrHistoryGone) {
+			w.relistOthers(k) // Reset follows a restore
+		}
+		return f.relists.pauseUnlessFirst(ctx)
+	case w.needsRelist(k):
+		return ctx.Err() == nil // cancelled by requestRelist
+	case !f.failed && errors.Is(err, context.DeadlineExceeded):
+		// One lost response is no outage. The call is repeated at once.
+		w.Log.Error(event.StoreResponseLost, err, event.Fields{"kind": k.source.Name()})
+		f.failed = true
+		return ctx.Err() == nil
+	}
+	f.failed = true
+	w.recordFailure(k, err)
+	return f.failures.pause(ctx)
+}
+
+// succeeded records the position up to which changes are known. It returns false if ctx is done.
+func (f *follower) succeeded(ctx context.Context, next snapshot.Position) bool {
+	changed := f.listed && next != f.at
+	f.failures.reset()
+	if f.listed {
+		f.relists.reset()
+	}
+	f.at, f.listed, f.failed = next, true, false
+	return !changed || clock.Sleep(ctx, batchDelay)
+}
+
 // needsRelist reports whether a relist of a kind was requested.
 func (w *Watcher) needsRelist(k *kind) bool {
 	w.mu.Lock()
@@ -204,17 +210,17 @@
 }
 
 // listOrWatch watches a kind after a position if it has been listed, and lists it otherwise.
-func (w *Watcher) listOrWatch(ctx context.Context, k *kind, listed bool, after snapshot.Position) (snapshot.Position, error) {
+func (w *Watcher) listOrWatch(ctx context.Context, k *kind, f *follower) (snapshot.Position, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	w.mu.Lock()
 	k.cancel = cancel
 	w.mu.Unlock()
 	switch {
-	case !listed:
+	case !f.listed:
 		return k.source.List(ctx)
-	case k.isFirst:
-		return k.source.Watch(ctx, after, sentinelWatchTimeout)
+	case f.failed:
+		return k.source.Watch(ctx, f.at, minWait)
 	}
-	return k.source.Watch(ctx, after, watchTimeout)
+	return k.source.Watch(ctx, f.at, waitFor(k.source.MaxDelay()))
 }
--- a/entry/process/watch/watch_test.go
+++ b/entry/process/watch/watch_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"goldcrestshore/core/process/check"
 	"goldcrestshore/core/process/clock"
 	"goldcrestshore/core/process/event"
@@ -20,12 +23,18 @@
 type scriptedSource struct {
 	name    string
 	lists   atomic.Int64
-	watched chan snapshot.Position
+	watched chan watchCall
 	results chan error
 }
 
+// watchCall has the arguments of a watch.
+type watchCall struct {
+	after snapshot.Position
+	wait  clock.Millis
+}
+
 func newScriptedSource(name string) *scriptedSource {
-	return &scriptedSource{name: name, watched: make(chan snapshot.Position, 100), results: make(chan error)}
+	return &scriptedSource{name: name, watched: make(chan watchCall, 100), results: make(chan error)}
 }
 
 func (s *scriptedSource) Name() string { return s.name }
@@ -38,8 +47,8 @@
 
 // Watch waits for a result from the test. Without one it waits for ctx, like a
 // watch that the store has lost.
-func (s *scriptedSource) Watch(ctx context.Context, after snapshot.Position, _ clock.Millis) (snapshot.Position, error) {
-	s.watched <- after
+func (s *scriptedSource) Watch(ctx context.Context, after snapshot.Position, wait clock.Millis) (snapshot.Position, error) {
+	s.watched <- watchCall{after, wait}
 	select {
 	case err := <-s.results:
 		after.Revision++
@@ -72,30 +81,60 @@
 func TestWatchContinuesFromReturnedRevision(t *testing.T) {
 	s := newScriptedSource("a")
 	startWatcher(t, s)
-	check.Equal(t, "first watch", (<-s.watched).Revision, 10)
+	check.Equal(t, "first watch", (<-s.watched).after.Revision, 10)
 	s.results <- nil
-	check.Equal(t, "next watch", (<-s.watched).Revision, 11)
-}
-
-// Guards against a view that stays outdated after the store has lost pending
-// watches without a response.
-func TestLostWatchRelistsAllKinds(t *testing.T) {
-	for _, tc := range []struct {
-		name string
-		err  error
-	}{
-		{"no response", ErrUnavailable},
-		{"history gone", ErrHistoryGone},
+	check.Equal(t, "next watch", (<-s.watched).after.Revision, 11)
+}
+
+// Guards against a view that stays outdated after the store has discarded its history: other
+// watches that wait may have missed changes, too.
+func TestDiscardedHistoryRelistsAllKinds(t *testing.T) {
+	first, other := newScriptedSource("first"), newScriptedSource("other")
+	startWatcher(t, first, other)
+	<-first.watched
+	<-other.watched
+	first.results <- ErrHistoryGone
+	check.Equal(t, "first is watched from a new list", (<-first.watched).after.Revision, 20)
+	check.Equal(t, "other is watched from a new list", (<-other.watched).after.Revision, 20)
+}
+
+// Guards against a call without a response that is repeated late, or by a watch that waits long
+// before it shows whether the store responds, and against changes between the two that are missed.
+func TestWatchWithoutResponseIsRepeated(t *testing.T) {
+	s := newScriptedSource("a")
+	startWatcher(t, s)
+	first := <-s.watched
+	check.Equal(t, "wait of the first watch", first.wait, waitFor(testMaxDelay))
+	for range 2 {
+		s.results <- errors.Wrap(context.DeadlineExceeded, "lost")
+		check.Equal(t, "watch after a lost response", <-s.watched, watchCall{first.after, minWait})
+	}
+	s.results <- nil
+	next := <-s.watched
+	check.Equal(t, "position after the repeated watch", next.after.Revision, first.after.Revision+1)
+	check.Equal(t, "wait after the repeated watch", next.wait, waitFor(testMaxDelay))
+}
+
+// Guards against an outage that is reported for a single lost response, and against one that is
+// not reported.
+func TestSecondLostResponseIsAnOutage(t *testing.T) {
+	s := newScriptedSource("a")
+	w := startWatcher(t, s)
+	<-s.watched
+	for i, want := range []bool{true, false} {
+		s.results <- errors.Wrap(context.DeadlineExceeded, "lost")
+		<-s.watched
+		check.Equal(t, fmt.Sprint("available after lost responses: ", i+1), w.StoreAvailable(), want)
+	}
+}
+
+// Guards against a wait that leaves no time for the call that follows a lost response, and against
+// calls without pause or beyond the history of the store.
+func TestWaitsFollowDelays(t *testing.T) {
+	for _, tc := range []struct{ maxDelay, want clock.Millis }{
+		{2 * clock.Second, 900}, {3 * clock.Second, 1900}, {5 * clock.Second, 3900}, {100, minWait}, {clock.Hour, maxWait},
 	} {
-		t.Run(tc.name, func(t *testing.T) {
-			first, other := newScriptedSource("first"), newScriptedSource("other")
-			startWatcher(t, first, other)
-			<-first.watched
-			<-other.watched
-			first.results <- tc.err
-			check.Equal(t, "first is watched from a new list", (<-first.watched).Revision, 20)
-			check.Equal(t, "other is watched from a new list", (<-other.watched).Revision, 20)
-		})
+		check.Equal(t, fmt.Sprint("wait for ", tc.maxDelay, " ms"), waitFor(tc.maxDelay), tc.want)
 	}
 }
 
@@ -132,7 +171,7 @@
 	startWatcher(t, s)
 	<-s.watched
 	s.results <- ErrRestored
-	check.Equal(t, "watch after a restore", (<-s.watched).Revision, 20)
+	check.Equal(t, "watch after a restore", (<-s.watched).after.Revision, 20)
 }
 
 // Guards against relying on state from before the process was paused.
@@ -141,5 +180,5 @@
 	w := startWatcher(t, s)
 	<-s.watched
 	w.Reset()
-	check.Equal(t, "watch after reset", (<-s.watched).Revision, 20)
+	check.Equal(t, "watch after reset", (<-s.watched).after.Revision, 20)
 }
