Close idle connections after a call without a response

Cause: a call that gets no response closes its own connection only. The next one takes an idle connection of the same age, up to six of them.

Change: the clients of the store, of ranks, of upstreams and of the product's platform, which all are built in one place, close their idle connections when a call gets no response in time or a body breaks off that way. Connections on which a response arrives meanwhile have shown that they work and are kept.

--- a/core/connection/httpservice/httpservice.go
+++ b/core/connection/httpservice/httpservice.go
@@ -14,7 +14,8 @@
 const maxHeadBytes = 64 << 10
 
 // New returns a service that calls through a client, whose transport it completes. It requests
-// bodies without encoding and bounds the heads of responses. The circuit breaker of httpc is
+// bodies without encoding and bounds the heads of responses. After a call without a response it
+// closes idle connections. The circuit breaker of httpc is
 // disabled, because it would refuse a call due to the failures of others, and so is the log of
 // go-zero, which would mix with the numbered events of the process.
 func New(name string, client *http.Client, transport *http.Transport) httpc.Service {
@@ -22,6 +23,6 @@
 	logx.Disable()
 	transport.DisableCompression = true
 	transport.MaxResponseHeaderBytes = maxHeadBytes
-	client.Transport = transport
+	client.Transport = &freshTransport{transport}
 	return httpc.NewServiceWithClient(name, client)
 }
