--- a/entry/process/watch/wait.go
+++ b/entry/process/watch/wait.go
@@ -6,7 +6,7 @@
 	// ResponseMargin is how long after the end of its wait a watch may still respond. A store
 	// that is slow takes some hundred milliseconds.
 	ResponseMargin clock.Millis = 500
-	// repeatTime is the time for the call that follows a lost response, on a new connection, and
+	// repeatTime is the time for the list that follows a lost response, on a new connection, and
 	// for what is still under way by the state before it.
 	repeatTime clock.Millis = 350
 	// minWait and maxWait bound the wait of a watch. Each watch is a call that has a price, and
--- a/entry/process/watch/watch.go
+++ b/entry/process/watch/watch.go
@@ -159,8 +159,7 @@
 	// at is the position of the store up to which changes are known, once the kind is listed.
 	at     snapshot.Position
 	listed bool
-	// failed is set if the last call had no response. The next one is short then, so that it
-	// shows soon whether the store responds.
+	// failed is set if the last call had no response.
 	failed            bool
 	failures, relists backoff
 }
@@ -180,13 +179,20 @@
 		return f.relists.pauseUnlessFirst(ctx)
 	case w.needsRelist(k):
 		return ctx.Err() == nil // cancelled by requestRelist
-	case !f.failed && errors.Is(err, context.DeadlineExceeded):
-		// One lost response is no outage. The call is repeated at once.
+	}
+	return w.handleFailure(ctx, k, f, err)
+}
+
+// handleFailure pauses after a call without a response. The next call lists the kind, which shows
+// soon whether the store responds. It also has what a watch may have missed before it was cut off.
+func (w *Watcher) handleFailure(ctx context.Context, k *kind, f *follower, err error) bool {
+	isFirst := !f.failed
+	f.listed, f.failed = false, true
+	if isFirst && errors.Is(err, context.DeadlineExceeded) {
+		// One lost response is no outage. The kind is listed at once.
 		w.Log.Error(event.StoreResponseLost, err, event.Fields{"kind": k.source.Name()})
-		f.failed = true
 		return ctx.Err() == nil
 	}
-	f.failed = true
 	w.recordFailure(k, err)
 	return f.failures.pause(ctx)
 }
@@ -216,11 +222,8 @@
 	w.mu.Lock()
 	k.cancel = cancel
 	w.mu.Unlock()
-	switch {
-	case !f.listed:
+	if !f.listed {
 		return k.source.List(ctx)
-	case f.failed:
-		return k.source.Watch(ctx, f.at, minWait)
 	}
 	return k.source.Watch(ctx, f.at, waitFor(k.source.MaxDelay()))
 }
