Renew watches of the store only where it has changed

Change: only the watch of the kind with the shortest delay is short. Each response states the position of the store, which confirms the kinds that are at it. A kind that has not been confirmed for nearly as long as its changes may take gets its watch renewed from the same position; in a store that does not change, none is. Nothing is confirmed unless a watch without changes has once ended at a later position, so that a store which counts each kind by itself gets short watches.

Entries that tell each other their positions would cost nothing in calm, but do not help one that is alone or where all lose the response; not needed beside this.

--- a/entry/process/watch/status.go
+++ b/entry/process/watch/status.go
@@ -3,13 +3,14 @@
 import (
 	"goldcrestshore/core/process/clock"
 	"goldcrestshore/core/process/event"
+	"goldcrestshore/core/version/snapshot"
 )
 
 const (
 	// maxStaleness is how long, in milliseconds, a view counts as current after its
 	// calls began to fail or after the last contact with a mirror.
 	maxStaleness = 1500
-	// ageCheckInterval is the time between two checks of the ages of the last responses.
+	// ageCheckInterval is the time between two checks of the ages of what is known.
 	ageCheckInterval clock.Millis = 100
 )
 
@@ -53,14 +54,30 @@
 	w.mirroredAt = w.Clock.Now()
 }
 
-func (w *Watcher) recordSuccess(k *kind) {
+// recordSuccess records the position up to which a response has shown the changes of a kind. It
+// confirms the kinds that are at that position already.
+func (w *Watcher) recordSuccess(k *kind, at snapshot.Position, changed bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if k.failingSince > 0 {
 		w.Log.Emit(event.StoreRecovered, event.Fields{"kind": k.source.Name()})
 	}
-	k.failingSince = 0
-	k.respondedAt, k.overdue = w.Clock.Now(), false
+	if k.listed {
+		w.isComparable = w.isComparable || (!changed && k.at.Before(at))
+		k.relists.reset()
+	}
+	k.failures.reset()
+	k.failingSince, k.failed = 0, false
+	k.at, k.listed = at, true
+	if w.latest.Before(at) {
+		w.latest = at
+	}
+	now := w.Clock.Now()
+	for _, other := range w.kinds {
+		if other == k || (w.isComparable && other.listed && !other.at.Before(at)) {
+			other.confirmedAt, other.overdue = now, false
+		}
+	}
 }
 
 func (w *Watcher) recordFailure(k *kind, err error) {
@@ -72,26 +89,26 @@
 	}
 }
 
-// Ages returns by the name of each kind how long ago its last response arrived: changes since
-// then are unknown. It is empty before Run.
+// Ages returns by the name of each kind how long ago a response last showed that no change of it
+// has been missed. It is empty before Run.
 func (w *Watcher) Ages(now clock.Millis) map[string]clock.Millis {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	ages := make(map[string]clock.Millis, len(w.kinds))
 	for _, k := range w.kinds {
-		ages[k.source.Name()] = now - k.respondedAt
+		ages[k.source.Name()] = now - k.confirmedAt
 	}
 	return ages
 }
 
-// checkAges logs each kind whose last response is longer ago than its MaxDelay, once until the
-// next response.
+// checkAges logs each kind of which changes may have been missed for longer than its MaxDelay, once
+// until the next response that shows otherwise.
 func (w *Watcher) checkAges() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := w.Clock.Now()
 	for _, k := range w.kinds {
-		age, limit := now-k.respondedAt, k.source.MaxDelay()
+		age, limit := now-k.confirmedAt, k.source.MaxDelay()
 		if age <= limit || k.overdue {
 			continue
 		}
--- a/entry/process/watch/watch.go
+++ b/entry/process/watch/watch.go
@@ -1,9 +1,10 @@
 // Package watch keeps an entry's view up to date with the store: it lists each
 // kind of object once and then watches for changes.
 //
-// The response to any call may be lost, and nothing but time shows it. Each watch is therefore
-// short enough that a change whose response was lost is applied within the delay that is allowed
-// for its kind.
+// The response to any call may be lost, and nothing but time shows it. So that a change whose
+// response was lost is applied within the delay that is allowed for its kind, the watch of one kind
+// is short. Its responses state the position of the store, and thus whether a kind that still waits
+// may have missed something: its watch is renewed then.
 package watch
 
 import (
@@ -43,9 +44,10 @@
 	// List reads all objects, applies them and returns the store's position.
 	List(ctx context.Context) (snapshot.Position, error)
 	// Watch waits for changes after a position, applies them and returns the
-	// position from which to continue. It gives up ResponseMargin after the end of the
-	// wait; its error wraps context.DeadlineExceeded then.
-	Watch(ctx context.Context, after snapshot.Position, wait clock.Millis) (snapshot.Position, error)
+	// position from which to continue, and whether there were changes of the kind. It gives
+	// up ResponseMargin after the end of the wait; its error wraps context.DeadlineExceeded
+	// then.
+	Watch(ctx context.Context, after snapshot.Position, wait clock.Millis) (at snapshot.Position, changed bool, err error)
 }
 
 // Watcher keeps several kinds up to date. Exported fields must be set before Run.
@@ -57,11 +59,17 @@
 	mu sync.Mutex
 	// kinds holds the state of each source, nil before Run.
 	kinds []*kind
+	// latest is the latest position that a response has stated.
+	latest snapshot.Position
+	// isComparable is set once a watch without changes has ended at a later position, so that
+	// positions are those of the store and not of the kind.
+	isComparable bool
 	// mirroredAt is when another entry last reported the store's content.
 	mirroredAt clock.Millis
 }
 
-// kind is the state of one source.
+// kind is the state of one source. It is guarded by the watcher's mutex, except for what only the
+// goroutine that follows the kind uses.
 type kind struct {
 	source Source
 	// failingSince is when its calls began to fail, 0 if they succeed and 1 before the first
@@ -70,10 +78,21 @@
 	// cancel ends the call in progress.
 	cancel        context.CancelFunc
 	relistPending bool
-	// respondedAt is when the last response arrived, and overdue whether it is longer ago than
-	// the source's MaxDelay.
-	respondedAt clock.Millis
+	// at is the position of the store up to which changes are known, once the kind is listed.
+	at     snapshot.Position
+	listed bool
+	// waitsLong is set while a watch waits for longer than the source's MaxDelay allows, and
+	// renewed once it has been cancelled to be renewed.
+	waitsLong, renewed bool
+	// confirmedAt is when a response, which may be that of another kind, last showed that no
+	// change has been missed, and overdue whether it is longer ago than the source's MaxDelay.
+	confirmedAt clock.Millis
 	overdue     bool
+
+	// failed is set if the last call had no response. It and the backoffs are used by one
+	// goroutine only.
+	failed            bool
+	failures, relists backoff
 }
 
 // Run keeps all kinds up to date until ctx is done.
@@ -81,6 +100,7 @@
 	w.prepare()
 	var followers sync.WaitGroup
 	followers.Go(func() { clock.Every(ctx, ageCheckInterval, w.checkAges) })
+	followers.Go(func() { clock.Every(ctx, renewInterval, w.renewWatches) })
 	for _, k := range w.kinds {
 		followers.Go(func() { w.follow(ctx, k) })
 	}
@@ -92,7 +112,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, source := range w.Sources {
-		w.kinds = append(w.kinds, &kind{source: source, failingSince: 1, respondedAt: w.Clock.Now()})
+		w.kinds = append(w.kinds, &kind{source: source, failingSince: 1, confirmedAt: w.Clock.Now()})
 	}
 }
 
@@ -130,100 +150,98 @@
 	}
 }
 
-// consumeRelist reports whether a relist of a kind was requested and clears the
-// request.
-func (w *Watcher) consumeRelist(k *kind) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	pending := k.relistPending
-	k.relistPending = false
-	return pending
-}
-
 // follow lists one kind and then watches it until ctx is done.
 func (w *Watcher) follow(ctx context.Context, k *kind) {
-	var f follower
 	for ctx.Err() == nil {
-		if w.consumeRelist(k) {
-			f.listed = false
-		}
-		next, err := w.listOrWatch(ctx, k, &f)
-		if !w.handle(ctx, k, &f, next, err) {
+		changed, err := w.listOrWatch(ctx, k)
+		if !w.handle(ctx, k, changed, err) {
 			return
 		}
 	}
 }
 
-// follower is the state in which a kind is followed.
-type follower struct {
-	// at is the position of the store up to which changes are known, once the kind is listed.
-	at     snapshot.Position
-	listed bool
-	// failed is set if the last call had no response.
-	failed            bool
-	failures, relists backoff
+// listOrWatch watches a kind if it has been listed, and lists it otherwise. It reports whether a
+// watch has returned changes.
+func (w *Watcher) listOrWatch(ctx context.Context, k *kind) (changed bool, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	next := w.begin(k, cancel)
+	at := next.after
+	if next.isList {
+		at, err = k.source.List(ctx)
+	} else {
+		at, changed, err = k.source.Watch(ctx, next.after, next.wait)
+	}
+	if err == nil {
+		w.recordSuccess(k, at, changed)
+	}
+	return changed, err
+}
+
+// call is the next call for a kind: a list, or a watch after a position.
+type call struct {
+	isList bool
+	after  snapshot.Position
+	wait   clock.Millis
+}
+
+// begin returns the next call for a kind, which cancel ends.
+func (w *Watcher) begin(k *kind, cancel context.CancelFunc) call {
+	wait := w.nextWait(k)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if k.relistPending {
+		k.listed = false
+	}
+	k.cancel, k.relistPending, k.renewed = cancel, false, false
+	k.waitsLong = k.listed && wait == maxWait
+	return call{!k.listed, k.at, wait}
 }
 
-// handle applies the result of a call and pauses where necessary. It returns false if ctx is done.
-func (w *Watcher) handle(ctx context.Context, k *kind, f *follower, next snapshot.Position, err error) bool {
+// handle pauses where necessary after a call. It returns false if ctx is done.
+func (w *Watcher) handle(ctx context.Context, k *kind, changed bool, err error) bool {
 	switch {
 	case err == nil:
-		w.recordSuccess(k)
-		return f.succeeded(ctx, next)
+		return !changed || clock.Sleep(ctx, batchDelay)
 	case errors.Is(err, ErrHistoryGone) || errors.Is(err, ErrRestored):
-		w.Log.Emit(event.StoreHistoryGone, event.Fields{"kind": k.source.Name(), "timeline": f.at.Timeline, "revision": f.at.Revision, "cause": err.Error()})
-		f.listed = false
+		w.Log.Emit(event.StoreHistoryGone, event.Fields{"kind": k.source.Name(), "timeline": k.at.Timeline, "revision": k.at.Revision, "cause": err.Error()})
+		w.requireList(k)
 		if errors.Is(err, ErrHistoryGone) {
 			w.relistOthers(k) // Reset follows a restore
 		}
-		return f.relists.pauseUnlessFirst(ctx)
-	case w.needsRelist(k):
-		return ctx.Err() == nil // cancelled by requestRelist
+		return k.relists.pauseUnlessFirst(ctx)
+	case w.interrupted(k):
+		return ctx.Err() == nil
 	}
-	return w.handleFailure(ctx, k, f, err)
+	return w.handleFailure(ctx, k, err)
 }
 
 // handleFailure pauses after a call without a response. The next call lists the kind, which shows
 // soon whether the store responds. It also has what a watch may have missed before it was cut off.
-func (w *Watcher) handleFailure(ctx context.Context, k *kind, f *follower, err error) bool {
-	isFirst := !f.failed
-	f.listed, f.failed = false, true
+func (w *Watcher) handleFailure(ctx context.Context, k *kind, err error) bool {
+	isFirst := !k.failed
+	k.failed = true
+	w.requireList(k)
 	if isFirst && errors.Is(err, context.DeadlineExceeded) {
 		// One lost response is no outage. The kind is listed at once.
 		w.Log.Error(event.StoreResponseLost, err, event.Fields{"kind": k.source.Name()})
 		return ctx.Err() == nil
 	}
 	w.recordFailure(k, err)
-	return f.failures.pause(ctx)
-}
-
-// succeeded records the position up to which changes are known. It returns false if ctx is done.
-func (f *follower) succeeded(ctx context.Context, next snapshot.Position) bool {
-	changed := f.listed && next != f.at
-	f.failures.reset()
-	if f.listed {
-		f.relists.reset()
-	}
-	f.at, f.listed, f.failed = next, true, false
-	return !changed || clock.Sleep(ctx, batchDelay)
+	return k.failures.pause(ctx)
 }
 
-// needsRelist reports whether a relist of a kind was requested.
-func (w *Watcher) needsRelist(k *kind) bool {
+// requireList makes the next call for a kind list it.
+func (w *Watcher) requireList(k *kind) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return k.relistPending
+	k.listed = false
 }
 
-// listOrWatch watches a kind after a position if it has been listed, and lists it otherwise.
-func (w *Watcher) listOrWatch(ctx context.Context, k *kind, f *follower) (snapshot.Position, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+// interrupted reports whether the last call of a kind was cancelled so that it is listed again or
+// its watch is renewed.
+func (w *Watcher) interrupted(k *kind) bool {
 	w.mu.Lock()
-	k.cancel = cancel
-	w.mu.Unlock()
-	if !f.listed {
-		return k.source.List(ctx)
-	}
-	return k.source.Watch(ctx, f.at, waitFor(k.source.MaxDelay()))
+	defer w.mu.Unlock()
+	return k.relistPending || k.renewed
 }
