Keep a renewed watch short, and all watches while the store changes

A renewed watch waited long again, and was renewed with each check, ten times a second, as long as a silent store confirmed nothing. Where the store changes all the time, a renewed watch confirmed its kind only at the end of its wait, up to 8.5 s after the last confirmation of data centres, and 1265 was logged.

Change: the watch that follows a renewal is short, and a kind waits for long only once the store has not changed for its delay.

--- a/entry/process/watch/status.go
+++ b/entry/process/watch/status.go
@@ -69,10 +69,10 @@
 	k.failures.reset()
 	k.failingSince, k.failed = 0, false
 	k.at, k.listed = at, true
+	now := w.Clock.Now()
 	if w.latest.Before(at) {
-		w.latest = at
+		w.latest, w.movedAt = at, now
 	}
-	now := w.Clock.Now()
 	for _, other := range w.kinds {
 		if other == k || (w.isComparable && other.listed && !other.at.Before(at)) {
 			other.confirmedAt, other.overdue = now, false
--- a/entry/process/watch/wait.go
+++ b/entry/process/watch/wait.go
@@ -24,18 +24,19 @@
 	return min(max(maxDelay-batchDelay-ResponseMargin-repeatTime, minWait), maxWait)
 }
 
-// nextWait returns how long the next watch of a kind waits. A kind that has no later changes to
-// learn of may wait for long, since renewWatches ends the wait in time. Only the watch that states
-// the position of the store for all kinds is always short.
+// nextWait returns how long the next watch of a kind waits. While the store does not change, a kind
+// may wait for long, since renewWatches ends the wait in time. Only the watch that states the
+// position of the store for all kinds is always short.
 func (w *Watcher) nextWait(k *kind) clock.Millis {
-	wait := waitFor(k.source.MaxDelay())
+	maxDelay := k.source.MaxDelay()
 	if w.shortestDelay() == k {
-		return wait
+		return waitFor(maxDelay)
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if !w.isComparable || k.at.Before(w.latest) {
-		return wait
+	isCalm := w.Clock.Now()-w.movedAt >= maxDelay
+	if !w.isComparable || !isCalm || k.renewed || k.at.Before(w.latest) {
+		return waitFor(maxDelay)
 	}
 	return maxWait
 }
--- a/entry/process/watch/wait_test.go
+++ b/entry/process/watch/wait_test.go
@@ -69,12 +69,22 @@
 	return w.ended[w.long] - before
 }
 
-// Guards against calls that a store which does not change is burdened with, and against a watch
-// that waits on although the store has changed and its response may have been lost.
-func TestWatchIsRenewedWhereStoreHasChanged(t *testing.T) {
+// newCalmKinds returns a Watcher of kinds whose store has not changed for a while.
+func newCalmKinds(t *testing.T) *watchedKinds {
+	t.Helper()
 	w := newWatchedKinds(t)
 	w.respond(w.short, 11, false) // shows that positions are those of the store
 	w.respond(w.long, 11, false)
+	w.Clock.Advance(testMaxDelay)
+	w.respond(w.short, 11, false)
+	w.respond(w.long, 11, false)
+	return w
+}
+
+// Guards against calls that a store which does not change is burdened with, and against a watch
+// that waits on although the store has changed and its response may have been lost.
+func TestWatchIsRenewedWhereStoreHasChanged(t *testing.T) {
+	w := newCalmKinds(t)
 	check.Equal(t, "renewals while the store does not change", w.pass(maxWait, 11), 0)
 	check.Equal(t, "renewals once the store has changed", w.pass(testMaxDelay-repeatTime, 12), 1)
 	check.Equal(t, "renewed watch", w.watch(w.long), call{after: snapshot.Position{Revision: 11}, wait: waitFor(testMaxDelay)})
@@ -83,27 +93,42 @@
 }
 
 // Guards against a lost response that is not noticed in time where the watch that states the
-// position of the store gets no response either.
+// position of the store gets no response either, and against a watch that is renewed again and
+// again while the store is silent: that were ten calls a second.
 func TestWatchIsRenewedWithoutConfirmation(t *testing.T) {
-	w := newWatchedKinds(t)
-	w.respond(w.short, 11, false)
-	w.respond(w.long, 11, false)
+	w := newCalmKinds(t)
 	for at := clock.Millis(0); at < testMaxDelay-repeatTime; at += renewInterval {
 		w.Clock.Advance(renewInterval)
 		w.renewWatches()
 	}
 	check.Equal(t, "renewals", w.ended[w.long], 1)
 	check.Equal(t, "short watches that were ended", w.ended[w.short], 0)
+	check.Equal(t, "wait of the renewed watch", w.watch(w.long).wait, waitFor(testMaxDelay))
+	w.Clock.Advance(renewInterval)
+	w.renewWatches()
+	check.Equal(t, "renewals of the renewed watch", w.ended[w.long], 1)
+}
+
+// Guards against more calls than with short watches alone, where the store changes all the time.
+func TestWatchesAreShortWhileStoreChanges(t *testing.T) {
+	w := newCalmKinds(t)
+	w.respond(w.short, 12, true)
+	w.respond(w.long, 12, false)
+	check.Equal(t, "wait", w.watch(w.long).wait, waitFor(testMaxDelay))
+	w.Clock.Advance(testMaxDelay)
+	w.respond(w.long, 12, false)
+	check.Equal(t, "wait once the store has not changed for a while", w.watch(w.long).wait, maxWait)
 }
 
 // Guards against trust in the positions of a store that counts the changes of each kind by itself.
 func TestWatchesAreShortWherePositionsAreNotComparable(t *testing.T) {
 	w := newWatchedKinds(t)
-	check.Equal(t, "wait", w.watch(w.long).wait, waitFor(testMaxDelay))
 	w.respond(w.short, 11, true)
 	w.respond(w.long, 11, true)
+	w.Clock.Advance(testMaxDelay)
 	check.Equal(t, "wait after changes of each kind", w.watch(w.long).wait, waitFor(testMaxDelay))
 	w.respond(w.short, 12, false)
 	w.respond(w.long, 12, false)
+	w.Clock.Advance(testMaxDelay)
 	check.Equal(t, "wait after a watch that ended later without changes", w.watch(w.long).wait, maxWait)
 }
--- a/entry/process/watch/watch.go
+++ b/entry/process/watch/watch.go
@@ -59,8 +59,10 @@
 	mu sync.Mutex
 	// kinds holds the state of each source, nil before Run.
 	kinds []*kind
-	// latest is the latest position that a response has stated.
-	latest snapshot.Position
+	// latest is the latest position that a response has stated, and movedAt when one stated a
+	// later position than those before.
+	latest  snapshot.Position
+	movedAt clock.Millis
 	// isComparable is set once a watch without changes has ended at a later position, so that
 	// positions are those of the store and not of the kind.
 	isComparable bool
@@ -193,7 +195,7 @@
 	if k.relistPending {
 		k.listed = false
 	}
-	k.cancel, k.relistPending, k.renewed = cancel, false, false
+	k.cancel, k.relistPending, k.renewed = cancel, false, false // a call that was interrupted is over
 	k.waitsLong = k.listed && wait == maxWait
 	return call{!k.listed, k.at, wait}
 }
