Log crashes of upstreams whose cause is not decided yet

Cause: the logs show each crash (1306) and each quarantine (1307), but not why there is none although a request is in flight at crash after crash.

Change: event 1308 tells, at the entry that has seen the crash, how many crashes are known and in what time a cause is decided.

--- a/core/process/event/catalogue.go
+++ b/core/process/event/catalogue.go
@@ -72,6 +72,7 @@
 	StreamResumed      = define(1305, logrus.InfoLevel, "stream resumed on a new connection")
 	RequestSuspect     = define(1306, logrus.WarnLevel, "request was in flight when its upstream crashed")
 	RequestQuarantined = define(1307, logrus.WarnLevel, "request quarantined after crashing upstreams")
+	CrashUndecided     = define(1308, logrus.InfoLevel, "upstream crashed; which requests crash upstreams is not decided yet")
 	RequestCompleted   = define(1310, logrus.InfoLevel, "request completed")
 	RequestRejected    = define(1311, logrus.InfoLevel, "request rejected without being executed")
 	RequestFailed      = define(1312, logrus.WarnLevel, "request failed after it was sent to an upstream")
--- a/entry/process/quarantines/service.go
+++ b/entry/process/quarantines/service.go
@@ -115,10 +115,15 @@
 func (s *Service) Crashed(upstream string, startTime int64, request []quarantine.Fingerprint) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.tracker.Crashed(s.Clock.Now(), upstream, startTime, request) {
-		s.unshared, s.reporting = true, true
-		s.applyDecisions()
-		s.wake()
+	now := s.Clock.Now()
+	if !s.tracker.Crashed(now, upstream, startTime, request) {
+		return
+	}
+	s.unshared, s.reporting = true, true
+	s.applyDecisions()
+	s.wake()
+	if at := s.tracker.DecideAt(); at != 0 {
+		s.Log.Emit(event.CrashUndecided, event.Fields{"upstream": upstream, "crashes": s.tracker.Crashes(), "decideInMs": at - now})
 	}
 }
 
--- a/entry/request/quarantine/tracker.go
+++ b/entry/request/quarantine/tracker.go
@@ -157,6 +157,9 @@
 // Empty reports whether there is no crash and no quarantine to share.
 func (t *Tracker) Empty() bool { return len(t.crashes) == 0 && len(t.blocks) == 0 }
 
+// Crashes returns the number of crashes that count.
+func (t *Tracker) Crashes() int { return len(t.crashes) }
+
 // Active returns the number of fingerprints in quarantine.
 func (t *Tracker) Active(now clock.Millis) int {
 	n := 0
