Tell a request's own fingerprints from those of its parts

Cause: the quarantine got one list, in which only the order told which fingerprints other requests may share. No behaviour changes; the tests use the new type and check as before.

--- a/entry/process/quarantines/service.go
+++ b/entry/process/quarantines/service.go
@@ -51,12 +51,12 @@
 
 // runningRequest is a request whose context ends when it is quarantined.
 type runningRequest struct {
-	fingerprints []quarantine.Fingerprint
-	cancel       context.CancelCauseFunc
+	request quarantine.Request
+	cancel  context.CancelCauseFunc
 }
 
 // Arrived counts a request and reports whether it is refused, and for how long.
-func (s *Service) Arrived(request []quarantine.Fingerprint) (remaining clock.Millis, blocked bool) {
+func (s *Service) Arrived(request quarantine.Request) (remaining clock.Millis, blocked bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	remaining, blocked = s.tracker.Arrived(s.Clock.Now(), request)
@@ -65,7 +65,7 @@
 }
 
 // Remaining returns how long requests like this one are still refused, or 0.
-func (s *Service) Remaining(request []quarantine.Fingerprint) clock.Millis {
+func (s *Service) Remaining(request quarantine.Request) clock.Millis {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	remaining, _ := s.tracker.Blocked(s.Clock.Now(), request)
@@ -82,7 +82,7 @@
 
 // Track returns a context that ends with the cause ErrQuarantined when the request is
 // quarantined. The caller must call stop once the request has ended.
-func (s *Service) Track(ctx context.Context, request []quarantine.Fingerprint) (tracked context.Context, stop func()) {
+func (s *Service) Track(ctx context.Context, request quarantine.Request) (tracked context.Context, stop func()) {
 	tracked, cancel := context.WithCancelCause(ctx)
 	r := &runningRequest{request, cancel}
 	s.mu.Lock()
@@ -104,7 +104,7 @@
 }
 
 // Succeeded records that an upstream has responded to a request without crashing.
-func (s *Service) Succeeded(request []quarantine.Fingerprint) {
+func (s *Service) Succeeded(request quarantine.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.tracker.Succeeded(s.Clock.Now(), request)
@@ -112,7 +112,7 @@
 
 // Crashed records that an incarnation of an upstream has crashed while it was running a
 // request.
-func (s *Service) Crashed(upstream string, startTime int64, request []quarantine.Fingerprint) {
+func (s *Service) Crashed(upstream string, startTime int64, request quarantine.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.Clock.Now()
@@ -177,7 +177,7 @@
 	}
 	now := s.Clock.Now()
 	for r := range s.running {
-		if _, blocked := s.tracker.Blocked(now, r.fingerprints); blocked {
+		if _, blocked := s.tracker.Blocked(now, r.request); blocked {
 			r.cancel(ErrQuarantined)
 		}
 	}
--- a/entry/request/forward/crash.go
+++ b/entry/request/forward/crash.go
@@ -9,6 +9,7 @@
 	"goldcrestshore/core/process/event"
 	"goldcrestshore/core/request/fingerprint"
 	"goldcrestshore/entry/connection/upstream"
+	"goldcrestshore/entry/request/quarantine"
 	"goldcrestshore/entry/version/config"
 )
 
@@ -20,31 +21,31 @@
 	soundEvents = 2
 )
 
-// fingerprints returns the fingerprints of a customer's request, of its body, and of the
-// parts of its prompt but the last, as package quarantine expects them.
-func fingerprints(service string, customer *config.Customer, r *upstream.Request, promptParts string) []fingerprint.Fingerprint {
+// quarantineRequest returns the fingerprints of a customer's request: its own ones, with and without
+// its prompt, and those of the parts of its prompt but the last.
+func quarantineRequest(service string, customer *config.Customer, r *upstream.Request, promptParts string) quarantine.Request {
 	name := ""
 	if customer != nil {
 		name = customer.Name
 	}
-	parts := strings.Split(promptParts, ",")
-	parts = parts[:min(len(parts)-1, maxPromptParts)]
-	out := []fingerprint.Fingerprint{fingerprint.OfValues(service, r.Method, r.Target, name, string(r.Body), promptParts)}
+	own := []quarantine.Fingerprint{fingerprint.OfValues(service, r.Method, r.Target, name, string(r.Body), promptParts)}
 	if len(r.Body) > 0 && promptParts != "" {
-		out = append(out, fingerprint.OfValues(service, r.Method, r.Target, name, string(r.Body)))
+		own = append(own, fingerprint.OfValues(service, r.Method, r.Target, name, string(r.Body)))
 	}
-	for _, part := range parts {
+	parts := strings.Split(promptParts, ",")
+	var shared []quarantine.Fingerprint
+	for _, part := range parts[:min(len(parts)-1, maxPromptParts)] {
 		id, _, _ := strings.Cut(part, ":")
-		out = append(out, fingerprint.OfValues(service, strings.TrimSpace(id)))
+		shared = append(shared, fingerprint.OfValues(service, strings.TrimSpace(id)))
 	}
-	return out
+	return quarantine.NewRequest(own, shared)
 }
 
 // recordSound records that the upstream has not crashed although it has begun to respond to
 // the request with success. A failure is no sign of that: it may not have begun.
 func (c *call) recordSound() {
 	if c.server.Quarantine != nil {
-		c.server.Quarantine.Succeeded(c.request.fingerprints)
+		c.server.Quarantine.Succeeded(c.request.quarantine)
 	}
 }
 
@@ -58,9 +59,9 @@
 	if !brokeOff || c.attemptEvents >= soundEvents || !upstream.RefusesConnections(ctx, address) {
 		return
 	}
-	s.Log.Emit(event.RequestSuspect, event.Fields{"request": r.id, "upstream": c.upstream, "events": c.attemptEvents, "fingerprints": r.fingerprints})
+	s.Log.Emit(event.RequestSuspect, event.Fields{"request": r.id, "upstream": c.upstream, "events": c.attemptEvents, "fingerprints": r.quarantine.Fingerprints()})
 	registered := s.State.View().Upstreams()[c.upstream]
 	if s.Quarantine != nil && registered != nil && !registered.Draining {
-		s.Quarantine.Crashed(c.upstream, registered.StartTime, r.fingerprints)
+		s.Quarantine.Crashed(c.upstream, registered.StartTime, r.quarantine)
 	}
 }
--- a/entry/request/forward/crash_test.go
+++ b/entry/request/forward/crash_test.go
@@ -12,8 +12,8 @@
 	"goldcrestshore/core/process/check"
 	"goldcrestshore/core/process/clock"
 	"goldcrestshore/core/process/event"
-	"goldcrestshore/core/request/fingerprint"
 	"goldcrestshore/entry/process/quarantines"
+	"goldcrestshore/entry/request/quarantine"
 	"goldcrestshore/entry/version/fleet"
 )
 
@@ -22,8 +22,9 @@
 func warmQuarantine(log *event.Log) *quarantines.Service {
 	c := clock.NewManual(clock.Hour)
 	service := &quarantines.Service{Clock: c, Log: log}
-	service.Arrived([]fingerprint.Fingerprint{1})
-	service.Succeeded([]fingerprint.Fingerprint{1})
+	sound := quarantine.NewRequest(nil, []quarantine.Fingerprint{1})
+	service.Arrived(sound)
+	service.Succeeded(sound)
 	c.Advance(clock.Minute)
 	return service
 }
--- a/entry/request/forward/request.go
+++ b/entry/request/forward/request.go
@@ -13,8 +13,8 @@
 	"github.com/cockroachdb/errors"
 
 	"goldcrestshore/core/process/clock"
-	"goldcrestshore/core/request/fingerprint"
 	"goldcrestshore/entry/connection/upstream"
+	"goldcrestshore/entry/request/quarantine"
 	"goldcrestshore/entry/version/config"
 	"goldcrestshore/entry/version/fleet"
 )
@@ -60,8 +60,8 @@
 	service       string
 	priority      int
 	promptTokens  int
-	// fingerprints identify the request and what other requests may share with it.
-	fingerprints []fingerprint.Fingerprint
+	// quarantine identifies the request and what other requests may share with it.
+	quarantine quarantine.Request
 	// lastEventID is the id of the last event that the caller received.
 	lastEventID string
 	// upstreamRequest is the request that upstreams receive, without the headers
@@ -125,7 +125,7 @@
 	}
 	s.prepareUpstreamRequest(r, q, cfg, customer, target, body)
 	if s.Quarantine != nil {
-		if remaining, blocked := s.Quarantine.Arrived(r.fingerprints); blocked {
+		if remaining, blocked := s.Quarantine.Arrived(r.quarantine); blocked {
 			return r, &refusal{status: http.StatusServiceUnavailable, reason: reasonQuarantined, retryAfter: remaining}
 		}
 	}
@@ -212,7 +212,7 @@
 		Method: q.Method, Target: target, Host: q.Host, Header: header, Body: body,
 		IDHeader: h.RequestID, ID: r.id,
 	}
-	r.fingerprints = fingerprints(r.service, customer, &r.upstreamRequest, header.Get(h.PromptParts))
+	r.quarantine = quarantineRequest(r.service, customer, &r.upstreamRequest, header.Get(h.PromptParts))
 }
 
 // hashFraction maps a request id to [0,1), so that requests with the same id go
--- a/entry/request/forward/respond.go
+++ b/entry/request/forward/respond.go
@@ -40,7 +40,7 @@
 	var retryAfter clock.Millis
 	switch reason {
 	case reasonQuarantined:
-		retryAfter = c.server.Quarantine.Remaining(c.request.fingerprints)
+		retryAfter = c.server.Quarantine.Remaining(c.request.quarantine)
 	case reasonStopping: // other entries are free at once
 	default:
 		c.server.Scheduler.WithBalancer(func(now clock.Millis, b *balance.Balancer) { retryAfter = b.RetryAfter(now, c.request.service) })
--- a/entry/request/forward/server.go
+++ b/entry/request/forward/server.go
@@ -181,7 +181,7 @@
 	ctx, stop := s.untilStopped(ctx)
 	defer stop()
 	if s.Quarantine != nil {
-		tracked, stop := s.Quarantine.Track(ctx, r.fingerprints)
+		tracked, stop := s.Quarantine.Track(ctx, r.quarantine)
 		defer stop()
 		ctx = tracked
 	}
--- a/entry/request/quarantine/history.go
+++ b/entry/request/quarantine/history.go
@@ -30,21 +30,21 @@
 	succeeded bool
 }
 
-func (h *history) arrived(now clock.Millis, request []Fingerprint) {
+func (h *history) arrived(now clock.Millis, request Request) {
 	h.update(now, &h.firstArrival, request, func(a *activity) { a.arrivals++ })
 }
 
-func (h *history) recordSuccess(now clock.Millis, request []Fingerprint) {
+func (h *history) recordSuccess(now clock.Millis, request Request) {
 	h.update(now, &h.firstSuccess, request, func(a *activity) { a.succeeded = true })
 }
 
 // update changes the activity of fingerprints, and sets first unless it is set.
-func (h *history) update(now clock.Millis, first *clock.Millis, request []Fingerprint, change func(*activity)) {
+func (h *history) update(now clock.Millis, first *clock.Millis, request Request, change func(*activity)) {
 	h.expire(now)
 	if *first == 0 {
 		*first = now
 	}
-	for _, f := range request {
+	for _, f := range request.fingerprints {
 		h.activities.Update(now, f, change)
 	}
 }
--- a/entry/request/quarantine/quarantine.go
+++ b/entry/request/quarantine/quarantine.go
@@ -7,10 +7,15 @@
 // quarantined once two upstreams have crashed under requests that had it, unless requests
 // with it have succeeded lately. Of fingerprints that always occur together only the rarest
 // is quarantined, so that requests that share the others are still served.
+//
+// An entry that has just started does not know which fingerprints are sound. Until it does, it
+// quarantines a request's own fingerprints alone, once three upstreams have crashed under them that
+// can't have failed together.
 package quarantine
 
 import (
 	"encoding/json"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 
@@ -21,6 +26,25 @@
 // Fingerprint identifies a request or a part that requests share.
 type Fingerprint = fingerprint.Fingerprint
 
+// Request holds the fingerprints of a request.
+type Request struct {
+	fingerprints []Fingerprint
+	// ownCount is the number of those that only requests like this one have.
+	ownCount int
+}
+
+// NewRequest returns a request with its own fingerprints, which only requests like it have, and
+// those of its parts that other requests may share, in order.
+func NewRequest(own, shared []Fingerprint) Request {
+	return Request{slices.Concat(own, shared), len(own)}
+}
+
+// Fingerprints returns all fingerprints. Callers must not change the slice.
+func (r Request) Fingerprints() []Fingerprint { return r.fingerprints }
+
+// own returns the fingerprints that only requests like this one have.
+func (r Request) own() []Fingerprint { return r.fingerprints[:r.ownCount] }
+
 // ErrMalformed means that a stored state can't be decoded.
 var ErrMalformed = errors.New("malformed state of the quarantine")
 
--- a/entry/request/quarantine/tracker.go
+++ b/entry/request/quarantine/tracker.go
@@ -53,7 +53,7 @@
 func (c Crash) incarnation() incarnation { return incarnation{c.Upstream, c.StartTime} }
 
 // Arrived counts a request and reports, like Blocked, whether it is refused.
-func (t *Tracker) Arrived(now clock.Millis, request []Fingerprint) (remaining clock.Millis, blocked bool) {
+func (t *Tracker) Arrived(now clock.Millis, request Request) (remaining clock.Millis, blocked bool) {
 	t.history.arrived(now, request)
 	return t.Blocked(now, request)
 }
@@ -61,10 +61,10 @@
 // Blocked reports whether a request is refused, and how long its quarantine still lasts. A
 // fingerprint with which requests of this entry have succeeded lately is not refused: it
 // occurred together with the one that crashes upstreams.
-func (t *Tracker) Blocked(now clock.Millis, request []Fingerprint) (remaining clock.Millis, blocked bool) {
+func (t *Tracker) Blocked(now clock.Millis, request Request) (remaining clock.Millis, blocked bool) {
 	t.Decide(now)
 	t.history.expire(now)
-	for _, f := range request {
+	for _, f := range request.fingerprints {
 		if t.history.succeeded(f) {
 			continue
 		}
@@ -77,7 +77,7 @@
 }
 
 // Succeeded records that an upstream has responded to a request without crashing.
-func (t *Tracker) Succeeded(now clock.Millis, request []Fingerprint) {
+func (t *Tracker) Succeeded(now clock.Millis, request Request) {
 	t.history.recordSuccess(now, request)
 	if at, known := t.history.warmAt(); known && t.decideAt != 0 {
 		t.decideAt = min(t.decideAt, at)
@@ -86,9 +86,9 @@
 
 // Crashed records that an incarnation of an upstream has crashed while it was running a
 // request. It reports whether that is worth sharing.
-func (t *Tracker) Crashed(now clock.Millis, upstream string, startTime int64, request []Fingerprint) bool {
+func (t *Tracker) Crashed(now clock.Millis, upstream string, startTime int64, request Request) bool {
 	t.history.expire(now)
-	unproven := slices.DeleteFunc(slices.Clone(request), t.history.succeeded)
+	unproven := slices.DeleteFunc(slices.Clone(request.fingerprints), t.history.succeeded)
 	if len(unproven) == 0 {
 		return false
 	}
--- a/entry/request/quarantine/tracker_test.go
+++ b/entry/request/quarantine/tracker_test.go
@@ -15,23 +15,31 @@
 // newTracker returns a tracker of an entry that has served other requests before.
 func newTracker() *Tracker {
 	t := &Tracker{}
-	t.Arrived(warmStart-warmupTime, []Fingerprint{99})
-	t.Succeeded(warmStart-warmupTime, []Fingerprint{99})
+	t.Arrived(warmStart-warmupTime, withParts(99))
+	t.Succeeded(warmStart-warmupTime, withParts(99))
 	return t
 }
 
+// request returns a request with a fingerprint of its own and those of parts.
+func request(own Fingerprint, parts ...Fingerprint) Request {
+	return NewRequest([]Fingerprint{own}, parts)
+}
+
+// withParts returns a request of which only the fingerprints of parts matter.
+func withParts(parts ...Fingerprint) Request { return NewRequest(nil, parts) }
+
 // crashes reports n crashes under requests that have the parts and a fingerprint of their
 // own.
 func crashes(t *Tracker, at clock.Millis, n int, parts ...Fingerprint) {
 	for i := range n {
-		request := append([]Fingerprint{Fingerprint(1000+100*at) + Fingerprint(i)}, parts...)
-		t.Arrived(at, request)
-		t.Crashed(at, fmt.Sprint("u", at, "-", i), int64(at), request)
+		r := request(Fingerprint(1000+100*at)+Fingerprint(i), parts...)
+		t.Arrived(at, r)
+		t.Crashed(at, fmt.Sprint("u", at, "-", i), int64(at), r)
 	}
 }
 
-func blocked(t *Tracker, at clock.Millis, request ...Fingerprint) bool {
-	_, blocked := t.Blocked(at, request)
+func blocked(t *Tracker, at clock.Millis, parts ...Fingerprint) bool {
+	_, blocked := t.Blocked(at, withParts(parts...))
 	return blocked
 }
 
@@ -52,56 +60,55 @@
 			crashes(t, now+5*clock.Second, 1, caller, part)
 		}, map[Fingerprint]bool{part: true}},
 		{"the part is the first one", func(t *Tracker) {
-			t.Succeeded(now, []Fingerprint{other, 50})
+			t.Succeeded(now, withParts(other, 50))
 			crashes(t, now, 2, part, other)
 		}, map[Fingerprint]bool{part: true}},
 		{"requests without the part have only arrived", func(t *Tracker) {
-			t.Arrived(now, []Fingerprint{caller, 50})
+			t.Arrived(now, withParts(caller, 50))
 			crashes(t, now, 2, part, caller)
 		}, map[Fingerprint]bool{part: true}},
 		{"requests with the part have succeeded", func(t *Tracker) {
-			t.Succeeded(now, []Fingerprint{part})
+			t.Succeeded(now, withParts(part))
 			crashes(t, now, 4, part)
 		}, nil},
 		{"the same request twice", func(t *Tracker) {
 			for i := range 2 {
-				request := []Fingerprint{whole, caller}
-				t.Arrived(now, []Fingerprint{caller, 60 + Fingerprint(i)})
-				t.Arrived(now, request)
-				t.Crashed(now, fmt.Sprint("u", i), 1, request)
+				t.Arrived(now, request(60+Fingerprint(i), caller))
+				t.Arrived(now, request(whole, caller))
+				t.Crashed(now, fmt.Sprint("u", i), 1, request(whole, caller))
 			}
 		}, map[Fingerprint]bool{whole: true}},
 		{"a request that was sent twice, and another", func(t *Tracker) {
 			crashes(t, now, 1, part)
 			for i := range 2 {
-				t.Crashed(now, fmt.Sprint("v", i), 1, []Fingerprint{whole, part})
+				t.Crashed(now, fmt.Sprint("v", i), 1, request(whole, part))
 			}
 		}, map[Fingerprint]bool{part: true}},
 		{"the same incarnation twice", func(t *Tracker) {
 			for i := range 2 {
-				t.Crashed(now, "u", 1, []Fingerprint{60 + Fingerprint(i), part})
+				t.Crashed(now, "u", 1, request(60+Fingerprint(i), part))
 			}
 		}, nil},
 		{"upstreams that fail together", func(t *Tracker) {
 			for i := range 6 {
-				t.Crashed(now, fmt.Sprint("u", i), 1, []Fingerprint{80 + Fingerprint(i), part + Fingerprint(i/2)})
+				t.Crashed(now, fmt.Sprint("u", i), 1, request(80+Fingerprint(i), part+Fingerprint(i/2)))
 			}
 		}, nil},
 		{"an entry that has just started", func(t *Tracker) {
 			*t = Tracker{}
-			t.Arrived(now, []Fingerprint{99})
-			t.Succeeded(now, []Fingerprint{99})
+			t.Arrived(now, withParts(99))
+			t.Succeeded(now, withParts(99))
 			crashes(t, now, 4, part)
 		}, nil},
 		{"an entry that has become warm since", func(t *Tracker) {
 			*t = Tracker{}
-			t.Arrived(now-warmupTime/2, []Fingerprint{99})
+			t.Arrived(now-warmupTime/2, withParts(99))
 			crashes(t, now-warmupTime/2, 4, part)
-			t.Succeeded(now-warmupTime/2, []Fingerprint{99})
+			t.Succeeded(now-warmupTime/2, withParts(99))
 		}, map[Fingerprint]bool{part: true}},
 		{"an entry that never has a success", func(t *Tracker) {
 			*t = Tracker{}
-			t.Arrived(now-coldTime, []Fingerprint{part})
+			t.Arrived(now-coldTime, withParts(part))
 			crashes(t, now, 2, part)
 		}, map[Fingerprint]bool{part: true}},
 	} {
@@ -122,9 +129,9 @@
 	now := warmStart
 	tracker := newTracker()
 	crashes(tracker, now, 2, part)
-	remaining, _ := tracker.Blocked(now, []Fingerprint{part})
+	remaining, _ := tracker.Blocked(now, withParts(part))
 	check.Equal(t, "until the decision", remaining, settleTime)
-	remaining, _ = tracker.Blocked(now+settleTime, []Fingerprint{part})
+	remaining, _ = tracker.Blocked(now+settleTime, withParts(part))
 	check.Equal(t, "first quarantine", remaining, firstQuarantine-settleTime)
 	check.Equal(t, "added", len(tracker.TakeAdded()), 1)
 	check.Equal(t, "added again", len(tracker.TakeAdded()), 0)
@@ -132,7 +139,7 @@
 	check.Equal(t, "blocked at the end", blocked(tracker, end, part), false)
 	check.Equal(t, "in quarantine before and at the end", fmt.Sprint(tracker.Active(end-1), tracker.Active(end)), "1 0")
 	crashes(tracker, end, 1, part)
-	remaining, _ = tracker.Blocked(end, []Fingerprint{part})
+	remaining, _ = tracker.Blocked(end, withParts(part))
 	check.Equal(t, "after one more crash", remaining, 2*firstQuarantine)
 	late := end + 2*firstQuarantine + blockTTL + 1
 	check.Equal(t, "blocks at the end", len(tracker.State(late).Blocks), 0)
@@ -144,7 +151,7 @@
 	tracker := newTracker()
 	for i := range 50 * maxCrashes {
 		crashes(tracker, warmStart+clock.Millis(i)*outageGap/4, 2, Fingerprint(i))
-		tracker.Arrived(warmStart, []Fingerprint{Fingerprint(100000 + i)})
+		tracker.Arrived(warmStart, withParts(Fingerprint(100000+i)))
 	}
 	s := tracker.State(warmStart + clock.Minute)
 	check.AtMost(t, "crashes", len(s.Crashes), maxCrashes)
@@ -206,7 +213,7 @@
 		Blocks:  []Block{{Fingerprint: 2, Until: future}},
 		Crashes: []Crash{{Upstream: "u", At: future, Requests: [][]Fingerprint{{2}}}},
 	})
-	remaining, _ := tracker.Blocked(warmStart, []Fingerprint{2})
+	remaining, _ := tracker.Blocked(warmStart, withParts(2))
 	check.AtMost(t, "remaining", remaining, maxQuarantine)
 	check.AtMost(t, "time of the crash", tracker.State(warmStart).Crashes[0].At, warmStart)
 }
