Quarantine a crashing request in the first seconds of an entry

Cause: the warm-up of the quarantine's history. In that time even a part that many requests share may have had no success yet, so no cause at all was decided, not even for the fingerprint that only one request has.

Change: while it is not known what is sound, a request's own fingerprint is quarantined once three upstreams have crashed under it over a second or more, without a success. Upstreams that fail together do so within that second, whatever they run, and a request that comes often succeeds between two outages; both are tested. What requests share waits as before; the fingerprint without the prompt, which requests may share, counts with those.

Why it works: the request is refused from its fourth or fifth crash on at 3 requests a second, and from the third on if it comes each second or less often.

--- a/entry/process/quarantines/service.go
+++ b/entry/process/quarantines/service.go
@@ -168,6 +168,12 @@
 // quarantine now. Of the entries that know of the crashes only those that have seen one
 // share the decision. It must be called with mu held.
 func (s *Service) applyDecisions() {
+	now := s.Clock.Now()
+	for r := range s.running {
+		if _, blocked := s.tracker.Blocked(now, r.request); blocked {
+			r.cancel(ErrQuarantined)
+		}
+	}
 	if added := s.tracker.TakeAdded(); len(added) > 0 {
 		s.Log.Emit(event.RequestQuarantined, event.Fields{"fingerprints": added})
 		if s.reporting {
@@ -175,12 +181,6 @@
 			s.wake()
 		}
 	}
-	now := s.Clock.Now()
-	for r := range s.running {
-		if _, blocked := s.tracker.Blocked(now, r.request); blocked {
-			r.cancel(ErrQuarantined)
-		}
-	}
 }
 
 // wake makes Run share the state or wait for the next decision. It must be called with mu
--- a/entry/request/forward/crash.go
+++ b/entry/request/forward/crash.go
@@ -21,24 +21,24 @@
 	soundEvents = 2
 )
 
-// quarantineRequest returns the fingerprints of a customer's request: its own ones, with and without
-// its prompt, and those of the parts of its prompt but the last.
+// quarantineRequest returns the fingerprints of a customer's request: its own, and those that other
+// requests may share: without its prompt, and of the parts of its prompt but the last.
 func quarantineRequest(service string, customer *config.Customer, r *upstream.Request, promptParts string) quarantine.Request {
 	name := ""
 	if customer != nil {
 		name = customer.Name
 	}
-	own := []quarantine.Fingerprint{fingerprint.OfValues(service, r.Method, r.Target, name, string(r.Body), promptParts)}
+	own := fingerprint.OfValues(service, r.Method, r.Target, name, string(r.Body), promptParts)
+	var shared []quarantine.Fingerprint
 	if len(r.Body) > 0 && promptParts != "" {
-		own = append(own, fingerprint.OfValues(service, r.Method, r.Target, name, string(r.Body)))
+		shared = append(shared, fingerprint.OfValues(service, r.Method, r.Target, name, string(r.Body)))
 	}
 	parts := strings.Split(promptParts, ",")
-	var shared []quarantine.Fingerprint
 	for _, part := range parts[:min(len(parts)-1, maxPromptParts)] {
 		id, _, _ := strings.Cut(part, ":")
 		shared = append(shared, fingerprint.OfValues(service, strings.TrimSpace(id)))
 	}
-	return quarantine.NewRequest(own, shared)
+	return quarantine.NewRequest(own, shared...)
 }
 
 // recordSound records that the upstream has not crashed although it has begun to respond to
--- a/entry/request/forward/crash_test.go
+++ b/entry/request/forward/crash_test.go
@@ -22,7 +22,7 @@
 func warmQuarantine(log *event.Log) *quarantines.Service {
 	c := clock.NewManual(clock.Hour)
 	service := &quarantines.Service{Clock: c, Log: log}
-	sound := quarantine.NewRequest(nil, []quarantine.Fingerprint{1})
+	sound := quarantine.NewRequest(1)
 	service.Arrived(sound)
 	service.Succeeded(sound)
 	c.Advance(clock.Minute)
--- a/entry/request/quarantine/tracker.go
+++ b/entry/request/quarantine/tracker.go
@@ -39,6 +39,9 @@
 	// there is nothing to decide.
 	undecided map[Fingerprint]bool
 	decideAt  clock.Millis
+	// repeated holds the time of the last crash of what findRepeated has found, while it is not
+	// known which fingerprints are sound.
+	repeated map[Fingerprint]clock.Millis
 	// added holds the fingerprints whose quarantine has begun since the last call of
 	// TakeAdded.
 	added []Fingerprint
@@ -64,6 +67,7 @@
 func (t *Tracker) Blocked(now clock.Millis, request Request) (remaining clock.Millis, blocked bool) {
 	t.Decide(now)
 	t.history.expire(now)
+	remaining = t.blockRepeated(now, request)
 	for _, f := range request.fingerprints {
 		if t.history.succeeded(f) {
 			continue
@@ -132,15 +136,17 @@
 }
 
 func (t *Tracker) decide(now clock.Millis) {
-	t.undecided, t.decideAt = nil, 0
+	t.undecided, t.decideAt, t.repeated = nil, 0, nil
 	t.extendBlocks()
+	crashes := t.unexplainedCrashes()
 	if at, known := t.history.warmAt(); !known || now < at {
+		t.repeated = findRepeated(crashes, &t.history)
 		if known && len(t.crashes) > 0 {
 			t.decideAt = at
 		}
 		return
 	}
-	for _, s := range findCauses(t.unexplainedCrashes(), &t.history) {
+	for _, s := range findCauses(crashes, &t.history) {
 		due := s.lastCrash() + settleTime
 		if now >= due {
 			t.mergeBlock(now, Block{Fingerprint: s.fingerprint, Until: s.lastCrash() + Block{}.duration()})
