Recognise a crashing request that has another query each time

Cause: the fingerprints of a request had its query, so no two were alike.

Change: a request with a body has a further own fingerprint without its query. One without a body shares that with requests for other things on the same path, so it counts with what requests share and is exempt once one of them succeeds. The fingerprint without the prompt no longer has the query either.

--- a/entry/process/quarantines/service_test.go
+++ b/entry/process/quarantines/service_test.go
@@ -94,8 +94,8 @@
 	log, err := event.NewLog(io.Discard, "error", "entry", "e")
 	check.NoError(t, "NewLog", err)
 	s := &Service{Clock: c, Log: log, Store: store}
-	s.Arrived(quarantine.NewRequest(99))
-	s.Succeeded(quarantine.NewRequest(99))
+	s.Arrived(request(99))
+	s.Succeeded(request(99))
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	running.Go(func() { s.Run(ctx) })
@@ -115,9 +115,14 @@
 	}
 }
 
+// request returns a request with one fingerprint of its own.
+func request(own quarantine.Fingerprint, shared ...quarantine.Fingerprint) quarantine.Request {
+	return quarantine.NewRequest([]quarantine.Fingerprint{own}, shared...)
+}
+
 // requestWithPart returns a request that no other is like but for its parts.
 func requestWithPart(n int) quarantine.Request {
-	return quarantine.NewRequest(quarantine.Fingerprint(1000+n), caller, part)
+	return request(quarantine.Fingerprint(1000+n), caller, part)
 }
 
 // Guards against entries that each let a request through until they have seen two crashes
@@ -137,20 +142,20 @@
 		entries = append(entries, newService(t, c, store))
 	}
 	c.Advance(clock.Minute)
-	entries[entryCount-1].Succeeded(quarantine.NewRequest(98, caller))
+	entries[entryCount-1].Succeeded(request(98, caller))
 	store.setDown(true)
 	entries[0].Crashed("u0", 1, requestWithPart(0))
 	time.Sleep(2 * maxConflictDelay.Duration())
 	store.setDown(false)
 	for i, e := range entries[1 : entryCount-1] {
-		e.Arrived(quarantine.NewRequest(quarantine.Fingerprint(2000+i), caller))
+		e.Arrived(request(quarantine.Fingerprint(2000+i), caller))
 		e.Crashed(fmt.Sprint("u", i+1), 1, requestWithPart(i+1))
 	}
 	await(t, "all crashes stored", func() bool { return len(store.state().Crashes) == entryCount-1 })
 	c.Advance(clock.Second)
 	for i, e := range entries {
 		await(t, fmt.Sprint("part refused by entry ", i), func() bool { return e.Remaining(requestWithPart(100+i)) > 0 })
-		check.Equal(t, fmt.Sprint("sound request of entry ", i), e.Remaining(quarantine.NewRequest(quarantine.Fingerprint(3000+i), caller)), 0)
+		check.Equal(t, fmt.Sprint("sound request of entry ", i), e.Remaining(request(quarantine.Fingerprint(3000+i), caller)), 0)
 	}
 	t.Run("after a restart", func(t *testing.T) {
 		await(t, "quarantine stored", func() bool { return len(store.state().Blocks) == 1 })
@@ -197,9 +202,9 @@
 	c.Advance(clock.Minute)
 	poisoned, stop := s.Track(context.Background(), requestWithPart(1))
 	defer stop()
-	sound, stopSound := s.Track(context.Background(), quarantine.NewRequest(7, caller))
+	sound, stopSound := s.Track(context.Background(), request(7, caller))
 	defer stopSound()
-	s.Succeeded(quarantine.NewRequest(98, caller))
+	s.Succeeded(request(98, caller))
 	s.Crashed("u0", 1, requestWithPart(2))
 	check.NoError(t, "after one crash", poisoned.Err())
 	s.Crashed("u1", 1, requestWithPart(3))
@@ -226,8 +231,8 @@
 			check.NoError(t, "NewLog", err)
 			c := clock.NewManual(clock.Hour)
 			s := &Service{Clock: c, Log: log}
-			s.Arrived(quarantine.NewRequest(99))
-			s.Succeeded(quarantine.NewRequest(99))
+			s.Arrived(request(99))
+			s.Succeeded(request(99))
 			poisoned, stop := s.Track(context.Background(), requestWithPart(1))
 			defer stop()
 			s.Crashed("u0", 1, requestWithPart(2))
--- a/entry/request/forward/crash.go
+++ b/entry/request/forward/crash.go
@@ -21,17 +21,28 @@
 	soundEvents = 2
 )
 
-// quarantineRequest returns the fingerprints of a customer's request: its own, and those that other
-// requests may share: without its prompt, and of the parts of its prompt but the last.
+// quarantineRequest returns the fingerprints of a customer's request. Its own ones are that of all of
+// it and, if it has a body, that without its query. Other requests may share those without its query
+// or its prompt, and those of the parts of its prompt but the last.
 func quarantineRequest(service string, customer *config.Customer, r *upstream.Request, promptParts string) quarantine.Request {
 	name := ""
 	if customer != nil {
 		name = customer.Name
 	}
-	own := fingerprint.OfValues(service, r.Method, r.Target, name, string(r.Body), promptParts)
+	of := func(target, prompt string) quarantine.Fingerprint {
+		return fingerprint.OfValues(service, r.Method, target, name, string(r.Body), prompt)
+	}
+	own := []quarantine.Fingerprint{of(r.Target, promptParts)}
 	var shared []quarantine.Fingerprint
+	path, _, hasQuery := strings.Cut(r.Target, "?")
+	switch {
+	case hasQuery && len(r.Body) > 0:
+		own = append(own, of(path, promptParts))
+	case hasQuery:
+		shared = append(shared, of(path, promptParts))
+	}
 	if len(r.Body) > 0 && promptParts != "" {
-		shared = append(shared, fingerprint.OfValues(service, r.Method, r.Target, name, string(r.Body)))
+		shared = append(shared, of(path, ""))
 	}
 	parts := strings.Split(promptParts, ",")
 	for _, part := range parts[:min(len(parts)-1, maxPromptParts)] {
--- a/entry/request/forward/crash_test.go
+++ b/entry/request/forward/crash_test.go
@@ -22,7 +22,7 @@
 func warmQuarantine(log *event.Log) *quarantines.Service {
 	c := clock.NewManual(clock.Hour)
 	service := &quarantines.Service{Clock: c, Log: log}
-	sound := quarantine.NewRequest(1)
+	sound := quarantine.NewRequest([]quarantine.Fingerprint{1})
 	service.Arrived(sound)
 	service.Succeeded(sound)
 	c.Advance(clock.Minute)
@@ -63,11 +63,20 @@
 	return &crashes
 }
 
+// streamPath is the path of the route of streams.
+const streamPath = "/stream/"
+
 // callWithPrompt calls the route of streams with the parts of a prompt. The id is also the
 // value of another header that reaches the upstream.
 func callWithPrompt(t *testing.T, s *testEntry, id string, parts ...string) callResult {
 	t.Helper()
-	return s.call(t, "/stream/", func(q *http.Request) {
+	return callTargetWithPrompt(t, s, streamPath, id, parts...)
+}
+
+// callTargetWithPrompt is callWithPrompt with another path or a query.
+func callTargetWithPrompt(t *testing.T, s *testEntry, target, id string, parts ...string) callResult {
+	t.Helper()
+	return s.call(t, target, func(q *http.Request) {
 		q.Header.Set("X-Id", id)
 		q.Header.Set("X-Other", id)
 		q.Header.Set("X-Prompt", strings.Join(parts, ":40,")+":40")
@@ -93,30 +102,42 @@
 // the other, although no two of them are alike, and against sound requests of the same
 // customer that are refused with them.
 func TestPartThatCrashesUpstreams(t *testing.T) {
-	testCrashes(t, func(i int) []string { return []string{"a0", crashPart, fmt.Sprint("c", i)} })
+	testCrashes(t, func(i int) (string, []string) { return streamPath, []string{"a0", crashPart, fmt.Sprint("c", i)} })
 }
 
 // Guards against one request that crashes an upstream each time it comes again.
 func TestRequestThatCrashesUpstreams(t *testing.T) {
-	testCrashes(t, func(int) []string { return []string{"a0", crashPart} })
+	testCrashes(t, func(int) (string, []string) { return streamPath, []string{"a0", crashPart} })
 }
 
-// testCrashes sends requests with the prompts, all of which crash upstreams, between sound
+// Guards against a request that crashes an upstream each time it comes again, with another query
+// beside the same path, customer and body.
+func TestRequestWithOtherQueryThatCrashesUpstreams(t *testing.T) {
+	testCrashes(t, func(i int) (string, []string) {
+		return fmt.Sprint(streamPath, "?attempt=", i), []string{"a0", crashPart}
+	})
+}
+
+// testCrashes sends requests with the targets and prompts, all of which crash upstreams, between sound
 // ones that share their first part. An upstream that fails one for another reason is no sign
 // that it is sound.
-func testCrashes(t *testing.T, prompt func(i int) []string) {
+func testCrashes(t *testing.T, request func(i int) (target string, prompt []string)) {
 	const upstreams, maxCrashes = 6, 2
 	s := newTestEntry(t)
 	crashes := crashableUpstreams(t, s, upstreams)
 	for i := range 2 {
 		check.Equal(t, "status of a sound request before", callWithPrompt(t, s, fmt.Sprint("before", i), "a0", fmt.Sprint("b", i)).status, http.StatusOK)
 	}
-	check.Equal(t, "status of a request that an upstream fails", callWithPrompt(t, s, "failing", prompt(0)...).status, http.StatusInternalServerError)
+	call := func(id string, i int) callResult {
+		target, prompt := request(i)
+		return callTargetWithPrompt(t, s, target, id, prompt...)
+	}
+	check.Equal(t, "status of a request that an upstream fails", call("failing", 0).status, http.StatusInternalServerError)
 	for i := range upstreams {
-		callWithPrompt(t, s, fmt.Sprint("crash", i), prompt(i)...)
+		call(fmt.Sprint("crash", i), i)
 	}
 	check.Equal(t, "crashed upstreams", crashes.Load(), maxCrashes)
-	refused := callWithPrompt(t, s, "refused", prompt(upstreams)...)
+	refused := call("refused", upstreams)
 	check.Equal(t, "status of a request with the part", refused.status, http.StatusServiceUnavailable)
 	check.Equal(t, "Retry-After is set", refused.header.Get("Retry-After") != "", true)
 	sound := callWithPrompt(t, s, "after", "a0", "e")
--- a/entry/request/quarantine/quarantine.go
+++ b/entry/request/quarantine/quarantine.go
@@ -2,19 +2,20 @@
 // crashed upstreams. It does no I/O and starts no goroutines; callers pass the current
 // time to each call.
 //
-// Requests are compared by their fingerprints: first that of the request itself, then those that
-// other requests may share, such as the parts of its prompt, in order. A fingerprint is
+// Requests are compared by their fingerprints: first those of the request itself, then those
+// that other requests may share, such as the parts of its prompt, in order. A fingerprint is
 // quarantined once two upstreams have crashed under requests that had it, unless requests
 // with it have succeeded lately. Of fingerprints that always occur together only the rarest
 // is quarantined, so that requests that share the others are still served.
 //
 // An entry that has just started does not know which fingerprints are sound. Until it does, it
-// quarantines a request's own fingerprint alone, once three upstreams have crashed under it that can't
-// have failed together.
+// quarantines a request's own fingerprints alone, once three upstreams have crashed under one that
+// can't have failed together.
 package quarantine
 
 import (
 	"encoding/json"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 
@@ -27,21 +28,22 @@
 
 // Request holds the fingerprints of a request.
 type Request struct {
-	// fingerprints begin with the request's own one.
 	fingerprints []Fingerprint
+	// ownCount is the number of those that only requests like this one have.
+	ownCount int
 }
 
-// NewRequest returns a request with its own fingerprint, which only requests like it have, and
+// NewRequest returns a request with its own fingerprints, which only requests like it have, and
 // those that other requests may share, in order.
-func NewRequest(own Fingerprint, shared ...Fingerprint) Request {
-	return Request{append([]Fingerprint{own}, shared...)}
+func NewRequest(own []Fingerprint, shared ...Fingerprint) Request {
+	return Request{slices.Concat(own, shared), len(own)}
 }
 
 // Fingerprints returns all fingerprints. Callers must not change the slice.
 func (r Request) Fingerprints() []Fingerprint { return r.fingerprints }
 
-// own returns the fingerprint that only requests like this one have.
-func (r Request) own() Fingerprint { return r.fingerprints[0] }
+// own returns the fingerprints that only requests like this one have.
+func (r Request) own() []Fingerprint { return r.fingerprints[:r.ownCount] }
 
 // ErrMalformed means that a stored state can't be decoded.
 var ErrMalformed = errors.New("malformed state of the quarantine")
--- a/entry/request/quarantine/repeat.go
+++ b/entry/request/quarantine/repeat.go
@@ -9,7 +9,7 @@
 
 // findRepeated returns the time of the last crash by fingerprint of those under which
 // crashesToQuarantineOwn crashes lie so far apart that the upstreams can't have failed together, and
-// with which no request has succeeded lately. Only for a request's own fingerprint this tells the
+// with which no request has succeeded lately. Only for a request's own fingerprints this tells the
 // cause: what requests share is in flight at most crashes.
 func findRepeated(crashes []Crash, h *history) map[Fingerprint]clock.Millis {
 	out := make(map[Fingerprint]clock.Millis)
@@ -22,18 +22,20 @@
 	return out
 }
 
-// blockRepeated quarantines a request's own fingerprint if it has crashed upstreams again and
-// again. It returns how long the request is refused until that is decided, 0 if it is.
+// blockRepeated quarantines those of a request's own fingerprints that have crashed upstreams again
+// and again. It returns how long the request is refused until that is decided, 0 if it is.
 func (t *Tracker) blockRepeated(now clock.Millis, request Request) (remaining clock.Millis) {
-	f := request.own()
-	lastCrash, found := t.repeated[f]
-	if !found || t.history.succeeded(f) {
-		return 0
-	}
-	if due := lastCrash + settleTime; now < due {
-		return due - now
+	for _, f := range request.own() {
+		lastCrash, found := t.repeated[f]
+		if !found || t.history.succeeded(f) {
+			continue
+		}
+		if due := lastCrash + settleTime; now < due {
+			remaining = max(remaining, due-now)
+			continue
+		}
+		t.mergeBlock(now, Block{Fingerprint: f, Until: lastCrash + Block{}.duration()})
+		delete(t.repeated, f)
 	}
-	t.mergeBlock(now, Block{Fingerprint: f, Until: lastCrash + Block{}.duration()})
-	delete(t.repeated, f)
-	return 0
+	return remaining
 }
--- a/entry/request/quarantine/repeat_test.go
+++ b/entry/request/quarantine/repeat_test.go
@@ -22,8 +22,8 @@
 // success.
 func startedTracker() *Tracker {
 	t := &Tracker{}
-	t.Arrived(clock.Hour, NewRequest(99, 98))
-	t.Succeeded(clock.Hour, NewRequest(99, 98))
+	t.Arrived(clock.Hour, request(99, 98))
+	t.Succeeded(clock.Hour, request(99, 98))
 	return t
 }
 
@@ -39,7 +39,7 @@
 	out := make(map[Fingerprint][]clock.Millis)
 	for at := clock.Hour; at < clock.Hour+length; at += 10 {
 		if at%200 == 0 {
-			r := NewRequest(Fingerprint(at), common)
+			r := request(Fingerprint(at), common)
 			t.Arrived(at, r)
 			if isSound {
 				t.Succeeded(at, r)
@@ -53,7 +53,7 @@
 			if _, blocked := t.Arrived(at, a.request); blocked {
 				continue
 			}
-			own := a.request.own()
+			own := a.request.own()[0]
 			out[own] = append(out[own], at)
 			t.Crashed(at, fmt.Sprint("u", at, "-", own), int64(at), a.request)
 		}
@@ -80,9 +80,9 @@
 		for name, isSound := range map[string]bool{"others succeed": true, "nothing succeeds": false} {
 			t.Run(fmt.Sprint("each ", interval, " ms, ", name), func(t *testing.T) {
 				tracker := &Tracker{}
-				times := crashTimes(tracker, 2*coldTime, isSound, arrivals{NewRequest(poison, common), 500, interval})
+				times := crashTimes(tracker, 2*coldTime, isSound, arrivals{request(poison, common), 500, interval})
 				checkLate(t, times[poison])
-				_, blocked := tracker.Blocked(clock.Hour+2*coldTime, NewRequest(99, common))
+				_, blocked := tracker.Blocked(clock.Hour+2*coldTime, request(99, common))
 				check.Equal(t, "another request with the same part is refused", blocked, false)
 			})
 		}
@@ -94,7 +94,7 @@
 func TestTwoCrashingRequests(t *testing.T) {
 	for name, tracker := range map[string]*Tracker{"at the start": startedTracker(), "later": newTracker()} {
 		t.Run(name, func(t *testing.T) {
-			times := crashTimes(tracker, clock.Minute, true, arrivals{NewRequest(poison, common), 500, 300}, arrivals{NewRequest(otherPoison, common), 650, 300})
+			times := crashTimes(tracker, clock.Minute, true, arrivals{request(poison, common), 500, 300}, arrivals{request(otherPoison, common), 650, 300})
 			checkLate(t, times[poison])
 			checkLate(t, times[otherPoison])
 		})
@@ -115,26 +115,26 @@
 		trial func(*Tracker)
 	}{
 		{"upstreams that fail together under a request that is sent to all", func(t *Tracker) {
-			t.Arrived(clock.Hour, NewRequest(hot, common))
-			fail(t, clock.Hour+500, 12, NewRequest(hot, common))
+			t.Arrived(clock.Hour, request(hot, common))
+			fail(t, clock.Hour+500, 12, request(hot, common))
 		}},
 		{"a request that has succeeded between two outages", func(t *Tracker) {
-			t.Arrived(clock.Hour, NewRequest(hot, common))
-			fail(t, clock.Hour+500, 6, NewRequest(hot, common))
-			t.Succeeded(clock.Hour+1500, NewRequest(hot, common))
-			fail(t, clock.Hour+2500, 6, NewRequest(hot, common))
+			t.Arrived(clock.Hour, request(hot, common))
+			fail(t, clock.Hour+500, 6, request(hot, common))
+			t.Succeeded(clock.Hour+1500, request(hot, common))
+			fail(t, clock.Hour+2500, 6, request(hot, common))
 		}},
 		{"a caller that repeats at once while upstreams fail together", func(t *Tracker) {
 			for i := range 10 {
 				at := clock.Hour + 500 + clock.Millis(90*i)
-				t.Arrived(at, NewRequest(unique, common))
-				fail(t, at, 1, NewRequest(unique, common))
+				t.Arrived(at, request(unique, common))
+				fail(t, at, 1, request(unique, common))
 			}
 		}},
 		{"a part that requests share, outage after outage", func(t *Tracker) {
 			for i := range 6 {
 				at := clock.Hour + clock.Second*clock.Millis(i+1)
-				r := NewRequest(100+Fingerprint(i), part)
+				r := request(100+Fingerprint(i), part)
 				t.Arrived(at, r)
 				fail(t, at, 2, r)
 			}
@@ -143,7 +143,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			tracker := startedTracker()
 			tc.trial(tracker)
-			for _, r := range []Request{NewRequest(hot, common), NewRequest(unique, common), NewRequest(24, part)} {
+			for _, r := range []Request{request(hot, common), request(unique, common), request(24, part)} {
 				_, blocked := tracker.Blocked(clock.Hour+9*clock.Second, r)
 				check.Equal(t, fmt.Sprint("blocked: ", r.Fingerprints()), blocked, false)
 			}
--- a/entry/request/quarantine/tracker_test.go
+++ b/entry/request/quarantine/tracker_test.go
@@ -20,17 +20,22 @@
 	return t
 }
 
+// request returns a request with one fingerprint of its own.
+func request(own Fingerprint, shared ...Fingerprint) Request {
+	return NewRequest([]Fingerprint{own}, shared...)
+}
+
 // unlike is the own fingerprint of requests of which only what they share matters.
 const unlike Fingerprint = 1 << 40
 
 // withParts returns a request of which only the fingerprints of parts matter.
-func withParts(parts ...Fingerprint) Request { return NewRequest(unlike, parts...) }
+func withParts(parts ...Fingerprint) Request { return request(unlike, parts...) }
 
 // crashes reports n crashes under requests that have the parts and a fingerprint of their
 // own.
 func crashes(t *Tracker, at clock.Millis, n int, parts ...Fingerprint) {
 	for i := range n {
-		r := NewRequest(Fingerprint(1000+100*at)+Fingerprint(i), parts...)
+		r := request(Fingerprint(1000+100*at)+Fingerprint(i), parts...)
 		t.Arrived(at, r)
 		t.Crashed(at, fmt.Sprint("u", at, "-", i), int64(at), r)
 	}
@@ -71,25 +76,25 @@
 		}, nil},
 		{"the same request twice", func(t *Tracker) {
 			for i := range 2 {
-				t.Arrived(now, NewRequest(60+Fingerprint(i), caller))
-				t.Arrived(now, NewRequest(whole, caller))
-				t.Crashed(now, fmt.Sprint("u", i), 1, NewRequest(whole, caller))
+				t.Arrived(now, request(60+Fingerprint(i), caller))
+				t.Arrived(now, request(whole, caller))
+				t.Crashed(now, fmt.Sprint("u", i), 1, request(whole, caller))
 			}
 		}, map[Fingerprint]bool{whole: true}},
 		{"a request that was sent twice, and another", func(t *Tracker) {
 			crashes(t, now, 1, part)
 			for i := range 2 {
-				t.Crashed(now, fmt.Sprint("v", i), 1, NewRequest(whole, part))
+				t.Crashed(now, fmt.Sprint("v", i), 1, request(whole, part))
 			}
 		}, map[Fingerprint]bool{part: true}},
 		{"the same incarnation twice", func(t *Tracker) {
 			for i := range 2 {
-				t.Crashed(now, "u", 1, NewRequest(60+Fingerprint(i), part))
+				t.Crashed(now, "u", 1, request(60+Fingerprint(i), part))
 			}
 		}, nil},
 		{"upstreams that fail together", func(t *Tracker) {
 			for i := range 6 {
-				t.Crashed(now, fmt.Sprint("u", i), 1, NewRequest(80+Fingerprint(i), part+Fingerprint(i/2)))
+				t.Crashed(now, fmt.Sprint("u", i), 1, request(80+Fingerprint(i), part+Fingerprint(i/2)))
 			}
 		}, nil},
 		{"an entry that has just started", func(t *Tracker) {
