Quarantine several crashing requests that hide each other

Seen by callers: none yet.

Cause: of crashes less than a second apart only a fingerprint counts under which most of them happened, since upstreams that fail together have another cause. Three requests that crash upstreams in turn each have a third of them, without end.

Change: the rule for a request's own fingerprints, three crashes over a second or more and no success, holds also once it is known what is sound.

--- a/entry/request/quarantine/quarantine.go
+++ b/entry/request/quarantine/quarantine.go
@@ -10,7 +10,8 @@
 //
 // An entry that has just started does not know which fingerprints are sound. Until it does, it
 // quarantines a request's own fingerprints alone, once three upstreams have crashed under one that
-// can't have failed together.
+// can't have failed together. It does so later, too, since several requests that crash upstreams in
+// turn hide each other.
 package quarantine
 
 import (
--- a/entry/request/quarantine/repeat.go
+++ b/entry/request/quarantine/repeat.go
@@ -3,8 +3,9 @@
 import "goldcrestshore/core/process/clock"
 
 // crashesToQuarantineOwn is the number of crashes under a request's own fingerprint after which it
-// is quarantined although it is not known which fingerprints are sound. A request that comes often
-// may run at two upstreams that fail for another reason before its first success.
+// is quarantined although it is not known which fingerprints are sound, or although other requests
+// have caused most of the crashes of that time. A request that comes often may run at two upstreams
+// that fail for another reason before its first success.
 const crashesToQuarantineOwn = 3
 
 // findRepeated returns the time of the last crash by fingerprint of those under which
--- a/entry/request/quarantine/repeat_test.go
+++ b/entry/request/quarantine/repeat_test.go
@@ -11,9 +11,8 @@
 const (
 	// lateTime is how long after its third crash a request may still crash upstreams.
 	lateTime = 3 * clock.Second
-	// poison is the own fingerprint of a request that crashes each upstream that runs it, and
-	// otherPoison that of another one.
-	poison, otherPoison Fingerprint = 11, 12
+	// poison is the own fingerprint of a request that crashes each upstream that runs it.
+	poison Fingerprint = 11
 	// common is the fingerprint of a part that all requests share.
 	common Fingerprint = 13
 )
@@ -89,15 +88,24 @@
 	}
 }
 
-// Guards against two requests that crash upstreams in turn, of which none has caused most of the
+// Guards against requests that crash upstreams in turn, so that none of them has caused most of the
 // crashes that lie close together.
-func TestTwoCrashingRequests(t *testing.T) {
-	for name, tracker := range map[string]*Tracker{"at the start": startedTracker(), "later": newTracker()} {
-		t.Run(name, func(t *testing.T) {
-			times := crashTimes(tracker, clock.Minute, true, arrivals{request(poison, common), 500, 300}, arrivals{request(otherPoison, common), 650, 300})
-			checkLate(t, times[poison])
-			checkLate(t, times[otherPoison])
-		})
+func TestSeveralCrashingRequests(t *testing.T) {
+	for name, start := range map[string]func() *Tracker{"at the start": startedTracker, "later": newTracker} {
+		for count := 2; count <= 4; count++ {
+			t.Run(fmt.Sprint(count, " requests ", name), func(t *testing.T) {
+				const interval clock.Millis = 600
+				var list []arrivals
+				for i := range count {
+					first := 500 + interval/clock.Millis(count)*clock.Millis(i)
+					list = append(list, arrivals{request(poison+100*Fingerprint(i), common), first, interval})
+				}
+				times := crashTimes(start(), clock.Minute, true, list...)
+				for _, a := range list {
+					checkLate(t, times[a.request.own()[0]])
+				}
+			})
+		}
 	}
 }
 
--- a/entry/request/quarantine/tracker.go
+++ b/entry/request/quarantine/tracker.go
@@ -39,8 +39,7 @@
 	// there is nothing to decide.
 	undecided map[Fingerprint]bool
 	decideAt  clock.Millis
-	// repeated holds the time of the last crash of what findRepeated has found, while it is not
-	// known which fingerprints are sound.
+	// repeated holds the time of the last crash of what findRepeated has found.
 	repeated map[Fingerprint]clock.Millis
 	// added holds the fingerprints whose quarantine has begun since the last call of
 	// TakeAdded.
@@ -136,11 +135,11 @@
 }
 
 func (t *Tracker) decide(now clock.Millis) {
-	t.undecided, t.decideAt, t.repeated = nil, 0, nil
+	t.undecided, t.decideAt = nil, 0
 	t.extendBlocks()
 	crashes := t.unexplainedCrashes()
+	t.repeated = findRepeated(crashes, &t.history)
 	if at, known := t.history.warmAt(); !known || now < at {
-		t.repeated = findRepeated(crashes, &t.history)
 		if known && len(t.crashes) > 0 {
 			t.decideAt = at
 		}
