Keep other requests of each crash where there are too many

Seen by callers: none yet.

Cause: a crash keeps 16 of the requests that were in flight, always those with the lowest fingerprints. A request with a high one was left out of each crash, and never found.

Change: which requests a crash keeps depends on the crash as well. It still does not depend on the order in which entries learn of them.

Test: TestCrashingRequestAmongMany (32 other requests at each crash) failed before: not refused after 20 crashes, at most 10 now.

--- a/entry/request/quarantine/repeat_test.go
+++ b/entry/request/quarantine/repeat_test.go
@@ -158,3 +158,25 @@
 		})
 	}
 }
+
+// Guards against a request that is never found because more requests are in flight at each crash
+// than a crash keeps, and it is always among those that are left out.
+func TestCrashingRequestAmongMany(t *testing.T) {
+	const others, last Fingerprint = 2 * maxRequestsPerCrash, 1 << 50
+	tracker := newTracker()
+	crashes := 0
+	for ; crashes < 20; crashes++ {
+		at := warmStart + clock.Second*clock.Millis(crashes)
+		if _, blocked := tracker.Arrived(at, request(last, common)); blocked {
+			break
+		}
+		for i := range others {
+			r := request(1000*Fingerprint(crashes+1)+i, common)
+			tracker.Arrived(at, r)
+			tracker.Crashed(at, "u", int64(at), r)
+		}
+		tracker.Crashed(at, "u", int64(at), request(last, common))
+		tracker.Succeeded(at, request(1, common))
+	}
+	check.AtMost(t, "crashes", crashes, 10)
+}
--- a/entry/request/quarantine/tracker.go
+++ b/entry/request/quarantine/tracker.go
@@ -4,8 +4,10 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strconv"
 
 	"goldcrestshore/core/process/clock"
+	"goldcrestshore/core/request/fingerprint"
 )
 
 const (
@@ -220,13 +222,35 @@
 		c.At = min(c.At, known.At)
 		c.Requests = append(slices.Clone(known.Requests), c.Requests...)
 	}
-	c.Requests = slices.Clone(c.Requests)
-	slices.SortFunc(c.Requests, slices.Compare[[]Fingerprint])
-	c.Requests = slices.CompactFunc(c.Requests, slices.Equal[[]Fingerprint])
-	c.Requests = c.Requests[:min(len(c.Requests), maxRequestsPerCrash)]
+	c.Requests = c.boundedRequests()
 	t.crashes[c.incarnation()] = c
 }
 
+// boundedRequests returns at most maxRequestsPerCrash of the requests, without duplicates and in
+// order. Which ones it leaves out differs from crash to crash, so that the cause of several crashes
+// is kept at some, and does not depend on the order in which they became known.
+func (c Crash) boundedRequests() [][]Fingerprint {
+	out := slices.Clone(c.Requests)
+	slices.SortFunc(out, slices.Compare[[]Fingerprint])
+	out = slices.CompactFunc(out, slices.Equal[[]Fingerprint])
+	if len(out) <= maxRequestsPerCrash {
+		return out
+	}
+	slices.SortStableFunc(out, func(a, b []Fingerprint) int { return cmp.Compare(c.rank(a), c.rank(b)) })
+	out = out[:maxRequestsPerCrash]
+	slices.SortFunc(out, slices.Compare[[]Fingerprint])
+	return out
+}
+
+// rank orders the requests of a crash at random.
+func (c Crash) rank(request []Fingerprint) Fingerprint {
+	values := []string{c.Upstream, strconv.FormatInt(c.StartTime, 10)}
+	for _, f := range request {
+		values = append(values, f.String())
+	}
+	return fingerprint.OfValues(values...)
+}
+
 // extendBlocks makes each quarantine last until its duration after the last crash under
 // its fingerprint, and renews the ones that had ended before a crash.
 func (t *Tracker) extendBlocks() {
