Let the largest body give way where bodies fill their memory

With replicas that send bodies without end, callers of sound replicas lost their answers (502), and requests with bodies were refused (503).

Cause: the bodies of all requests and of buffered responses share one limit. Whoever read while it was exceeded lost its body: most often one of the many small ones, and not the endless ones that had filled the memory.

Change: package body counts the memory of all bodies, and makes the largest one that is still being read give way. A body that is announced longer than a response may be is not read at all. Bodies are kept in parts instead of a slice that grows by copying.

Tests: TestEndlessResponses runs an entry as a process with the memory limit of the smallest deployed ones (160 MB), two replicas of four that send seven kinds of endless responses at the pace of a link, and 60 callers. TestLargestBodyGivesWay and TestFill check the package alone.

--- a/entry/connection/upstream/exchange.go
+++ b/entry/connection/upstream/exchange.go
@@ -67,6 +67,8 @@
 type ResponseReader struct {
 	Status int
 	Header http.Header
+	// Length is the length of the body, negative if the head does not state it.
+	Length int64
 
 	pool      *Pool
 	address   string
@@ -142,6 +144,9 @@
 	r.conn.abort()
 }
 
+// Abort ends a read in progress. Unlike the other methods it may be called from any goroutine.
+func (r *ResponseReader) Abort() { r.conn.abort() }
+
 // Exchange sends a request and returns its response once the head has arrived.
 // The connection is reset if ctx ends before the body was read. A request without an
 // ID gets a connection of its own, since any late response would pass for its own.
@@ -255,9 +260,13 @@
 }
 
 func newResponseReader(resp *http.Response) *ResponseReader {
-	return &ResponseReader{
-		Status: resp.StatusCode, Header: resp.Header, body: resp.Body, close: resp.Close, framing: framingOf(resp),
+	out := &ResponseReader{
+		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, body: resp.Body, close: resp.Close, framing: framingOf(resp),
+	}
+	if resp.Body == http.NoBody {
+		out.Length = 0 // the head of a response to HEAD states the length for GET
 	}
+	return out
 }
 
 func framingOf(resp *http.Response) Framing {
--- a/entry/request/forward/forward_test.go
+++ b/entry/request/forward/forward_test.go
@@ -374,10 +374,10 @@
 	got := s.call(t, "/once/", large)
 	check.Equal(t, "status", got.status, http.StatusServiceUnavailable)
 	check.Equal(t, "Retry-After", got.header.Get("Retry-After"), formatSeconds(bodyMemoryRetryAfter))
-	check.Equal(t, "body bytes in use after the refusal", s.server.bodyMemory.inUse.Load(), 0)
+	check.Equal(t, "body bytes in use after the refusal", s.server.bodyMemory.InUse(), 0)
 	got = s.call(t, "/once/", func(q *http.Request) { setBody(q, 40, true) })
 	check.Equal(t, "status of a smaller request", got.status, http.StatusOK)
-	check.Equal(t, "body bytes in use at the end", s.server.bodyMemory.inUse.Load(), 0)
+	check.Equal(t, "body bytes in use at the end", s.server.bodyMemory.InUse(), 0)
 }
 
 // Guards against callers that occupy a connection and memory with a body that never
--- a/entry/request/forward/request.go
+++ b/entry/request/forward/request.go
@@ -1,9 +1,9 @@
 package forward
 
 import (
+	"bytes"
 	"context"
 	"hash/fnv"
-	"io"
 	"net/http"
 	"os"
 	"strconv"
@@ -14,6 +14,7 @@
 
 	"goldcrestshore/core/process/clock"
 	"goldcrestshore/entry/connection/upstream"
+	"goldcrestshore/entry/request/body"
 	"goldcrestshore/entry/request/quarantine"
 	"goldcrestshore/entry/version/config"
 	"goldcrestshore/entry/version/fleet"
@@ -67,15 +68,14 @@
 	// upstreamRequest is the request that upstreams receive, without the headers
 	// that each attempt sets.
 	upstreamRequest upstream.Request
-	// body counts the body against the limit on all bodies. It is nil until the
-	// body is read.
-	body *bodyReader
+	// body holds the body. It is nil until the body is read.
+	body *body.Buffer
 }
 
-// releaseBody releases the memory that is counted for the body.
+// releaseBody releases the memory of the body.
 func (r *request) releaseBody() {
 	if r.body != nil {
-		r.body.release()
+		r.body.Release()
 	}
 }
 
@@ -116,14 +116,13 @@
 		return r, &refusal{status: http.StatusRequestHeaderFieldsTooLarge, reason: reasonHeadTooLarge}
 	}
 	r.deadline = r.arrived + deadline(q.Header.Get(s.Headers.Deadline), r.route.Timeout)
-	body, refused := s.readBody(w, q, r, cfg.Limits().MaxBodyBytes)
-	if refused != nil {
+	if refused := s.readBody(w, q, r, cfg.Limits().MaxBodyBytes); refused != nil {
 		return r, refused
 	}
 	if s.mayBeCut(r) {
 		return r, &refusal{status: http.StatusServiceUnavailable, reason: reasonStopping} // other entries are free at once
 	}
-	s.prepareUpstreamRequest(r, q, cfg, customer, target, body)
+	s.prepareUpstreamRequest(r, q, cfg, customer, target)
 	if s.Quarantine != nil {
 		if remaining, blocked := s.Quarantine.Arrived(r.quarantine); blocked {
 			return r, &refusal{status: http.StatusServiceUnavailable, reason: reasonQuarantined, retryAfter: remaining}
@@ -167,32 +166,32 @@
 }
 
 // readBody reads the body of a request, at most until its deadline.
-func (s *Server) readBody(w http.ResponseWriter, q *http.Request, r *request, limit int64) ([]byte, *refusal) {
+func (s *Server) readBody(w http.ResponseWriter, q *http.Request, r *request, limit int64) *refusal {
 	if q.ContentLength > limit {
-		return nil, &refusal{status: http.StatusRequestEntityTooLarge, reason: reasonBodyTooLarge}
+		return &refusal{status: http.StatusRequestEntityTooLarge, reason: reasonBodyTooLarge}
 	}
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add((r.deadline - s.Clock.Now()).Duration())) // only response writers of tests have no deadlines
-	r.body = &bodyReader{source: http.MaxBytesReader(w, q.Body, limit), memory: &s.bodyMemory, limit: s.maxTotalBodyBytes()}
-	body, err := io.ReadAll(r.body)
+	r.body = s.bodyMemory.NewBuffer(s.maxTotalBodyBytes(), func() { _ = control.SetReadDeadline(time.Now()) })
+	err := r.body.Fill(http.MaxBytesReader(w, q.Body, limit), q.ContentLength, limit)
 	var tooLarge *http.MaxBytesError
 	switch {
-	case errors.Is(err, errBodyMemoryExhausted):
-		return nil, &refusal{status: http.StatusServiceUnavailable, reason: reasonBodiesFull, retryAfter: bodyMemoryRetryAfter}
+	case errors.Is(err, body.ErrMemoryFull):
+		return &refusal{status: http.StatusServiceUnavailable, reason: reasonBodiesFull, retryAfter: bodyMemoryRetryAfter}
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, &refusal{status: http.StatusRequestTimeout, reason: reasonBodyLate}
+		return &refusal{status: http.StatusRequestTimeout, reason: reasonBodyLate}
 	case errors.As(err, &tooLarge):
-		return nil, &refusal{status: http.StatusRequestEntityTooLarge, reason: reasonBodyTooLarge}
+		return &refusal{status: http.StatusRequestEntityTooLarge, reason: reasonBodyTooLarge}
 	case err != nil:
-		return nil, &refusal{status: http.StatusBadRequest, reason: reasonBodyIncomplete}
+		return &refusal{status: http.StatusBadRequest, reason: reasonBodyIncomplete}
 	}
 	_ = control.SetReadDeadline(time.Time{}) // after a failure it stays, so that the server does not wait for the rest
-	return body, nil
+	return nil
 }
 
 // prepareUpstreamRequest chooses the service, evaluates the caller's headers and
 // builds the request that upstreams receive.
-func (s *Server) prepareUpstreamRequest(r *request, q *http.Request, cfg *config.Config, customer *config.Customer, target string, body []byte) {
+func (s *Server) prepareUpstreamRequest(r *request, q *http.Request, cfg *config.Config, customer *config.Customer, target string) {
 	h := s.Headers
 	r.service = r.route.Pick(hashFraction(r.id))
 	r.priority = r.route.Priority
@@ -209,7 +208,7 @@
 		}
 	}
 	r.upstreamRequest = upstream.Request{
-		Method: q.Method, Target: target, Host: q.Host, Header: header, Body: body,
+		Method: q.Method, Target: target, Host: q.Host, Header: header, Body: bytes.Join(r.body.Parts(), nil),
 		IDHeader: h.RequestID, ID: r.id,
 	}
 	r.quarantine = quarantineRequest(r.service, customer, &r.upstreamRequest, header.Get(h.PromptParts))
--- a/entry/request/forward/response.go
+++ b/entry/request/forward/response.go
@@ -5,10 +5,13 @@
 	"net/http"
 	"strconv"
 
+	"github.com/cockroachdb/errors"
+
 	"goldcrestshore/core/process/clock"
 	"goldcrestshore/core/process/event"
 	"goldcrestshore/entry/connection/upstream"
 	"goldcrestshore/entry/request/balance"
+	"goldcrestshore/entry/request/body"
 )
 
 const (
@@ -54,12 +57,11 @@
 // whether the response was forwarded.
 func (c *call) forwardBuffered(resp *upstream.ResponseReader) (balance.Outcome, bool) {
 	s := c.server
-	reader := &bodyReader{source: io.LimitReader(resp, maxBufferedResponseBytes), memory: &s.bodyMemory, limit: s.maxTotalBodyBytes()}
-	defer reader.release()
-	body, err := io.ReadAll(reader)
-	if err != nil || len(body) == maxBufferedResponseBytes {
-		c.failure = "torn"
-		c.interruption = interruption{resp.Framing(), len(body), err}
+	buffer := s.bodyMemory.NewBuffer(s.maxTotalBodyBytes(), resp.Abort)
+	defer buffer.Release()
+	if err := buffer.Fill(resp, resp.Length, maxBufferedResponseBytes); err != nil {
+		c.failure = bodyFailure(err)
+		c.interruption = interruption{resp.Framing(), int(buffer.Len()), err}
 		return balance.Failed, false
 	}
 	outcome := balance.Succeeded
@@ -75,9 +77,11 @@
 		return balance.Failed, false
 	}
 	c.copyHeader(resp)
-	c.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	c.writer.Header().Set("Content-Length", strconv.FormatInt(buffer.Len(), 10))
 	c.writer.WriteHeader(resp.Status)
-	_, _ = c.writer.Write(body) // the server closes the connection of a caller that disconnected
+	for _, part := range buffer.Parts() {
+		_, _ = c.writer.Write(part) // the server closes the connection of a caller that disconnected
+	}
 	if resp.Status < http.StatusMultipleChoices {
 		c.recordSound()
 	}
@@ -85,6 +89,17 @@
 	return outcome, true
 }
 
+// bodyFailure returns the cause of a failed attempt whose body could not be read.
+func bodyFailure(err error) string {
+	switch {
+	case errors.Is(err, body.ErrTooLarge):
+		return "bodyTooLarge"
+	case errors.Is(err, body.ErrMemoryFull):
+		return "bodyGaveWay"
+	}
+	return "torn"
+}
+
 // copyHeader copies the status and the end-to-end headers of an upstream's
 // response and marks the response to the caller as started.
 func (c *call) copyHeader(resp *upstream.ResponseReader) {
--- a/entry/request/forward/server.go
+++ b/entry/request/forward/server.go
@@ -16,6 +16,7 @@
 	"goldcrestshore/core/process/event"
 	"goldcrestshore/entry/connection/upstream"
 	"goldcrestshore/entry/process/quarantines"
+	"goldcrestshore/entry/request/body"
 	"goldcrestshore/entry/version/fleet"
 )
 
@@ -60,6 +61,9 @@
 	idleTimeoutMargin = 2 * clock.Second
 )
 
+// defaultMaxTotalBodyBytes applies when Server.MaxTotalBodyBytes is 0.
+const defaultMaxTotalBodyBytes = 64 << 20
+
 // Server serves callers. Exported fields must be set before Run.
 type Server struct {
 	Clock     *clock.Clock
@@ -81,11 +85,11 @@
 	Listen string
 	// GracePeriod is the time from the stop signal until the process is killed.
 	GracePeriod clock.Millis
-	// MaxTotalBodyBytes bounds the memory of all request bodies together; 0 means
-	// 64 MiB.
+	// MaxTotalBodyBytes bounds the memory of all bodies of requests, and of those responses that
+	// are buffered, together; 0 means 64 MiB.
 	MaxTotalBodyBytes int64
 
-	bodyMemory bodyMemory
+	bodyMemory body.Memory
 	stopping   atomic.Bool
 	// cutAt is the time, by Clock, at which a stopping server ends the requests that are
 	// still in flight.
--- a/entry/request/forward/trouble_test.go
+++ b/entry/request/forward/trouble_test.go
@@ -189,14 +189,14 @@
 		s := newTestEntry(t, closing([]responder{endless("")})...)
 		got := s.call(t, "/once/", nil)
 		check.Equal(t, "status", got.status, http.StatusBadGateway)
-		check.Equal(t, "body bytes in use at the end", s.server.bodyMemory.inUse.Load(), 0)
+		check.Equal(t, "body bytes in use at the end", s.server.bodyMemory.InUse(), 0)
 	})
 	t.Run("beyond the memory of all bodies", func(t *testing.T) {
 		s := newTestEntry(t, respondOK(strings.Repeat("a", 200)))
 		s.server.MaxTotalBodyBytes = 50
 		got := s.call(t, "/once/", nil)
 		check.Equal(t, "status", got.status, http.StatusBadGateway)
-		check.Equal(t, "body bytes in use at the end", s.server.bodyMemory.inUse.Load(), 0)
+		check.Equal(t, "body bytes in use at the end", s.server.bodyMemory.InUse(), 0)
 	})
 	t.Run("event without end", func(t *testing.T) {
 		s := newTestEntry(t, closing([]responder{endless(""), respondEvents(true, eventOne)})...)
