Send bodies of requests without copying them

Seen by callers: none yet. Found while measuring the memory of an entry beside endless responses.

Cause: the body of a request was counted once against the limit on all bodies, but existed up to four times: joined, copied behind the head when it was sent, and as text for each of its fingerprints.

Change: a request keeps its body in the parts that were read, large ones are written part by part, and fingerprints use a digest of the body.

--- a/core/request/fingerprint/fingerprint.go
+++ b/core/request/fingerprint/fingerprint.go
@@ -23,6 +23,15 @@
 	return Fingerprint(d.Sum64())
 }
 
+// OfParts returns the fingerprint of what the parts are together.
+func OfParts(parts [][]byte) Fingerprint {
+	d := xxhash.New()
+	for _, part := range parts {
+		_, _ = d.Write(part) // never returns an error
+	}
+	return Fingerprint(d.Sum64())
+}
+
 // OfValues returns the fingerprint of a list of values. Lists whose values are divided
 // differently have different fingerprints.
 func OfValues(values ...string) Fingerprint {
--- a/entry/connection/upstream/exchange.go
+++ b/entry/connection/upstream/exchange.go
@@ -27,7 +27,8 @@
 	Target string
 	Host   string
 	Header http.Header
-	Body   []byte
+	// Body holds the body in parts.
+	Body [][]byte
 	// IDHeader names the header that carries the request ID; an upstream
 	// echoes it in its response.
 	IDHeader string
@@ -48,18 +49,41 @@
 // stallCheckInterval is the time between two calls of ShouldFailOver.
 const stallCheckInterval clock.Millis = 100
 
-// encode returns the request in its wire format.
-func (r *Request) encode() []byte {
+// maxCopiedBodyBytes is the size up to which a body is copied behind the head of its request, so
+// that both are written at once.
+const maxCopiedBodyBytes = 16 << 10
+
+// bodyLen returns the length of the body.
+func (r *Request) bodyLen() int {
+	n := 0
+	for _, part := range r.Body {
+		n += len(part)
+	}
+	return n
+}
+
+// HasBody reports whether the body is not empty.
+func (r *Request) HasBody() bool { return r.bodyLen() > 0 }
+
+// encode returns the request in its wire format in parts, of which the first one begins with the
+// head.
+func (r *Request) encode() [][]byte {
 	var b bytes.Buffer
-	b.Grow(512 + len(r.Body))
+	length := r.bodyLen()
+	b.Grow(512 + min(length, maxCopiedBodyBytes))
 	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	_ = r.Header.Write(&b)
-	if len(r.Body) > 0 || (r.Method != http.MethodGet && r.Method != http.MethodHead) {
-		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
+	if length > 0 || (r.Method != http.MethodGet && r.Method != http.MethodHead) {
+		b.WriteString("Content-Length: " + strconv.Itoa(length) + "\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(r.Body)
-	return b.Bytes()
+	if length > maxCopiedBodyBytes {
+		return append([][]byte{b.Bytes()}, r.Body...)
+	}
+	for _, part := range r.Body {
+		b.Write(part)
+	}
+	return [][]byte{b.Bytes()}
 }
 
 // ResponseReader has the head of an upstream's response and reads its body, which
@@ -182,12 +206,8 @@
 	if r.HeadTimeout > 0 {
 		_ = c.SetDeadline(time.Now().Add(r.HeadTimeout.Duration()))
 	}
-	n, err := c.Write(r.encode())
-	if err != nil {
-		if n == 0 {
-			return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
-		}
-		return nil, fmt.Errorf("%w: %w", ErrBroken, err)
+	if err := write(c, r.encode()); err != nil {
+		return nil, err
 	}
 	resp, err := readResponse(c, r)
 	if err != nil {
@@ -197,6 +217,20 @@
 	return resp, nil
 }
 
+// write writes the parts of a request.
+func write(c *conn, parts [][]byte) error {
+	for i, part := range parts {
+		n, err := c.Write(part)
+		switch {
+		case err != nil && i == 0 && n == 0:
+			return fmt.Errorf("%w: %w", ErrNotSent, err)
+		case err != nil:
+			return fmt.Errorf("%w: %w", ErrBroken, err)
+		}
+	}
+	return nil
+}
+
 // readResponse reads responses up to the one that matches the request; one to an
 // earlier request may arrive late.
 func readResponse(c *conn, r *Request) (*ResponseReader, error) {
--- a/entry/request/forward/crash.go
+++ b/entry/request/forward/crash.go
@@ -29,19 +29,20 @@
 	if customer != nil {
 		name = customer.Name
 	}
+	body := fingerprint.OfParts(r.Body).String()
 	of := func(target, prompt string) quarantine.Fingerprint {
-		return fingerprint.OfValues(service, r.Method, target, name, string(r.Body), prompt)
+		return fingerprint.OfValues(service, r.Method, target, name, body, prompt)
 	}
 	own := []quarantine.Fingerprint{of(r.Target, promptParts)}
 	var shared []quarantine.Fingerprint
 	path, _, hasQuery := strings.Cut(r.Target, "?")
 	switch {
-	case hasQuery && len(r.Body) > 0:
+	case hasQuery && r.HasBody():
 		own = append(own, of(path, promptParts))
 	case hasQuery:
 		shared = append(shared, of(path, promptParts))
 	}
-	if len(r.Body) > 0 && promptParts != "" {
+	if r.HasBody() && promptParts != "" {
 		shared = append(shared, of(path, ""))
 	}
 	parts := strings.Split(promptParts, ",")
--- a/entry/request/forward/request.go
+++ b/entry/request/forward/request.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"bytes"
 	"context"
 	"hash/fnv"
 	"net/http"
@@ -208,7 +207,7 @@
 		}
 	}
 	r.upstreamRequest = upstream.Request{
-		Method: q.Method, Target: target, Host: q.Host, Header: header, Body: bytes.Join(r.body.Parts(), nil),
+		Method: q.Method, Target: target, Host: q.Host, Header: header, Body: r.body.Parts(),
 		IDHeader: h.RequestID, ID: r.id,
 	}
 	r.quarantine = quarantineRequest(r.service, customer, &r.upstreamRequest, header.Get(h.PromptParts))
