Cut long texts in log lines

Cause: the error of a malformed head quotes the line that was received, up to 32 KB from a replica and 64 KB in calls to ranks and the store, and escaping makes it up to six times as long. Each failed attempt logs it, and up to 2,048 lines wait for a slow reader of the output.

Change: a value of a line has at most 512 bytes before escaping; a longer one is cut, with its length.

--- a/core/process/event/format.go
+++ b/core/process/event/format.go
@@ -17,6 +17,18 @@
 	keyError = "error"
 )
 
+// maxTextBytes bounds each value of a line before its special characters are escaped. Errors quote
+// what a peer has sent, and thousands of lines may wait for a slow reader of the output.
+const maxTextBytes = 512
+
+// cut returns the beginning of a text that is too long, with its length.
+func cut(text string) string {
+	if len(text) <= maxTextBytes {
+		return text
+	}
+	return text[:maxTextBytes] + "... (" + strconv.Itoa(len(text)) + " bytes)"
+}
+
 // lineFormatter formats lines as JSON with the fields sorted by name. The JSON
 // formatter of logrus copies the fields of each line and encodes them by reflection,
 // which takes several times as long.
@@ -60,7 +72,7 @@
 	b = append(b, ':')
 	switch v := value.(type) {
 	case string:
-		return appendString(b, v), nil
+		return appendString(b, cut(v)), nil
 	case int:
 		return strconv.AppendInt(b, int64(v), 10), nil
 	case int64:
@@ -71,6 +83,9 @@
 		return strconv.AppendBool(b, v), nil
 	}
 	raw, err := json.Marshal(value)
+	if len(raw) > maxTextBytes {
+		return appendString(b, cut(string(raw))), err
+	}
 	return append(b, raw...), err
 }
 
