Bound events of many lines at an agent

Cause: an agent bounds each line of an event stream, but collects the lines of an event until the blank line behind it. An engine that sends lines without end fills its memory.

Change: an event has at most as many bytes as one line may have.

Test: TestEndlessEvent failed before: all of 64 MB that it sends were kept; now the stream is malformed after 64 KB.

--- a/agent/request/upstream/events.go
+++ b/agent/request/upstream/events.go
@@ -18,7 +18,7 @@
 	// initialLineBytes is the initial size of the line buffer, which most lines
 	// fit; longer ones grow it.
 	initialLineBytes = 512
-	// maxEventBytes bounds one line of an event stream.
+	// maxEventBytes bounds one event of a stream, and each of its lines.
 	maxEventBytes = 64 << 10
 	// maxResumes bounds how often one response is resumed after a connection to
 	// the same incarnation of the engine broke.
@@ -92,6 +92,9 @@
 				return events, nil
 			}
 			event = append(append(event, line...), '\n')
+			if len(event) > maxEventBytes {
+				return events, errors.Wrapf(ErrMalformed, "event exceeds %d bytes", maxEventBytes)
+			}
 			continue
 		}
 		if len(event) == 0 {
