Keep what an upstream is paused for in one place

Cause: two times with a rule each told from when on an upstream may get a request, and the issue of replicas that push back adds a third (36).

--- a/entry/request/balance/balance.go
+++ b/entry/request/balance/balance.go
@@ -176,13 +176,13 @@
 	case Failed, Refused:
 		u.consecutiveFailures++
 		u.recordOutcome(true)
-		u.skipUntil = now + s.skipDuration(u.consecutiveFailures)
+		u.pauses[pauseFailed] = now + s.skipDuration(u.consecutiveFailures)
 		t.Avoid = append(t.Avoid, u.info.ID)
 		if o == Refused {
 			s.recordRefusal(now, u)
 		}
 	case Misdirected:
-		u.deniedUntil = now + deniedDuration
+		u.pauses.extend(pauseMisdirected, now+deniedDuration)
 		t.Avoid = append(t.Avoid, u.info.ID)
 	case Abandoned:
 		s.completions.add(now)
--- a/entry/request/balance/choose.go
+++ b/entry/request/balance/choose.go
@@ -11,7 +11,7 @@
 func (b *Balancer) usable(now clock.Millis, s *service) int {
 	n := 0
 	for _, u := range s.upstreams {
-		if b.inService(now, u) && now >= u.skipUntil {
+		if b.inService(now, u) && !u.pauses.has(now, pauseFailed) {
 			n++
 		}
 	}
@@ -19,9 +19,9 @@
 }
 
 // inService reports whether u may get requests, apart from being skipped: its
-// registration holds and its group is not known to be closed.
+// registration holds, no pause bars it, and its group is not known to be closed.
 func (b *Balancer) inService(now clock.Millis, u *upstream) bool {
-	return b.view.Usable(u.info) && now >= u.deniedUntil && u.groupState != group.StateClosed
+	return b.view.Usable(u.info) && !u.pauses.bars(now) && u.groupState != group.StateClosed
 }
 
 // choose returns the upstream with the lowest cost that can take the ticket, or
@@ -58,7 +58,7 @@
 	var best *upstream
 	for i := range s.upstreams {
 		u := s.upstreams[(i+s.rotation)%len(s.upstreams)]
-		if (now < u.skipUntil && !includeSkipped) || !b.eligible(now, s, u, t) {
+		if (u.pauses.has(now, pauseFailed) && !includeSkipped) || !b.eligible(now, s, u, t) {
 			continue
 		}
 		if best == nil || b.prefer(u, best) {
--- a/entry/request/balance/group.go
+++ b/entry/request/balance/group.go
@@ -75,7 +75,8 @@
 func (s *service) reopen() {
 	s.down = false
 	for _, u := range s.upstreams {
-		u.skipUntil, u.consecutiveFailures = 0, 0
+		u.pauses.end(pauseFailed)
+		u.consecutiveFailures = 0
 	}
 }
 
@@ -90,7 +91,7 @@
 	s.nextProbe = now + probeInterval // the refused request was a probe
 	for _, u := range s.upstreams {
 		if u.groupState == group.StateUnknown {
-			u.skipUntil = max(u.skipUntil, now+minSkip)
+			u.pauses.extend(pauseFailed, now+minSkip)
 		}
 	}
 }
--- a/entry/request/balance/policy.go
+++ b/entry/request/balance/policy.go
@@ -26,7 +26,7 @@
 func (b *Balancer) chooseBaseline(now clock.Millis, s *service) *upstream {
 	var usable []*upstream
 	for _, u := range s.upstreams {
-		if b.view.Usable(u.info) && now >= u.skipUntil {
+		if b.view.Usable(u.info) && !u.pauses.has(now, pauseFailed) {
 			usable = append(usable, u)
 		}
 	}
--- a/entry/request/balance/ratelimit.go
+++ b/entry/request/balance/ratelimit.go
@@ -118,7 +118,7 @@
 // which is the case if all of these state one.
 func (b *Balancer) limitSlots(now clock.Millis, s *service) (slots limitSlots, bind bool) {
 	for _, u := range s.upstreams {
-		if !b.inService(now, u) || now < u.skipUntil {
+		if !b.inService(now, u) || u.pauses.has(now, pauseFailed) {
 			continue
 		}
 		if !u.rateLimit.Limited() {
--- a/entry/request/balance/status.go
+++ b/entry/request/balance/status.go
@@ -96,11 +96,11 @@
 
 func (b *Balancer) state(now clock.Millis, s *service, u *upstream) State {
 	switch {
-	case !b.view.Usable(u.info), now < u.deniedUntil:
+	case !b.view.Usable(u.info), u.pauses.has(now, pauseMisdirected):
 		return OutOfService
 	case u.groupState == group.StateClosed:
 		return Closed
-	case now < u.skipUntil:
+	case u.pauses.has(now, pauseFailed):
 		return Skipped
 	case s.unresponsive(now, u):
 		return Unresponsive
--- a/entry/request/balance/upstream.go
+++ b/entry/request/balance/upstream.go
@@ -25,8 +25,9 @@
 	coldSince clock.Millis
 	// nextColdTurn is the number of allowed requests at which the next turn of this entry
 	// at the cold upstream begins at the earliest.
-	nextColdTurn        float64
-	skipUntil           clock.Millis
+	nextColdTurn float64
+	pauses       pauses
+	// consecutiveFailures is the number of attempts that have failed since the last success.
 	consecutiveFailures int
 	// lastActive is when the upstream last sent something, or got a request while
 	// it had none.
@@ -39,10 +40,7 @@
 	failureRate float64
 	// groupState is the state of the upstream's group as its agent reports it.
 	groupState group.State
-	// deniedUntil is the time until which the upstream gets nothing, because
-	// another one answers at its address.
-	deniedUntil clock.Millis
-	rateLimit   rateLimit
+	rateLimit  rateLimit
 }
 
 // failureWeight is the weight of a new outcome in the failure rate.
@@ -120,7 +118,7 @@
 			u = &upstream{}
 		}
 		if u.info != info {
-			u.deniedUntil = 0 // a new registration may be right
+			u.pauses.end(pauseMisdirected) // a new registration may be right
 		}
 		if u.info != nil && u.info.StartTime != info.StartTime {
 			u.rateLimit = rateLimit{Statement: group.Statement{At: info.FirstSeenAt}} // it has started again since
