Take an upstream out of service once an answer says that it leaves

Cause: nothing read the header; an entry learned of it from the store alone.

Change: the first head of an answer with it takes this incarnation of the upstream out of service at this entry, before any of the answer is forwarded. Answers to another request, bytes behind an answer, and a misdirected request, which another upstream has answered, say nothing. The view remembers incarnations that leave, at most 4,096, also while their registrations are gone: neither a list, a change, a restored store nor another entry takes it back, only another start of the upstream does. The same memory holds for upstreams whose registration says that they drain, which were back in service if it was gone for a moment. Work in flight goes on. The header goes on to callers like all others that concern no connection.

Tests: TestLeavingIsLearnedFromAnswers failed without the change in the five cases that say so truly and are passed on or sent again; TestLeavingNeverReverts, TestLeavingIsThatOfOneIncarnation, TestLeavingIsBounded, TestStreamOfLeavingUpstreamGoesOn.

--- a/core/process/event/catalogue.go
+++ b/core/process/event/catalogue.go
@@ -60,6 +60,7 @@
 	EntrySynced       = define(1264, logrus.InfoLevel, "entry knows what other entries knew when it started; requests no longer wait")
 	ViewOverdue       = define(1265, logrus.WarnLevel, "store has not responded for longer than a change of this kind of object may take to be applied")
 	StoreResponseLost = define(1266, logrus.WarnLevel, "store did not respond to a call in time; the call is repeated")
+	UpstreamLeaving   = define(1267, logrus.InfoLevel, "upstream says that it leaves; it gets no new requests")
 )
 
 // Events of requests at an entry, 1300-1399.
--- a/entry/request/balance/balance.go
+++ b/entry/request/balance/balance.go
@@ -128,7 +128,7 @@
 	u.inFlight++
 	u.promptTokens += t.PromptTokens
 	b.countSend(now, s, u)
-	t.upstream, t.granted = u, now
+	t.upstream, t.registration, t.granted = u, u.info, now
 	if t.retryReserved {
 		t.retryReserved = false
 		s.budget.Use(now)
--- a/entry/request/balance/ticket.go
+++ b/entry/request/balance/ticket.go
@@ -1,6 +1,9 @@
 package balance
 
-import "goldcrestshore/core/process/clock"
+import (
+	"goldcrestshore/core/process/clock"
+	"goldcrestshore/entry/version/fleet"
+)
 
 // Reason is the reason for which a request is rejected.
 type Reason string
@@ -31,6 +34,8 @@
 	Avoid []string
 
 	upstream *upstream
+	// registration is that of the granted upstream at that time.
+	registration *fleet.Upstream
 	// granted is the time at which the upstream was granted.
 	granted clock.Millis
 	// retryReserved is set while the next grant is a retry that the budget allows.
@@ -38,9 +43,10 @@
 }
 
 // Upstream returns the ID and address of the granted upstream.
-func (t *Ticket) Upstream() (id, address string) {
-	return t.upstream.info.ID, t.upstream.info.Address
-}
+func (t *Ticket) Upstream() (id, address string) { return t.registration.ID, t.registration.Address }
+
+// Registration returns the registration of the granted upstream at the time of the grant.
+func (t *Ticket) Registration() *fleet.Upstream { return t.registration }
 
 // Decision is the result of a request for an upstream: Grant, Wait or Reject.
 type Decision interface{ decision() }
--- a/entry/request/forward/attempt.go
+++ b/entry/request/forward/attempt.go
@@ -53,7 +53,7 @@
 			c.failure = "stalled"
 		}
 	default:
-		c.recordRateLimit(resp)
+		c.recordStatements(resp)
 		outcome, done = c.handleResponse(resp)
 		resp.Close()
 	}
--- a/entry/request/forward/forward_test.go
+++ b/entry/request/forward/forward_test.go
@@ -25,7 +25,7 @@
 var headers = Headers{
 	RequestID: "X-Id", Deadline: "X-Deadline", Key: "X-Key", Customer: "X-Customer", Target: "X-Target",
 	Signature: "X-Signature", NotRun: "X-Not-Run", LastEventID: "X-Last-Event", Tokens: "X-Tokens", PromptParts: "X-Prompt",
-	RateLimit: "X-Rate-Limit",
+	RateLimit: "X-Rate-Limit", Leaving: "X-Leaving",
 }
 
 // testEntry is an entry with upstreams whose responses the test defines.
@@ -71,6 +71,7 @@
 	c := clock.System()
 	scheduler := &Scheduler{Clock: c, Balancer: balance.New(c.Now()-clock.Hour, balance.Settings{RetryRatio: 1, RetryAllowance: 10, RetryWindow: 10 * clock.Second})}
 	scheduler.SetView(state.View())
+	state.OnChange(scheduler.SetView)
 	scheduler.Balancer.SetEntries(c.Now()-clock.Hour, 1)
 	s.server = &Server{
 		Clock: c, Log: log, Headers: headers, State: state, Scheduler: scheduler, Pool: &upstream.Pool{Clock: c},
--- a/entry/request/forward/ratelimit.go
+++ b/entry/request/forward/ratelimit.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"net/http"
 	"strconv"
 	"strings"
 
@@ -19,9 +18,6 @@
 // recordRateLimit records how many requests the upstream states that it takes. A statement
 // that cannot be read changes nothing.
 func (c *call) recordRateLimit(resp *upstream.ResponseReader) {
-	if resp.Status == http.StatusMisdirectedRequest {
-		return // the response is another upstream's
-	}
 	s := c.server
 	stated := resp.Header.Get(s.Headers.RateLimit)
 	perSecond, ok := parseRateLimit(stated)
--- a/entry/request/forward/server.go
+++ b/entry/request/forward/server.go
@@ -45,6 +45,8 @@
 	// RateLimit states how many requests per second an upstream takes from all entries
 	// together, for as long as its responses carry it.
 	RateLimit string
+	// Leaving marks the responses of an upstream that leaves: it takes no new requests.
+	Leaving string
 	// PromptParts lists the parts of the prompt in order, as ID:TOKENS separated by
 	// commas. Requests share parts; the last one belongs to a single request or session.
 	PromptParts string
--- a/entry/version/fleet/fleet.go
+++ b/entry/version/fleet/fleet.go
@@ -74,6 +74,7 @@
 	mu        sync.Mutex
 	view      *View
 	listeners []func(*View)
+	leaving   leaving
 }
 
 // New returns an empty state.
@@ -111,7 +112,7 @@
 func (s *State) SetUpstreams(list map[string]*Upstream) {
 	s.update(func(v *View) bool {
 		for id, u := range list {
-			list[id] = successor(v.upstreams[id], u)
+			list[id] = s.successor(v.upstreams[id], u)
 		}
 		v.upstreams = list
 		return true
@@ -123,7 +124,7 @@
 func (s *State) SetUpstream(u *Upstream) {
 	s.update(func(v *View) bool {
 		old := v.upstreams[u.ID]
-		next := successor(old, u)
+		next := s.successor(old, u)
 		if next == old {
 			return false
 		}
@@ -134,18 +135,17 @@
 }
 
 // successor returns the registration that follows old, which may be nil, when u is read: old
-// if u is equal to it, and otherwise u. An incarnation that is draining never returns to
-// service, so a registration that says so is one of before, from a restored store.
-func successor(old, u *Upstream) *Upstream {
-	if old == nil {
-		return u
+// if u is equal to it, and otherwise u. An incarnation that leaves never returns to service, so a
+// registration that says so is one of before: from a restored store, or because the upstream has
+// said so itself before it said so to the store.
+func (s *State) successor(old, u *Upstream) *Upstream {
+	if u.Draining && u.StartTime > 0 {
+		s.leaving.add(u.ID, u.StartTime)
 	}
-	if old.Draining && !u.Draining && u.StartTime > 0 && u.StartTime == old.StartTime {
-		draining := *u
-		draining.Draining = true
-		u = &draining
+	if !u.Draining && s.leaving.has(u.ID, u.StartTime) {
+		u = drained(u)
 	}
-	if sameRegistration(old, u) {
+	if old != nil && sameRegistration(old, u) {
 		return old
 	}
 	return u
