Let old failures of an upstream count less with time

Cause: the failure rate of an upstream changed only when a request ended there. One failure costs as much as 0.2 of its slots, which is more than one request at a neighbour.

Change: the failure rate halves each 3 s without an outcome, and below 0.05 the upstream counts as sound.

Tests: TestUpstreamIsUsedAgainAfterFailure failed before (no request in 30 s after one second with failures). TestFailingUpstreamGetsLittle: one that goes on failing gets at most one request of a hundred, before and now.

--- a/entry/request/balance/balance.go
+++ b/entry/request/balance/balance.go
@@ -171,11 +171,11 @@
 			s.responseLatency.add(now - t.granted)
 		}
 		u.consecutiveFailures = 0
-		u.recordOutcome(false)
+		u.failureRate.record(now, false)
 		s.completions.add(now)
 	case Failed, Refused:
 		u.consecutiveFailures++
-		u.recordOutcome(true)
+		u.failureRate.record(now, true)
 		u.pauses[pauseFailed] = now + s.skipDuration(u.consecutiveFailures)
 		t.Avoid = append(t.Avoid, u.info.ID)
 		if o == Refused {
--- a/entry/request/balance/choose.go
+++ b/entry/request/balance/choose.go
@@ -61,7 +61,7 @@
 		if (u.pauses.has(now, pauseFailed) && !includeSkipped) || !b.eligible(now, s, u, t) {
 			continue
 		}
-		if best == nil || b.prefer(u, best) {
+		if best == nil || b.prefer(now, u, best) {
 			best = u
 		}
 	}
@@ -87,9 +87,9 @@
 
 // prefer reports whether u is better than best: by cost, then by the prompt tokens
 // that wait for prefill, then by being in the data centre of this entry.
-func (b *Balancer) prefer(u, best *upstream) bool {
-	if u.cost() != best.cost() {
-		return u.cost() < best.cost()
+func (b *Balancer) prefer(now clock.Millis, u, best *upstream) bool {
+	if cost, bestCost := u.cost(now), best.cost(now); cost != bestCost {
+		return cost < bestCost
 	}
 	if u.promptTokens != best.promptTokens {
 		return u.promptTokens < best.promptTokens
--- a/entry/request/balance/upstream.go
+++ b/entry/request/balance/upstream.go
@@ -36,30 +36,18 @@
 	slowdown float64
 	// agentUnresponsive is set while the agent of the upstream is unresponsive.
 	agentUnresponsive bool
-	// failureRate is the moving average share of failed attempts, from 0 to 1.
-	failureRate float64
+	failureRate       failureRate
 	// groupState is the state of the upstream's group as its agent reports it.
 	groupState group.State
 	rateLimit  rateLimit
 }
 
-// failureWeight is the weight of a new outcome in the failure rate.
-const failureWeight = 0.2
-
-func (u *upstream) recordOutcome(failed bool) {
-	value := 0.0
-	if failed {
-		value = 1
-	}
-	u.failureRate += failureWeight * (value - u.failureRate)
-}
-
 // cost returns the cost of one more request, by which upstreams are compared: the
 // requests that would be in flight, times the slowdown. It grows by the number of
 // slots if all recent attempts failed, in proportion if some did, and by the number
 // of slots if the agent is unresponsive.
-func (u *upstream) cost() float64 {
-	cost := float64(u.load()+1)*max(u.slowdown, 1) + u.failureRate*float64(u.info.Slots)
+func (u *upstream) cost(now clock.Millis) float64 {
+	cost := float64(u.load()+1)*max(u.slowdown, 1) + u.failureRate.at(now)*float64(u.info.Slots)
 	if u.agentUnresponsive {
 		cost += float64(u.info.Slots)
 	}
