Keep to the pause that an upstream asks for

A replica that turned requests away was skipped for some hundred milliseconds, and was probed while all others were skipped.

Change: a 503 or 429 with Retry-After pauses the upstream at this entry: no request, no second attempt, no probe. A later answer makes the pause longer, never shorter; another start of the upstream ends it; a registration that is gone for a moment and new settings do not. After it the upstream gets one request at a time until one has succeeded. Where all upstreams of a service have asked for a pause, requests wait if the first pause ends in time, and are rejected at once otherwise, with a Retry-After spread over 0.6 s behind its end.

--- a/entry/request/balance/balance.go
+++ b/entry/request/balance/balance.go
@@ -93,8 +93,8 @@
 		}
 	}
 	usable := b.usable(now, s)
-	if usable == 0 && !s.opensBefore(now, t.WaitDeadline) {
-		return b.reject(now, s, t, NoUpstream, usable)
+	if usable == 0 && !s.opensBefore(now, t.WaitDeadline) && !b.resumesBefore(now, s, t.WaitDeadline) {
+		return b.reject(now, s, t, b.reasonForNone(now, s), usable)
 	}
 	if reason := b.tooManyAhead(now, s, t); reason != "" {
 		return b.reject(now, s, t, reason, usable)
@@ -115,12 +115,20 @@
 		}
 		return ""
 	}
-	if now+s.completionWait(now, ahead) > t.WaitDeadline {
+	if b.resumesAt(now, s)+s.completionWait(now, ahead) > t.WaitDeadline {
 		return QueueFull
 	}
 	return ""
 }
 
+// reasonForNone returns the reason for which no upstream of a service is usable.
+func (b *Balancer) reasonForNone(now clock.Millis, s *service) Reason {
+	if b.resumesAt(now, s) > now {
+		return PauseRequested
+	}
+	return NoUpstream
+}
+
 func (b *Balancer) grant(now clock.Millis, s *service, t *Ticket, u *upstream) Grant {
 	if u.inFlight == 0 {
 		u.lastActive = now
@@ -128,6 +136,9 @@
 	u.inFlight++
 	u.promptTokens += t.PromptTokens
 	b.countSend(now, s, u)
+	if t.isTrial = u.onTrial; t.isTrial {
+		u.trials++
+	}
 	t.upstream, t.registration, t.granted = u, u.info, now
 	if t.retryReserved {
 		t.retryReserved = false
@@ -165,12 +176,16 @@
 	t.upstream = nil
 	u.inFlight--
 	u.promptTokens -= t.PromptTokens
+	if t.isTrial {
+		u.trials--
+	}
 	switch o {
 	case Succeeded:
 		if s.spec.Engine == nil {
 			s.responseLatency.add(now - t.granted)
 		}
 		u.consecutiveFailures = 0
+		u.onTrial = u.onTrial && !t.isTrial
 		u.failureRate.record(now, false)
 		s.completions.add(now)
 	case Failed, Refused:
@@ -198,6 +213,7 @@
 	}
 	s := b.service(t.Service)
 	t.upstream.promptTokens -= t.PromptTokens
+	t.upstream.onTrial = t.upstream.onTrial && !t.isTrial
 	t.PromptTokens = 0
 	s.responseLatency.add(now - t.granted)
 	if s.down {
--- a/entry/request/balance/choose.go
+++ b/entry/request/balance/choose.go
@@ -73,6 +73,8 @@
 	switch {
 	case !b.inService(now, u):
 		return false
+	case u.onTrial && u.trials > 0:
+		return false
 	case u.load() >= s.limit(u), !b.connectionAllows(now, s, u):
 		return false
 	case slices.Contains(t.Avoid, u.info.ID), s.unresponsive(now, u):
--- a/entry/request/balance/pause.go
+++ b/entry/request/balance/pause.go
@@ -1,6 +1,10 @@
 package balance
 
-import "goldcrestshore/core/process/clock"
+import (
+	"goldcrestshore/core/process/clock"
+	"goldcrestshore/core/version/group"
+	"goldcrestshore/entry/version/fleet"
+)
 
 // pauseReason is the reason for which an upstream gets no new requests for a time.
 type pauseReason int
@@ -11,6 +15,8 @@
 	pauseFailed pauseReason = iota
 	// pauseMisdirected follows an answer of another upstream at the address.
 	pauseMisdirected
+	// pauseRequested follows an answer in which the upstream asked for a pause.
+	pauseRequested
 	pauseReasonCount
 )
 
@@ -28,4 +34,84 @@
 
 // bars reports whether a pause lasts in which the upstream must get nothing at all, not even to find
 // out whether it works again.
-func (p *pauses) bars(now clock.Millis) bool { return p.has(now, pauseMisdirected) }
+func (p *pauses) bars(now clock.Millis) bool {
+	return p.has(now, pauseMisdirected) || p.has(now, pauseRequested)
+}
+
+// RecordPause records that the upstream of a ticket has asked for a pause: it wants no request from
+// this entry for so long. A later answer can make the pause longer, but not shorter. It reports
+// whether a pause has begun.
+func (b *Balancer) RecordPause(now clock.Millis, t *Ticket, pause clock.Millis) bool {
+	u := t.upstream
+	if u == nil || u.info.StartTime != t.registration.StartTime {
+		return false // it has started again since and knows nothing of before
+	}
+	isNew := !u.pauses.has(now, pauseRequested)
+	u.pauses.extend(pauseRequested, now+pause)
+	u.onTrial = true
+	return isNew
+}
+
+// resumesAt returns when the first upstream of a service takes requests again, if all that are in
+// service have asked for a pause. Otherwise it returns now.
+func (b *Balancer) resumesAt(now clock.Millis, s *service) clock.Millis {
+	var first clock.Millis
+	for _, u := range s.upstreams {
+		if !b.view.Usable(u.info) || u.groupState == group.StateClosed || u.pauses.has(now, pauseMisdirected) {
+			continue
+		}
+		if !u.pauses.has(now, pauseRequested) {
+			return now
+		}
+		if end := u.pauses[pauseRequested]; first == 0 || end < first {
+			first = end
+		}
+	}
+	return max(first, now)
+}
+
+// resumesBefore reports whether an upstream takes requests again before the deadline, after all have
+// asked for a pause.
+func (b *Balancer) resumesBefore(now clock.Millis, s *service, deadline clock.Millis) bool {
+	at := b.resumesAt(now, s)
+	return at > now && at <= deadline
+}
+
+// absent keeps upstreams whose registrations are gone while a pause that they have asked for lasts:
+// the registration may come back before. The zero value is ready to use.
+type absent map[string]*upstream
+
+// maxAbsent bounds the upstreams that are kept.
+const maxAbsent = 256
+
+// keep keeps an upstream if it has asked for a pause, in place of the one whose pause ends first if
+// there are too many.
+func (a *absent) keep(u *upstream) {
+	if u.pauses[pauseRequested] == 0 {
+		return
+	}
+	if *a == nil {
+		*a = make(absent)
+	}
+	(*a)[u.info.ID] = u
+	if len(*a) <= maxAbsent {
+		return
+	}
+	first := u
+	for _, other := range *a {
+		if other.pauses[pauseRequested] < first.pauses[pauseRequested] {
+			first = other
+		}
+	}
+	delete(*a, first.info.ID)
+}
+
+// take returns what is known of an upstream whose registration has come back, or nil.
+func (a absent) take(info *fleet.Upstream) *upstream {
+	u := a[info.ID]
+	delete(a, info.ID)
+	if u == nil || u.info.StartTime != info.StartTime {
+		return nil
+	}
+	return &upstream{info: info, pauses: u.pauses, onTrial: true}
+}
--- a/entry/request/balance/queue.go
+++ b/entry/request/balance/queue.go
@@ -72,13 +72,14 @@
 	var out []Decision
 	usable := b.usable(now, s)
 	slots, limitsBind := b.limitSlots(now, s)
+	resumesAt := b.resumesAt(now, s)
 	for i := 0; i < len(s.queue); {
 		t := s.queue[i]
 		sentBy := now // at the earliest
 		if limitsBind {
 			sentBy = slots.take()
 		}
-		reason := s.uselessWait(now, t, usable, sentBy)
+		reason := s.uselessWait(now, t, usable, sentBy, resumesAt)
 		if reason == "" {
 			i++
 			continue
@@ -90,12 +91,14 @@
 }
 
 // uselessWait returns the reason for which t need not wait any longer, or an empty one. sentBy
-// is when stated limits allow it to be sent.
-func (s *service) uselessWait(now clock.Millis, t *Ticket, usable int, sentBy clock.Millis) Reason {
+// is when stated limits allow it to be sent, and resumesAt when requested pauses end.
+func (s *service) uselessWait(now clock.Millis, t *Ticket, usable int, sentBy, resumesAt clock.Millis) Reason {
 	groupDown := usable == 0 && (s.down || s.reportedClosed())
 	switch {
-	case groupDown && !s.opensBefore(now, t.WaitDeadline):
+	case groupDown && !s.opensBefore(now, t.WaitDeadline) && resumesAt == now:
 		return NoUpstream
+	case usable == 0 && resumesAt > t.WaitDeadline:
+		return PauseRequested
 	case now >= t.WaitDeadline:
 		return TooLate
 	case sentBy > t.WaitDeadline:
--- a/entry/request/balance/returns.go
+++ b/entry/request/balance/returns.go
@@ -18,14 +18,18 @@
 // retryAfter spreads the retries of rejected callers: the delays run from the time
 // that the queue needs to empty to twice that time. Without recent completions they
 // run from half of maxRetryAfter to maxRetryAfter. Without a usable upstream they are
-// near maxRetryAfter, or behind the expected opening of a closed group. While all usable
+// near maxRetryAfter, or behind the expected opening of a closed group, or behind the end of the
+// first pause if all upstreams have asked for one. While all usable
 // upstreams state a limit they begin when the limits allow another request.
 func (b *Balancer) retryAfter(now clock.Millis, s *service, usable int) clock.Millis {
 	s.rejections++
+	const spread = maxRetryAfter / 4
 	if opening := s.opensAt - now; s.reportedClosed() && opening > 0 {
-		spread := maxRetryAfter / 4
 		return opening + spread*clock.Millis(s.rejections*7%retryAfterSteps)/retryAfterSteps
 	}
+	if resumesAt := b.resumesAt(now, s); usable == 0 && resumesAt > now {
+		return resumesAt - now + spread*clock.Millis(s.rejections*7%retryAfterSteps)/retryAfterSteps
+	}
 	if s.down || usable == 0 {
 		// Faults that stop all ranks of a group last for seconds, and so do drains.
 		return maxRetryAfter - (maxRetryAfter/8)*clock.Millis(s.rejections*7%retryAfterSteps)/retryAfterSteps
--- a/entry/request/balance/status.go
+++ b/entry/request/balance/status.go
@@ -16,6 +16,8 @@
 	Cold State = "cold"
 	// RateLimited upstreams state how many requests per second they take.
 	RateLimited State = "rateLimited"
+	// Paused upstreams have asked for a pause.
+	Paused State = "paused"
 	// Skipped upstreams failed and get no requests for a while.
 	Skipped State = "skipped"
 	// Unresponsive upstreams have requests in flight but send nothing, and neither
@@ -31,7 +33,7 @@
 )
 
 // States lists all states, so that states without upstreams are reported too.
-var States = []State{Usable, Cold, RateLimited, Skipped, Unresponsive, Slow, Closed, OutOfService}
+var States = []State{Usable, Cold, RateLimited, Paused, Skipped, Unresponsive, Slow, Closed, OutOfService}
 
 // Status is the state of one service, for metrics.
 type Status struct {
@@ -100,6 +102,8 @@
 		return OutOfService
 	case u.groupState == group.StateClosed:
 		return Closed
+	case u.pauses.has(now, pauseRequested):
+		return Paused
 	case u.pauses.has(now, pauseFailed):
 		return Skipped
 	case s.unresponsive(now, u):
--- a/entry/request/balance/ticket.go
+++ b/entry/request/balance/ticket.go
@@ -16,6 +16,9 @@
 	// LimitReached means that all usable upstreams state a limit, and this entry's shares
 	// of them are used up for longer than the request may wait.
 	LimitReached Reason = "limitReached"
+	// PauseRequested means that all upstreams in service have asked for a pause that lasts
+	// longer than the request may wait.
+	PauseRequested Reason = "pauseRequested"
 )
 
 // Ticket is a request that waits for an upstream or was granted one.
@@ -38,6 +41,8 @@
 	registration *fleet.Upstream
 	// granted is the time at which the upstream was granted.
 	granted clock.Millis
+	// isTrial is set if the upstream was granted on trial.
+	isTrial bool
 	// retryReserved is set while the next grant is a retry that the budget allows.
 	retryReserved bool
 }
--- a/entry/request/balance/upstream.go
+++ b/entry/request/balance/upstream.go
@@ -27,6 +27,10 @@
 	// at the cold upstream begins at the earliest.
 	nextColdTurn float64
 	pauses       pauses
+	// onTrial is set from when the upstream asked for a pause until it has responded to a request
+	// that was sent after it. It gets one such request at a time; trials counts those in flight.
+	onTrial bool
+	trials  int
 	// consecutiveFailures is the number of attempts that have failed since the last success.
 	consecutiveFailures int
 	// lastActive is when the upstream last sent something, or got a request while
@@ -68,6 +72,8 @@
 	responseLatency average
 	// completions estimates the rate at which requests end.
 	completions rate
+	// absent holds upstreams whose registrations are gone.
+	absent absent
 	// rotation is the offset at which the next search begins.
 	rotation int
 	// rejections is the number of rejected requests; it varies their delays.
@@ -102,6 +108,10 @@
 			continue
 		}
 		u := old[id]
+		delete(old, id)
+		if u == nil {
+			u = s.absent.take(info)
+		}
 		if u == nil {
 			u = &upstream{}
 		}
@@ -109,7 +119,10 @@
 			u.pauses.end(pauseMisdirected) // a new registration may be right
 		}
 		if u.info != nil && u.info.StartTime != info.StartTime {
-			u.rateLimit = rateLimit{Statement: group.Statement{At: info.FirstSeenAt}} // it has started again since
+			// It has started again since.
+			u.rateLimit = rateLimit{Statement: group.Statement{At: info.FirstSeenAt}}
+			u.pauses.end(pauseRequested)
+			u.onTrial = false
 		}
 		if info.ColdRemaining > 0 && (u.info == nil || !u.info.Cold(info.FirstSeenAt)) {
 			u.coldSince, u.nextColdTurn = info.FirstSeenAt, 0
@@ -117,6 +130,9 @@
 		u.info = info
 		s.upstreams = append(s.upstreams, u)
 	}
+	for _, u := range old {
+		s.absent.keep(u)
+	}
 	slices.SortFunc(s.upstreams, func(a, b *upstream) int { return strings.Compare(a.info.ID, b.info.ID) })
 }
 
--- a/entry/request/forward/crash_test.go
+++ b/entry/request/forward/crash_test.go
@@ -88,7 +88,7 @@
 func TestCrashIsLogged(t *testing.T) {
 	s := newTestEntry(t)
 	crashableUpstreams(t, s, 1)
-	lines := captureLog(t, s)
+	lines := captureLog(t, s, "warning")
 	callWithPrompt(t, s, "r1", "a0", crashPart, "b1")
 	_, line, found := strings.Cut(lines.String(), "request was in flight when its upstream crashed")
 	check.Equal(t, "line of the crash", found, true)
--- a/entry/request/forward/ratelimit_test.go
+++ b/entry/request/forward/ratelimit_test.go
@@ -17,13 +17,13 @@
 	return func(q *http.Request) string { return strings.Replace(respond(q), "\r\n", "\r\n"+line+"\r\n", 1) }
 }
 
-// rateLimited returns how many upstreams of the plain service are known to state a limit.
-func (s *testEntry) rateLimited() int {
+// upstreamsInState returns how many upstreams of the plain service are in a state.
+func (s *testEntry) upstreamsInState(state balance.State) int {
 	n := 0
 	s.server.Scheduler.WithBalancer(func(now clock.Millis, b *balance.Balancer) {
 		for _, st := range b.Status(now) {
 			if st.Service == "plain" {
-				n = st.Upstreams[balance.RateLimited]
+				n = st.Upstreams[state]
 			}
 		}
 	})
@@ -52,7 +52,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			s := newTestEntry(t, tc.responders...)
 			s.call(t, "/once/", nil)
-			check.Equal(t, "upstreams that state a limit", s.rateLimited(), tc.want)
+			check.Equal(t, "upstreams that state a limit", s.upstreamsInState(balance.RateLimited), tc.want)
 		})
 	}
 }
@@ -86,7 +86,7 @@
 			s.call(t, "/once/", nil)
 			requests := s.requests()
 			called[requests[len(requests)-1].Header.Get(headers.Target)] = true
-			check.Equal(t, "limited upstreams, "+phase.name, s.rateLimited(), phase.limited(len(called)))
+			check.Equal(t, "limited upstreams, "+phase.name, s.upstreamsInState(balance.RateLimited), phase.limited(len(called)))
 		}
 		check.Equal(t, "upstreams called, "+phase.name, len(called), upstreams)
 	}
--- a/entry/request/forward/server.go
+++ b/entry/request/forward/server.go
@@ -92,7 +92,9 @@
 	MaxTotalBodyBytes int64
 
 	bodyMemory body.Memory
-	stopping   atomic.Bool
+	// unreadablePauses holds the upstreams that have asked for a pause that can't be read.
+	unreadablePauses onceSet
+	stopping         atomic.Bool
 	// cutAt is the time, by Clock, at which a stopping server ends the requests that are
 	// still in flight.
 	cutAt atomic.Int64
--- a/entry/request/forward/statement.go
+++ b/entry/request/forward/statement.go
@@ -16,6 +16,7 @@
 	}
 	c.recordLeaving(resp)
 	c.recordRateLimit(resp)
+	c.recordPause(resp)
 }
 
 // recordLeaving takes an upstream out of service that says that it leaves.
--- a/entry/request/forward/trouble_test.go
+++ b/entry/request/forward/trouble_test.go
@@ -206,11 +206,11 @@
 	})
 }
 
-// captureLog returns the lines that an entry logs from now on.
-func captureLog(t *testing.T, s *testEntry) *bytes.Buffer {
+// captureLog returns the lines of a level that an entry logs from now on.
+func captureLog(t *testing.T, s *testEntry, level string) *bytes.Buffer {
 	t.Helper()
 	var lines bytes.Buffer
-	log, err := event.NewLog(&lines, "warning", "entry", "e")
+	log, err := event.NewLog(&lines, level, "entry", "e")
 	check.NoError(t, "NewLog", err)
 	s.server.Log = log
 	return &lines
@@ -228,7 +228,7 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			s := newTestEntry(t, closing([]responder{tc.broken, respondEvents(true, eventTwo, eventThree)})...)
-			lines := captureLog(t, s)
+			lines := captureLog(t, s, "warning")
 			check.NoError(t, "call", s.call(t, "/stream/", nil).err)
 			for _, want := range []string{tc.want, `"unfinishedBytes":5`, `"events":1`} {
 				check.Equal(t, "line has "+want, strings.Contains(lines.String(), want), true)
