Tell other entries which upstreams leave

Cause: each entry learned that an upstream leaves from its own first answer alone, and sent a request there that it might cut off.

A message names the incarnation, so a late or doubled one tells nothing new, and a lost one is replaced by the next. Entries and agents of earlier builds log these messages as malformed and go on.

--- a/agent/connection/sidecar/sidecar.go
+++ b/agent/connection/sidecar/sidecar.go
@@ -38,6 +38,8 @@
 	// inFlight holds the last heartbeat of each entry, by the entry's ID.
 	inFlight map[string]entryState
 	limits   rateLimits
+	// departures are those of which entries are told.
+	departures group.RecentDepartures
 }
 
 // entryState is the content of the last heartbeat of an entry.
@@ -76,8 +78,13 @@
 			if limits := s.limitsFor(m.Entry); len(limits.Limits) > 0 {
 				s.send(c, from, id, &frame.RateLimits{RateLimits: limits})
 			}
+			if departures := s.recentDepartures(); len(departures) > 0 {
+				s.send(c, from, id, &frame.Departures{Departures: group.Departures{Departures: departures}})
+			}
 		case *frame.RateLimits:
 			s.recordLimits(m.Limits)
+		case *frame.Departures:
+			s.recordDepartures(m.Departures.Departures)
 		default:
 			s.logMalformed(from)
 		}
@@ -100,6 +107,22 @@
 	s.limits.record(s.Clock.Now(), limits)
 }
 
+// recordDepartures records which upstreams have told an entry that they leave.
+func (s *Server) recordDepartures(departures []group.Departure) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, d := range departures {
+		s.departures.Add(s.Clock.Now(), d)
+	}
+}
+
+// recentDepartures returns what entries are told of upstreams that leave.
+func (s *Server) recentDepartures() []group.Departure {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.departures.List(s.Clock.Now())
+}
+
 // limitsFor returns what an entry is told about the limits of upstreams.
 func (s *Server) limitsFor(entry string) group.RateLimits {
 	s.mu.Lock()
--- a/core/connection/frame/kind.go
+++ b/core/connection/frame/kind.go
@@ -127,6 +127,8 @@
 		return unmarshal[SnapshotReply](body)
 	case kindRateLimits:
 		return unmarshal[RateLimits](body)
+	case kindDepartures:
+		return unmarshal[Departures](body)
 	}
 	return nil, errors.Wrapf(ErrUnknownKind, "kind %d", kind)
 }
@@ -157,6 +159,7 @@
 	kindSnapshotReply   = 45
 
 	kindRateLimits = 46
+	kindDepartures = 47
 )
 
 // EntryHeartbeat is an entry's heartbeat to the agent of a rank.
@@ -169,6 +172,10 @@
 // sends it to agents beside its heartbeats, and an agent beside its replies.
 type RateLimits struct{ group.RateLimits }
 
+// Departures tells which upstreams have said that they leave. An entry sends it to agents beside its
+// heartbeats, and an agent beside its replies.
+type Departures struct{ group.Departures }
+
 // RankCall is a call of the owner of expert maps to the agent of a rank.
 type RankCall struct{ group.Call }
 
@@ -186,5 +193,6 @@
 func (*EntryHeartbeat) frameKind() byte  { return kindEntryHeartbeat }
 func (*GroupLoad) frameKind() byte       { return kindGroupLoad }
 func (*RateLimits) frameKind() byte      { return kindRateLimits }
+func (*Departures) frameKind() byte      { return kindDepartures }
 func (*RankCall) frameKind() byte        { return kindRankCall }
 func (*RankReply) frameKind() byte       { return kindRankReply }
--- a/core/process/event/catalogue.go
+++ b/core/process/event/catalogue.go
@@ -81,8 +81,8 @@
 	StreamFailedOver   = define(1314, logrus.InfoLevel, "stream failed over to another upstream")
 	RequestCancelled   = define(1315, logrus.InfoLevel, "caller closed the connection before the response was complete")
 	UpstreamSkipped    = define(1316, logrus.WarnLevel, "upstream failed; it temporarily receives no new requests")
-	UpstreamPaused     = define(1318, logrus.InfoLevel, "upstream asks for a pause; it gets no requests until that ends")
 	LinesDropped       = define(1317, logrus.WarnLevel, "log lines were dropped because the output is slow or the rate limit is exceeded")
+	UpstreamPaused     = define(1318, logrus.InfoLevel, "upstream asks for a pause; it gets no requests until that ends")
 )
 
 // Events of an agent's upstream, 1400-1499.
--- a/core/version/group/group.go
+++ b/core/version/group/group.go
@@ -8,7 +8,7 @@
 //go:generate go tool msgp -tests=false -io=false -file group.go -o group_gen.go
 
 //msgp:ignore Op Outcome State
-//msgp:tuple Report Order Call Reply EntryHeartbeat Load RateLimit RateLimits
+//msgp:tuple Report Order Call Reply EntryHeartbeat Load RateLimit RateLimits Departure Departures
 
 // None is the value of a version or step that is not set.
 const None = -1
@@ -211,3 +211,16 @@
 	// the order of their names. Only an agent sets it.
 	Position int
 }
+
+// Departure tells that an upstream has said in an answer that it leaves.
+type Departure struct {
+	Upstream string
+	// StartTime is when the incarnation that leaves has started, in Unix milliseconds.
+	StartTime int64
+}
+
+// Departures tells an agent which upstreams have told an entry that they leave, or an entry which
+// have told others.
+type Departures struct {
+	Departures []Departure
+}
--- a/core/version/group/group_gen.go
+++ b/core/version/group/group_gen.go
@@ -70,6 +70,121 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z Departure) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendString(o, z.Upstream)
+	o = msgp.AppendInt64(o, z.StartTime)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Departure) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Upstream, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Upstream")
+		return
+	}
+	z.StartTime, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "StartTime")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Departure) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Upstream) + msgp.Int64Size
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Departures) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 1
+	o = append(o, 0x91)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Departures)))
+	for za0001 := range z.Departures {
+		// array header, size 2
+		o = append(o, 0x92)
+		o = msgp.AppendString(o, z.Departures[za0001].Upstream)
+		o = msgp.AppendInt64(o, z.Departures[za0001].StartTime)
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Departures) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 1 {
+		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Departures")
+		return
+	}
+	if cap(z.Departures) >= int(zb0002) {
+		z.Departures = (z.Departures)[:zb0002]
+	} else {
+		z.Departures = make([]Departure, zb0002)
+	}
+	for za0001 := range z.Departures {
+		var zb0003 uint32
+		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Departures", za0001)
+			return
+		}
+		if zb0003 != 2 {
+			err = msgp.ArrayError{Wanted: 2, Got: zb0003}
+			return
+		}
+		z.Departures[za0001].Upstream, bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Departures", za0001, "Upstream")
+			return
+		}
+		z.Departures[za0001].StartTime, bts, err = msgp.ReadInt64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Departures", za0001, "StartTime")
+			return
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Departures) Msgsize() (s int) {
+	s = 1 + msgp.ArrayHeaderSize
+	for za0001 := range z.Departures {
+		s += 1 + msgp.StringPrefixSize + len(z.Departures[za0001].Upstream) + msgp.Int64Size
+	}
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *EntryHeartbeat) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/entry/connection/sidecar/beacon.go
+++ b/entry/connection/sidecar/beacon.go
@@ -56,6 +56,10 @@
 	Limits func() []group.RateLimit
 	// OnLimits receives what upstreams have stated to other entries, from an agent.
 	OnLimits func(group.RateLimits)
+	// Departures returns the upstreams that have told this entry lately that they leave.
+	Departures func() []group.Departure
+	// OnDeparture receives an upstream that has told another entry that it leaves, from an agent.
+	OnDeparture func(group.Departure)
 	// OnLoads receives the current loads by upstream before each round of
 	// heartbeats, and the upstreams whose agents have stopped replying.
 	OnLoads func(loads map[string]group.Load, unresponsive map[string]bool)
@@ -88,18 +92,22 @@
 	return nil
 }
 
-// sendHeartbeats sends a round of heartbeats, and what agents are told of limits.
+// sendHeartbeats sends a round of heartbeats, and what agents are told of limits and departures.
 func (b *Beacon) sendHeartbeats(c net.PacketConn) {
 	unresponsive := b.unresponsive()
 	b.OnLoads(b.freshLoads(), unresponsive)
 	agents, inFlight := b.Agents(), b.InFlight()
-	limits := limitsByAgent(agents, unresponsive, b.Limits())
+	limits := byAgent(agents, unresponsive, b.Limits(), group.MaxRateLimits, func(l group.RateLimit) string { return l.Upstream })
+	departures := byAgent(agents, unresponsive, b.Departures(), group.MaxDepartures, func(d group.Departure) string { return d.Upstream })
 	firstSequence := b.startRound(agents)
 	for i, a := range agents {
 		sequence := firstSequence + uint64(i)
 		if told := limits[a.Upstream]; len(told) > 0 {
 			b.send(c, a, sequence, &frame.RateLimits{RateLimits: group.RateLimits{Limits: told}})
 		}
+		if told := departures[a.Upstream]; len(told) > 0 {
+			b.send(c, a, sequence, &frame.Departures{Departures: group.Departures{Departures: told}})
+		}
 		heartbeat := group.EntryHeartbeat{Entry: b.Entry, InFlight: inFlight[a.Upstream], Term: b.Term(a.Service), Peer: b.Peer}
 		b.send(c, a, sequence, &frame.EntryHeartbeat{EntryHeartbeat: heartbeat})
 	}
@@ -148,6 +156,10 @@
 			if b.isPending(id) {
 				b.OnLimits(m.RateLimits)
 			}
+		case *frame.Departures:
+			for _, d := range m.Departures.Departures {
+				b.OnDeparture(d)
+			}
 		default:
 			b.malformed(from)
 		}
--- a/entry/connection/sidecar/limits.go
+++ b/entry/connection/sidecar/limits.go
@@ -5,33 +5,33 @@
 	"slices"
 
 	"goldcrestshore/core/request/fingerprint"
-	"goldcrestshore/core/version/group"
 )
 
-// agentsPerLimit is how many agents are told of a limit whose upstream has no agent. One of
-// them suffices; all agents would double the datagrams between entries and agents.
-const agentsPerLimit = 3
+// agentsPerUpstream is how many agents are told of an upstream that has no agent. One of them
+// suffices; all agents would double the datagrams between entries and agents.
+const agentsPerUpstream = 3
 
-// limitsByAgent returns the statements of which each agent is told, by the agent's upstream: an
-// agent is told of its own upstream, and some are told of one that has no agent.
-func limitsByAgent(agents []Agent, unresponsive map[string]bool, limits []group.RateLimit) map[string][]group.RateLimit {
+// byAgent returns what each agent is told of upstreams, at most limit statements, by the agent's
+// upstream: an agent is told of its own upstream, and some are told of one that has no agent.
+func byAgent[T any](agents []Agent, unresponsive map[string]bool, statements []T, limit int, upstreamOf func(T) string) map[string][]T {
 	hasAgent := make(map[string]bool, len(agents))
 	for _, a := range agents {
 		hasAgent[a.Upstream] = true
 	}
-	told := make(map[string][]group.RateLimit)
-	tell := func(agent string, l group.RateLimit) {
-		if len(told[agent]) < group.MaxRateLimits {
-			told[agent] = append(told[agent], l)
+	told := make(map[string][]T)
+	tell := func(agent string, statement T) {
+		if len(told[agent]) < limit {
+			told[agent] = append(told[agent], statement)
 		}
 	}
-	for _, l := range limits {
-		if hasAgent[l.Upstream] {
-			tell(l.Upstream, l)
+	for _, statement := range statements {
+		upstream := upstreamOf(statement)
+		if hasAgent[upstream] {
+			tell(upstream, statement)
 			continue
 		}
-		for _, agent := range agentsFor(l.Upstream, agents, unresponsive) {
-			tell(agent, l)
+		for _, agent := range agentsFor(upstream, agents, unresponsive) {
+			tell(agent, statement)
 		}
 	}
 	return told
@@ -52,7 +52,7 @@
 	}
 	slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.rank, b.rank) })
 	var chosen []string
-	for _, c := range candidates[:min(len(candidates), agentsPerLimit)] {
+	for _, c := range candidates[:min(len(candidates), agentsPerUpstream)] {
 		chosen = append(chosen, c.agent)
 	}
 	return chosen
--- a/entry/connection/sidecar/sidecar_test.go
+++ b/entry/connection/sidecar/sidecar_test.go
@@ -59,6 +59,7 @@
 		InFlight: func() map[string]int { return nil }, Term: func(string) int64 { return 0 },
 		OnLoads: func(l map[string]group.Load, _ map[string]bool) { received <- l },
 		Limits:  func() []group.RateLimit { return nil }, OnLimits: func(group.RateLimits) {},
+		Departures: func() []group.Departure { return nil }, OnDeparture: func(group.Departure) {},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
--- a/entry/request/forward/server.go
+++ b/entry/request/forward/server.go
@@ -81,6 +81,9 @@
 	Synced <-chan struct{}
 	// Quarantine refuses requests like those that have crashed upstreams; it may be nil.
 	Quarantine *quarantines.Service
+	// OnLeaving is called with an upstream that has told this entry first that it leaves; it may be
+	// nil.
+	OnLeaving func(*fleet.Upstream)
 	// Metrics records the outcomes of requests; it may be nil.
 	Metrics *Metrics
 	// Listen is the address that callers connect to, as ip:port.
--- a/entry/request/forward/statement.go
+++ b/entry/request/forward/statement.go
@@ -26,7 +26,11 @@
 		return
 	}
 	u := c.ticket.Registration()
-	if s.State.MarkLeaving(u.ID, u.StartTime) {
-		s.Log.Emit(event.UpstreamLeaving, event.Fields{"upstream": u.ID, "startTime": u.StartTime, "request": c.request.id, "status": resp.Status})
+	if !s.State.MarkLeaving(u.ID, u.StartTime) {
+		return
+	}
+	s.Log.Emit(event.UpstreamLeaving, event.Fields{"upstream": u.ID, "startTime": u.StartTime, "source": "response", "request": c.request.id, "status": resp.Status})
+	if s.OnLeaving != nil {
+		s.OnLeaving(u)
 	}
 }
