--- a/entry/process/watch/watch.go
+++ b/entry/process/watch/watch.go
@@ -168,7 +168,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	next := w.begin(k, cancel)
-	at := next.after
+	var at snapshot.Position
 	if next.isList {
 		at, err = k.source.List(ctx)
 	} else {
