Recognise a second answer behind a body without a length

Cause: such a body was taken to its end unchecked; streams had a check of their own.

Change: one rule for both tells the head of another response by its status line and the id of the request. The attempt has failed then: what may be sent again is, and the rest gets 502.

--- a/entry/request/forward/events.go
+++ b/entry/request/forward/events.go
@@ -19,10 +19,7 @@
 // line feed, a carriage return or both.
 var blankLines = [][]byte{[]byte("\n\n"), []byte("\n\r\n"), []byte("\r\r")}
 
-var (
-	idPrefix         = []byte("id:")
-	statusLinePrefix = []byte("HTTP/1.")
-)
+var idPrefix = []byte("id:")
 
 // completeEventsLen returns the length of the complete events at the start of b.
 func completeEventsLen(b []byte) int {
@@ -82,23 +79,6 @@
 	return nil
 }
 
-// anotherResponse returns where the head of another response begins in the body of a stream, or
-// -1. No line of an event begins like a status line. An upstream in trouble may write a second
-// response, and a body that ends with its connection does not show where it ends.
-func anotherResponse(body []byte) int {
-	for start := 0; ; {
-		i := bytes.Index(body[start:], statusLinePrefix)
-		if i < 0 {
-			return -1
-		}
-		at := start + i
-		if at == 0 || body[at-1] == '\n' || body[at-1] == '\r' {
-			return at
-		}
-		start = at + len(statusLinePrefix)
-	}
-}
-
 // parseEventID returns the id of an event, or "" if it has none.
 func parseEventID(event []byte) string {
 	id := ""
--- a/entry/request/forward/forward_test.go
+++ b/entry/request/forward/forward_test.go
@@ -417,8 +417,6 @@
 	check.Equal(t, "last id", parseEventID(lastEvent([]byte("id: 1\ndata: x\n\nid: 22\ndata: id: 9\n\n"))), "22")
 	check.Equal(t, "no id", parseEventID(lastEvent([]byte("data: x\n\n"))), "")
 	check.Equal(t, "last id before a comment", parseEventID(lastEvent([]byte("id: 3\n\n: wait\n\n"))), "3")
-	check.Equal(t, "another response", anotherResponse([]byte("id: 1\n\nHTTP/1.1 503 X\r\n")), 7)
-	check.Equal(t, "status line as data", anotherResponse([]byte("id: 1\ndata: HTTP/1.1 503 X\n\n")), -1)
 	check.Equal(t, "first event after a comment", string(firstEvent([]byte(": wait\r\n\r\nid: 1\n\nid: 2\n\n"))), "id: 1\n\n")
 	check.Equal(t, "no first event", len(firstEvent([]byte(": wait\n\n"))), 0)
 	check.Equal(t, "only a comment", len(lastEvent([]byte(": wait\n\n"))), 0)
--- a/entry/request/forward/response.go
+++ b/entry/request/forward/response.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"bytes"
 	"io"
 	"net/http"
 	"strconv"
@@ -64,6 +65,10 @@
 		c.interruption = interruption{resp.Framing(), int(buffer.Len()), err}
 		return balance.Failed, false
 	}
+	if c.hasAnotherResponse(resp, buffer) {
+		c.failure = "anotherResponse"
+		return balance.Failed, false
+	}
 	outcome := balance.Succeeded
 	if resp.Status >= http.StatusInternalServerError {
 		c.failure = "status" + strconv.Itoa(resp.Status)
@@ -89,6 +94,15 @@
 	return outcome, true
 }
 
+// hasAnotherResponse reports whether another response follows in a body that has been read to the end
+// of its connection. Where the first one ends can't be told then, nor whether it is whole.
+func (c *call) hasAnotherResponse(resp *upstream.ResponseReader, b *body.Buffer) bool {
+	if resp.Framing() != upstream.FramedByClose {
+		return false
+	}
+	return anotherResponse(bytes.Join(b.Parts(), nil), false, c.server.Headers.RequestID, c.request.id) >= 0
+}
+
 // bodyFailure returns the cause of a failed attempt whose body could not be read.
 func bodyFailure(err error) string {
 	switch {
--- a/entry/request/forward/stream.go
+++ b/entry/request/forward/stream.go
@@ -83,7 +83,7 @@
 		c.failure = "notResumed"
 		return false
 	}
-	foreign := anotherResponse(events)
+	foreign := anotherResponse(events, true, c.server.Headers.RequestID, c.request.id)
 	if foreign >= 0 {
 		events = events[:completeEventsLen(events[:foreign])]
 	}
