review: an evacuated zone's cold replica is overloaded when the zone is taken back

The removal of the evacuation is applied while an earlier change of a record waits behind the pause between two watches of its kind.

--- a/review/standin-2/cold.go
+++ b/review/standin-2/cold.go
@@ -50,22 +50,7 @@
 	close(stop)
 	running.Wait()
 	w.mu.Lock()
-	most, crashes := 0, len(w.crashes)
-	var cold []arrival
-	for _, a := range w.arrivals {
-		if a.cold && a.replica == id {
-			cold = append(cold, a)
-		}
-	}
-	for i, first := range cold {
-		n := 0
-		for _, a := range cold[i:] {
-			if a.at.Sub(first.at) < time.Second && !w.sent[a.request].Before(first.at.Add(-20*time.Millisecond)) {
-				n++
-			}
-		}
-		most = max(most, n)
-	}
+	most, crashes := w.mostWhileCold(), len(w.crashes)
 	health := w.health[id]
 	w.mu.Unlock()
 	bound := warmupPerSecond*coldOvershoot + coldSlack
--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -145,6 +145,30 @@
 	w.record("request %s was run by replica %s", request, replica)
 }
 
+// mostWhileCold returns the highest number of requests that were sent to one cold replica and reached
+// it within one second. It must be called with mu held.
+func (w *world) mostWhileCold() int {
+	byReplica := map[string][]arrival{}
+	for _, a := range w.arrivals {
+		if a.cold {
+			byReplica[a.replica] = append(byReplica[a.replica], a)
+		}
+	}
+	most := 0
+	for _, cold := range byReplica {
+		for i, first := range cold {
+			n := 0
+			for _, a := range cold[i:] {
+				if a.at.Sub(first.at) < time.Second {
+					n++
+				}
+			}
+			most = max(most, n)
+		}
+	}
+	return most
+}
+
 // entry is a process of the project.
 type entry struct {
 	callers, ready string
@@ -378,6 +402,8 @@
 		lateCrash(w, os.Args[3])
 	case "silent-stream":
 		silentStream(w, os.Args[3])
+	case "evacuation":
+		evacuation(w, os.Args[3])
 	case "cold-in-outage":
 		coldInOutage(w, os.Args[3])
 	}
