--- a/review/standin-2/replica.go
+++ b/review/standin-2/replica.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 )
@@ -25,6 +24,10 @@
 	crashEvents int
 	// coldPerSecond is the rate at which the replica ends while it is cold, 0 for none.
 	coldCrashPerSecond int
+	// ip is the address to listen on, 127.0.0.1 if it is empty.
+	ip string
+	// rank is nil for a replica that belongs to no group.
+	rank *rank
 
 	mu        sync.Mutex
 	address   string
@@ -59,8 +62,11 @@
 func (r *replica) start(id string) {
 	r.mu.Lock()
 	address := r.address
+	if r.ip == "" {
+		r.ip = "127.0.0.1"
+	}
 	if address == "" {
-		address = "127.0.0.1:0"
+		address = r.ip + ":0"
 	}
 	l, err := net.Listen("tcp4", address)
 	if err != nil {
@@ -81,6 +87,7 @@
 		}
 	}}
 	r.mu.Unlock()
+	r.world.addRank(r)
 	r.world.record("replica %s of %s starts at %s", id, r.service, r.address)
 	go server.Serve(trackingListener{l, r})
 	r.beat()
@@ -166,6 +173,9 @@
 		w.Header().Set("Cold-Ms", strconv.FormatInt(cold.Milliseconds(), 10))
 		return
 	}
+	if r.serveRank(w, q) {
+		return
+	}
 	body, err := io.ReadAll(q.Body)
 	if err != nil {
 		return
@@ -193,7 +203,10 @@
 	busy := r.busy
 	defer func() { <-busy }()
 	w.Header().Set("Response-Signature", "sig."+id+"."+request)
-	if strings.HasPrefix(q.URL.Path, "/draft/") || strings.HasPrefix(q.URL.Path, "/letter/") {
+	if isStream(q.URL.Path) {
+		if r.rank != nil {
+			r.rank.addTokens(promptTokens + outputTokens)
+		}
 		r.stream(w, q, id, string(body))
 		return
 	}
--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -57,6 +57,57 @@
 	// event the connection of a preempted request has ended.
 	preempting bool
 	cuts       map[string]time.Duration
+
+	// ranks are the replicas of the group, sideIPs their addresses, and agents the processes beside
+	// them.
+	ranks   []*replica
+	sideIPs []string
+	agents  []*exec.Cmd
+	// port is the first port of the range that processes use among themselves.
+	port int
+	// onExit is called with an entry that ends by itself, and ends counts these.
+	onExit   func(*entry)
+	ends     int
+	stopping bool
+}
+
+func (w *world) addRank(r *replica) {
+	if r.rank == nil {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ranks = append(w.ranks, r)
+}
+
+// watchExit starts an entry again that ends by itself, after a second.
+func (w *world) watchExit(e *entry, tmp string, i int) {
+	if w.onExit == nil {
+		return
+	}
+	cmd := e.cmd
+	e.exited = make(chan struct{})
+	exited := e.exited
+	go func() {
+		_ = cmd.Wait()
+		close(exited)
+		w.mu.Lock()
+		stopping := w.stopping
+		if !stopping {
+			w.ends++
+		}
+		w.mu.Unlock()
+		if stopping {
+			return
+		}
+		w.onExit(e)
+		time.Sleep(time.Second)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if !w.stopping {
+			e.start(w, tmp, i)
+		}
+	}()
 }
 
 func (w *world) setPreempting(on bool) {
@@ -173,8 +224,10 @@
 type entry struct {
 	callers, ready string
 	ip             string
-	settings       string
+	settings, log  string
 	cmd            *exec.Cmd
+	// exited is closed once cmd has ended, if its end is watched.
+	exited chan struct{}
 }
 
 // freePort returns a port that is free on all addresses for TCP and UDP.
@@ -216,7 +269,8 @@
 	for i := range n {
 		ips = append(ips, fmt.Sprintf("127.0.0.%d", 11+i))
 	}
-	port, callers, ready := freePort(ips...), freePort(ips...), freePort(ips...)
+	port, callers, ready := freePort(append(w.sideIPs, ips...)...), freePort(ips...), freePort(ips...)
+	w.port = port
 	for i, ip := range ips {
 		e := &entry{ip: ip, callers: fmt.Sprintf("%s:%d", ip, callers), ready: fmt.Sprintf("%s:%d", ip, ready)}
 		values := map[string]any{
@@ -231,7 +285,7 @@
 			fatal("%v", err)
 		}
 		w.entries = append(w.entries, e)
-		e.start(tmp, i)
+		e.start(w, tmp, i)
 	}
 	deadline := time.Now().Add(10 * time.Second)
 	for _, e := range w.entries {
@@ -246,11 +300,12 @@
 	w.record("%d entries are ready", n)
 }
 
-func (e *entry) start(tmp string, i int) {
+func (e *entry) start(w *world, tmp string, i int) {
 	e.cmd = exec.Command("target/goldcrest-platform", "entry")
 	e.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // ends with this process
 	e.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "GOLDCRESTSHORE_SETTINGS=" + e.settings}
-	f, err := os.Create(filepath.Join(tmp, fmt.Sprintf("entry-%d.log", i)))
+	e.log = filepath.Join(tmp, fmt.Sprintf("entry-%d-%d.log", i, time.Since(w.began).Milliseconds()))
+	f, err := os.Create(e.log)
 	if err != nil {
 		fatal("%v", err)
 	}
@@ -258,6 +313,7 @@
 	if err := e.cmd.Start(); err != nil {
 		fatal("start entry: %v", err)
 	}
+	w.watchExit(e, tmp, i)
 }
 
 func (e *entry) isReady() bool {
@@ -271,11 +327,28 @@
 }
 
 func (w *world) stopEntries() {
+	w.mu.Lock()
+	w.stopping = true
+	cmds := append([]*exec.Cmd(nil), w.agents...)
+	var watched []chan struct{}
 	for _, e := range w.entries {
-		if e.cmd != nil && e.cmd.Process != nil {
-			_ = e.cmd.Process.Signal(syscall.SIGKILL)
-			_ = e.cmd.Wait()
+		if e.cmd == nil || e.cmd.Process == nil {
+			continue
 		}
+		if e.exited == nil {
+			cmds = append(cmds, e.cmd)
+			continue
+		}
+		_ = e.cmd.Process.Kill()
+		watched = append(watched, e.exited)
+	}
+	w.mu.Unlock()
+	for _, cmd := range cmds {
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait()
+	}
+	for _, exited := range watched {
+		<-exited
 	}
 }
 
@@ -297,7 +370,7 @@
 	q.Header.Set("Request-Id", id)
 	q.Header.Set("Key", key)
 	q.Header.Set("Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
-	if strings.HasPrefix(path, "/draft/") || strings.HasPrefix(path, "/letter/") {
+	if isStream(path) {
 		q.Header.Set("Model", "m")
 		q.Header.Set("Token-Usage", "400,40")
 		q.Header.Set("Prompt-Prefix", "5c1e07a2:40,"+fmt.Sprintf("%08x:360", hash(path+body)))
@@ -400,6 +473,8 @@
 	switch os.Args[1] {
 	case "late-crash":
 		lateCrash(w, os.Args[3])
+	case "spoiled-list":
+		spoiledList(w, os.Args[3])
 	case "silent-stream":
 		silentStream(w, os.Args[3])
 	case "evacuation":
