review: a late second answer hides an order that was not carried out, and two maps are in use

A copy of a report on a kept connection is taken for the answer to the order to hold a pass. Ranks are then armed while nothing holds the pass.

--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -475,6 +475,8 @@
 		lateCrash(w, os.Args[3])
 	case "spoiled-list":
 		spoiledList(w, os.Args[3])
+	case "two-maps":
+		twoMaps(w, os.Args[3])
 	case "silent-stream":
 		silentStream(w, os.Args[3])
 	case "evacuation":
