review: a request that a new version of the replicas can't bear is never refused

What a request has succeeded with at an entry exempts it for a minute or more, also at other replicas.

--- a/review/standin-2/replica.go
+++ b/review/standin-2/replica.go
@@ -20,12 +20,12 @@
 	slots   int
 	// workTime is how long a plain request takes.
 	workTime time.Duration
-	// crashEvents is the number of events of a crashing request before the process ends.
-	crashEvents int
 	// coldPerSecond is the rate at which the replica ends while it is cold, 0 for none.
 	coldCrashPerSecond int
 	// ip is the address to listen on, 127.0.0.1 if it is empty.
 	ip string
+	// version is that of its software. The request to crashPath crashes all versions but v1.
+	version string
 	// rank is nil for a replica that belongs to no group.
 	rank *rank
 
@@ -115,7 +115,35 @@
 		state = "draining"
 	}
 	cold := max(time.Until(r.coldUntil).Milliseconds(), 0)
-	return r.id, map[string]any{"service": r.service, "address": r.address, "zone": r.zone, "version": "v1", "slots": r.slots, "state": state, "cold_remaining_ms": cold, "sequence": r.sequence, "born": r.born}
+	return r.id, map[string]any{"service": r.service, "address": r.address, "zone": r.zone, "version": r.softwareVersion(), "slots": r.slots, "state": state, "cold_remaining_ms": cold, "sequence": r.sequence, "born": r.born}
+}
+
+func (r *replica) softwareVersion() string {
+	if r.version == "" {
+		return "v1"
+	}
+	return r.version
+}
+
+// leave reports that the replica drains, and ends it after a while.
+func (r *replica) leave(after time.Duration) {
+	r.mu.Lock()
+	r.draining = true
+	id := r.id
+	r.mu.Unlock()
+	r.world.record("replica %s drains", id)
+	r.beat()
+	time.AfterFunc(after, func() {
+		r.mu.Lock()
+		r.up = false
+		r.listener.Close()
+		for c := range r.conns {
+			c.Close()
+		}
+		r.mu.Unlock()
+		r.world.store.delete("servers", id)
+		r.world.record("replica %s has left", id)
+	})
 }
 
 // beat writes the record of the replica to the store.
@@ -176,8 +204,7 @@
 	if r.serveRank(w, q) {
 		return
 	}
-	body, err := io.ReadAll(q.Body)
-	if err != nil {
+	if _, err := io.ReadAll(q.Body); err != nil {
 		return
 	}
 	request := q.Header.Get("Request-Id")
@@ -207,9 +234,14 @@
 		if r.rank != nil {
 			r.rank.addTokens(promptTokens + outputTokens)
 		}
-		r.stream(w, q, id, string(body))
+		r.stream(w, q, id)
 		return
 	}
+	if q.URL.Path == crashPath && r.world.trouble && r.version != "v1" {
+		time.Sleep(20 * time.Millisecond)
+		r.crash("request "+request, 2*time.Second)
+		panic(http.ErrAbortHandler)
+	}
 	time.Sleep(r.workTime)
 	r.world.ran(request, id)
 	answer := "answer to " + request
@@ -232,41 +264,17 @@
 	return len(r.arrivals) > r.coldCrashPerSecond
 }
 
-const (
-	streamEvents = 10
-	// preemptedEvent is the event before which a stream is preempted, for the time preemption. Callers
-	// wait two seconds for the next event.
-	preemptedEvent = 6
-	preemption     = 1800 * time.Millisecond
-)
+const streamEvents = 10
 
 // stream writes the events of a stream, after Last-Event-Id if there is one.
-func (r *replica) stream(w http.ResponseWriter, q *http.Request, id, body string) {
+func (r *replica) stream(w http.ResponseWriter, q *http.Request, id string) {
 	request := q.Header.Get("Request-Id")
 	first := 1
 	if last, err := strconv.Atoi(q.Header.Get("Last-Event-Id")); err == nil {
 		first = last + 1
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
-	crashing := body == crashBody && r.world.trouble
 	for i := first; i <= streamEvents; i++ {
-		if crashing && i-first >= r.crashEvents {
-			r.world.record("replica %s has begun %s of the request that crashes it (events %d to %d)", id, request, first, i-1)
-			r.crash("request "+request, 2*time.Second)
-			panic(http.ErrAbortHandler)
-		}
-		if i == preemptedEvent && r.world.preempts() {
-			r.world.record("replica %s preempts %s after event %d and reads its prompt again", id, request, i-1)
-			paused := time.Now()
-			select {
-			case <-time.After(preemption):
-				r.world.record("replica %s goes on with %s", id, request)
-			case <-q.Context().Done():
-				r.world.record("replica %s: the connection of %s ends %d ms after its last event", id, request, time.Since(paused).Milliseconds())
-				r.world.cut(request, time.Since(paused))
-				return
-			}
-		}
 		time.Sleep(50 * time.Millisecond)
 		if q.Context().Err() != nil {
 			return
--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -23,7 +23,7 @@
 const (
 	hostName  = "ficu95.example"
 	key       = "n2ctnfzs989anu6wsjnb"
-	crashBody = "a prompt that crashes the replica"
+	crashPath = "/lookup/crash"
 	// contactMs and the others are the bounds of the settings.
 	contactMs     = 3000
 	coldOvershoot = 1.5
@@ -53,11 +53,6 @@
 	crashes  []crashNote
 	statuses map[string]int
 	entries  []*entry
-	// preempting is set while replicas have too little memory, and cuts holds how long after its last
-	// event the connection of a preempted request has ended.
-	preempting bool
-	cuts       map[string]time.Duration
-
 	// ranks are the replicas of the group, sideIPs their addresses, and agents the processes beside
 	// them.
 	ranks   []*replica
@@ -110,24 +105,6 @@
 	}()
 }
 
-func (w *world) setPreempting(on bool) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.preempting = on && w.trouble
-}
-
-func (w *world) preempts() bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.preempting
-}
-
-func (w *world) cut(request string, after time.Duration) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.cuts[request] = after
-}
-
 type crashNote struct {
 	at      time.Time
 	replica string
@@ -147,7 +124,6 @@
 	w := &world{
 		trouble: os.Getenv("TROUBLE") != "0", dir: dir, out: bufio.NewWriter(f), began: time.Now(), rng: rand.New(rand.NewSource(1)),
 		sent: map[string]time.Time{}, ranCount: map[string]int{}, health: map[string]int{}, statuses: map[string]int{},
-		cuts: map[string]time.Duration{},
 	}
 	w.store = newStore()
 	return w
@@ -471,14 +447,14 @@
 	}
 	w := newWorld(os.Args[2])
 	switch os.Args[1] {
-	case "late-crash":
-		lateCrash(w, os.Args[3])
 	case "spoiled-list":
 		spoiledList(w, os.Args[3])
 	case "two-maps":
 		twoMaps(w, os.Args[3])
-	case "silent-stream":
-		silentStream(w, os.Args[3])
+	case "release-crash":
+		releaseCrash(w, os.Args[3])
+	case "query-crash":
+		queryCrash(w, os.Args[3])
 	case "evacuation":
 		evacuation(w, os.Args[3])
 	case "cold-in-outage":
