Check the lists of experts before they become a map

Each entry that took over the maps read the list anew and ended as well.

Cause: loadMap took the lists of all ranks as they were, and countReplicas and layerSkew used their numbers as indices, in a goroutine of the owner of the maps, where a panic ends the process. A number below zero did the same. Lists that repeat or lack an expert, have more experts than slots or other layers than the engine ended nothing, but maps were planned by them.

Change: placement.Shape.NewMap makes a map of the lists or says what is wrong with them: ranks, layers and range of the engine, each expert somewhere, none twice at a rank, no more than its slots. While they are not a map, the map stays as it is, passes go on, the lists are requested again in each cycle and event 1510 says so once.

--- a/core/process/event/catalogue.go
+++ b/core/process/event/catalogue.go
@@ -107,6 +107,7 @@
 	OrderUnresolved = define(1507, logrus.WarnLevel, "rank did not reply to an order; the order may still take effect")
 	OrderRefused    = define(1508, logrus.WarnLevel, "rank refused an order")
 	RankUnreachable = define(1509, logrus.InfoLevel, "rank or its agent is unreachable")
+	MapUnreadable   = define(1510, logrus.WarnLevel, "ranks' lists of experts are not a map; the map stays as it is until they are")
 )
 
 // Events of the simulated upstreams, 1900-1999.
--- a/entry/process/experts/change.go
+++ b/entry/process/experts/change.go
@@ -72,10 +72,8 @@
 		return nil
 	}
 	scaledGigabytes := engine.ExpertMB / megabytesPerGigabyte / float64(len(ranks))
-	shape := placement.Shape{
-		Layers: engine.Layers, Experts: engine.Experts, Ranks: len(ranks),
-		SlotsPerRank: engine.SlotsPerRank, SpareSlots: engine.SpareSlots, MaxCopies: maxCopiesPerRank(engine), Slowdowns: slowdowns(ranks),
-	}
+	shape := shapeOf(engine, ranks)
+	shape.MaxCopies, shape.Slowdowns = maxCopiesPerRank(engine), slowdowns(ranks)
 	next := placement.Plan(shape, s.current, s.demand.Loads(), minStepGainPerGigabyte*scaledGigabytes)
 	before, after := shape.Skew(s.current, s.demand.Loads()), shape.Skew(next, s.demand.Loads())
 	moves := s.current.Copies(next)
@@ -95,6 +93,14 @@
 	return nil
 }
 
+// shapeOf returns the dimensions of a group without what only a plan needs.
+func shapeOf(engine *config.Engine, ranks []*rank) placement.Shape {
+	return placement.Shape{
+		Layers: engine.Layers, Experts: engine.Experts, Ranks: len(ranks),
+		SlotsPerRank: engine.SlotsPerRank, SpareSlots: engine.SpareSlots,
+	}
+}
+
 // slowdowns returns the slowdown factor of each rank.
 func slowdowns(ranks []*rank) []float64 {
 	factors := make([]float64, len(ranks))
--- a/entry/process/experts/demand.go
+++ b/entry/process/experts/demand.go
@@ -1,7 +1,10 @@
 package experts
 
 import (
+	"slices"
+
 	"goldcrestshore/core/process/clock"
+	"goldcrestshore/core/process/event"
 	"goldcrestshore/entry/version/config"
 	"goldcrestshore/entry/version/placement"
 )
@@ -67,26 +70,49 @@
 	return tokens
 }
 
-// loadMap takes the current map from the replies of the ranks, unless it is known.
-func (o *Owner) loadMap(ranks []*rank) error {
-	if o.state.mapKnown {
-		return nil
+// loadMap takes the current map from the lists in the replies of the ranks, unless it is known.
+// While the lists are not a map, which one wrong byte in a reply can cause, it stays unknown and
+// the lists are requested again in the next cycle.
+func (o *Owner) loadMap(ranks []*rank, engine *config.Engine) {
+	if o.state.mapKnown || !haveLists(ranks) {
+		return
+	}
+	current, err := shapeOf(engine, ranks).NewMap(listsOf(ranks))
+	if err != nil {
+		o.logInvalidLists(ranks, err)
+		return
 	}
-	layers := len(ranks[0].reply.Experts)
-	current := make(placement.Map, layers)
+	o.listsInvalid = false
 	version := int64(0)
-	for layer := range current {
-		current[layer] = make([][]int, len(ranks))
+	for _, r := range ranks {
+		version = max(version, r.report.Map, r.report.Prepared)
+	}
+	o.state.current, o.state.version, o.state.mapKnown = current, version, true
+}
+
+// haveLists reports whether the replies were requested with lists of experts.
+func haveLists(ranks []*rank) bool {
+	return slices.ContainsFunc(ranks, func(r *rank) bool { return len(r.reply.Experts) > 0 })
+}
+
+// listsOf returns the lists of experts by rank and layer.
+func listsOf(ranks []*rank) [][][]int {
+	lists := make([][][]int, len(ranks))
+	for i, r := range ranks {
+		lists[i] = r.reply.Experts
+	}
+	return lists
+}
+
+// logInvalidLists logs that the lists are not a map, once until they are.
+func (o *Owner) logInvalidLists(ranks []*rank, err error) {
+	if o.listsInvalid {
+		return
 	}
+	o.listsInvalid = true
+	upstreams := make([]string, len(ranks))
 	for i, r := range ranks {
-		if len(r.reply.Experts) != layers {
-			return nil // retried in the next cycle
-		}
-		for layer := range current {
-			current[layer][i] = r.reply.Experts[layer]
-		}
-		version = max(version, r.report.Map, r.report.Prepared)
+		upstreams[i] = r.Upstream
 	}
-	o.state.current, o.state.version, o.state.mapKnown = current, version, layers > 0
-	return nil
+	o.Log.Error(event.MapUnreadable, err, event.Fields{"service": o.Service, "epoch": o.state.epoch, "upstreams": upstreams})
 }
--- a/entry/process/experts/owner.go
+++ b/entry/process/experts/owner.go
@@ -118,6 +118,8 @@
 	// called directly.
 	unresponsive map[string]clock.Millis
 	members      memberLog
+	// listsInvalid is true from lists of experts that are not a map until some that are.
+	listsInvalid bool
 	state        state
 }
 
@@ -235,11 +237,12 @@
 		return nil
 	}
 	if changePending(ranks) {
-		return o.resolveChange(ctx, ranks)
+		return o.resolveChange(ctx, ranks, engine)
 	}
 	o.state.resolved = true
 	if !o.state.mapKnown {
-		return o.loadMap(ranks)
+		o.loadMap(ranks, engine)
+		return nil
 	}
 	if !mostViaAgents(ranks) {
 		return nil
--- a/entry/process/experts/resolve.go
+++ b/entry/process/experts/resolve.go
@@ -9,6 +9,7 @@
 	"goldcrestshore/core/process/clock"
 	"goldcrestshore/core/process/event"
 	"goldcrestshore/core/version/group"
+	"goldcrestshore/entry/version/config"
 )
 
 // maxDirectOrderAge bounds how long after querying the ranks an order may still be
@@ -24,7 +25,7 @@
 // earlier owner. It completes the change if every rank is armed for the same pass and
 // at most one rank holds a pass: holds on more ranks show that a rollback was in
 // progress. Otherwise it rolls the change back while the pass is held.
-func (o *Owner) resolveChange(ctx context.Context, ranks []*rank) error {
+func (o *Owner) resolveChange(ctx context.Context, ranks []*rank, engine *config.Engine) error {
 	observedAt := o.Clock.Now()
 	version, step, all := armedFor(ranks)
 	if step != group.None && step <= latestStep(ranks) {
@@ -39,7 +40,7 @@
 	if step == group.None {
 		step = earliestHeldStep(ranks) // orders to arm may still be in transit
 	}
-	return o.rollBack(ctx, ranks, step, observedAt)
+	return o.rollBack(ctx, ranks, engine, step, observedAt)
 }
 
 // earliestHeldStep returns the earliest pass that any rank holds.
@@ -75,9 +76,9 @@
 // rollBack holds the pass on all ranks, disarms them, and makes them prepare a newer
 // version of the current map, after which they refuse late orders to arm. No rank is
 // disarmed before all hold the pass, and none is released before all have prepared.
-func (o *Owner) rollBack(ctx context.Context, ranks []*rank, step int64, observedAt clock.Millis) error {
-	if err := o.loadMap(ranks); err != nil || !o.state.mapKnown {
-		return err
+func (o *Owner) rollBack(ctx context.Context, ranks []*rank, engine *config.Engine, step int64, observedAt clock.Millis) error {
+	if o.loadMap(ranks, engine); !o.state.mapKnown {
+		return nil // retried in the next cycle
 	}
 	current := o.state.current
 	o.state.mapKnown = false
--- a/measure/mapswitch/cluster_test.go
+++ b/measure/mapswitch/cluster_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -34,6 +35,16 @@
 	lapsed [lockstep.Ranks]bool
 
 	responses [lockstep.Ranks]responses
+
+	// unreadableMaps counts the log lines about lists of experts that are not a map.
+	unreadableMaps atomic.Int64
+}
+
+// countEvent implements event.Log.Count.
+func (c *cluster) countEvent(e event.Event) {
+	if e == event.MapUnreadable {
+		c.unreadableMaps.Add(1)
+	}
 }
 
 // pauseAgent suspends an agent for d.
@@ -69,6 +80,7 @@
 	log, err := event.NewLog(io.Discard, "error", "test", "test")
 	check.NoError(t, "NewLog", err)
 	c := &cluster{Group: lockstep.New(seed), log: log}
+	log.Count = c.countEvent
 	for i := range lockstep.Ranks {
 		c.agents = append(c.agents, c.agent(i))
 	}
@@ -113,10 +125,20 @@
 func (c *cluster) Claim(context.Context, string, int64) (int64, error) {
 	c.termMu.Lock()
 	defer c.termMu.Unlock()
-	c.term += 10
+	c.term += termIncrement
 	return c.term, nil
 }
 
+// termIncrement is the difference between the terms of consecutive claims.
+const termIncrement = 10
+
+// terms returns how many processes have owned the maps so far.
+func (c *cluster) terms() int64 {
+	c.termMu.Lock()
+	defer c.termMu.Unlock()
+	return c.term / termIncrement
+}
+
 // finish stops all processes and waits for calls and orders in progress.
 func finish(cancel context.CancelFunc) {
 	cancel()
--- a/measure/mapswitch/rank_test.go
+++ b/measure/mapswitch/rank_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 
 	"github.com/cockroachdb/errors"
@@ -26,6 +27,8 @@
 	random     *rand.Rand
 	lastOrder  error
 	lastReport *group.Report
+	// spoil, if not nil, changes the lists of experts that the rank returns.
+	spoil func(layers [][]int) [][]int
 }
 
 // copyShare is the share of calls that are answered with a copy.
@@ -65,6 +68,35 @@
 	return own
 }
 
+// spoilLists makes spoil change the lists of experts that the rank returns, nil for none.
+func (r *responses) spoilLists(spoil func(layers [][]int) [][]int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.spoil = spoil
+}
+
+// experts returns the response to a query of the lists whose own response is own.
+func (r *responses) experts(own [][]int) [][]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.spoil == nil {
+		return own
+	}
+	layers := make([][]int, len(own))
+	for i, list := range own {
+		layers[i] = slices.Clone(list)
+	}
+	return r.spoil(layers)
+}
+
+func (r rank) Experts(ctx context.Context) ([][]int, error) {
+	own, err := r.Rank.Experts(ctx)
+	if err != nil {
+		return own, err
+	}
+	return r.responses.experts(own), nil
+}
+
 func (r rank) Report(ctx context.Context) (group.Report, error) {
 	own, err := r.Rank.Report(ctx)
 	if err != nil {
