Start over with maps and demand when an engine gets other dimensions

Seen by callers: the entry that owned the maps ended, with all its streams and kept connections, when operators changed the number of experts or layers of an engine while it served requests.

Cause: the estimate of the demand and the map kept the dimensions of the engine at the time they were first made. placement.Estimator.Add and Shape.Skew then used the new dimensions as indices into them. Every value was a proper one; they did not belong together.

Change: the owner remembers which dimensions its map, estimate and counts have, and discards them when the engine or the group has others. Until ranks list a map of the new dimensions nothing is changed (NewMap).

--- a/entry/process/experts/owner.go
+++ b/entry/process/experts/owner.go
@@ -123,12 +123,19 @@
 	state        state
 }
 
+// dimensions are those of a group and its engine that maps and demand depend on.
+type dimensions struct {
+	layers, experts, ranks int
+}
+
 // state is the owner's view of the group.
 type state struct {
-	epoch    int64
-	mapKnown bool
-	current  placement.Map
-	version  int64
+	epoch int64
+	// dimensions are those of current, demand and lastCounts.
+	dimensions dimensions
+	mapKnown   bool
+	current    placement.Map
+	version    int64
 	// resolved is true if no change of this or an earlier owner can be pending.
 	resolved bool
 	// changing is true while a change is in progress.
@@ -229,9 +236,13 @@
 		return nil
 	}
 	if ranks[0].report.Epoch != o.state.epoch {
-		o.state = state{epoch: ranks[0].report.Epoch, resolved: o.state.resolved, lastCounts: o.state.lastCounts, demand: o.state.demand}
+		o.state = state{
+			epoch: ranks[0].report.Epoch, resolved: o.state.resolved,
+			dimensions: o.state.dimensions, lastCounts: o.state.lastCounts, demand: o.state.demand,
+		}
 		o.state.maxHeldStep = maxPossibleHeldStep(ranks)
 	}
+	o.state.resize(dimensions{engine.Layers, engine.Experts, len(ranks)})
 	o.updateDemand(ranks, engine)
 	if o.awaitingSwitch(ranks) {
 		return nil
@@ -250,6 +261,17 @@
 	return o.rebalance(ctx, ranks, engine)
 }
 
+// resize discards what depends on other dimensions than d: a configuration may change those of
+// the engine at any time.
+func (s *state) resize(d dimensions) {
+	if s.dimensions == d {
+		return
+	}
+	s.dimensions = d
+	s.mapKnown, s.current = false, nil
+	s.demand, s.lastCounts = placement.Estimator{}, nil
+}
+
 // awaitingSwitch reports whether all ranks are armed for the last change and no
 // pass is held, so that they will switch at its pass.
 func (o *Owner) awaitingSwitch(ranks []*rank) bool {
--- a/measure/mapswitch/cluster_test.go
+++ b/measure/mapswitch/cluster_test.go
@@ -13,6 +13,7 @@
 	"goldcrestshore/core/process/clock"
 	"goldcrestshore/core/process/event"
 	"goldcrestshore/entry/process/experts"
+	"goldcrestshore/entry/version/config"
 	"goldcrestshore/standin/process/lockstep"
 )
 
@@ -21,6 +22,9 @@
 	*lockstep.Group
 	log *event.Log
 
+	// engine is the configuration of the engine that is in force.
+	engine atomic.Pointer[config.Engine]
+
 	mu     sync.Mutex
 	agents []*orders.Executor
 	owners []*owner
@@ -81,6 +85,7 @@
 	check.NoError(t, "NewLog", err)
 	c := &cluster{Group: lockstep.New(seed), log: log}
 	log.Count = c.countEvent
+	c.engine.Store(lockstepEngine())
 	for i := range lockstep.Ranks {
 		c.agents = append(c.agents, c.agent(i))
 	}
@@ -91,6 +96,11 @@
 	return c
 }
 
+// lockstepEngine returns the configuration of the group's engine.
+func lockstepEngine() *config.Engine {
+	return &config.Engine{Layers: lockstep.Layers, Experts: lockstep.Experts, SlotsPerRank: lockstep.SlotsPerRank, SpareSlots: lockstep.SpareSlots}
+}
+
 func (c *cluster) agent(i int) *orders.Executor {
 	return &orders.Executor{Clock: clock.System(), Log: c.log, Rank: rank{c.Rank(i), &c.responses[i]}}
 }
--- a/measure/mapswitch/owner_test.go
+++ b/measure/mapswitch/owner_test.go
@@ -11,7 +11,6 @@
 	"goldcrestshore/core/process/clock"
 	"goldcrestshore/core/version/group"
 	"goldcrestshore/entry/process/experts"
-	"goldcrestshore/entry/version/config"
 	"goldcrestshore/standin/process/lockstep"
 )
 
@@ -40,11 +39,10 @@
 	for i := range lockstep.Ranks {
 		members = append(members, experts.Member{Upstream: fmt.Sprint(i), Agent: fmt.Sprint(i)})
 	}
-	engine := &config.Engine{Layers: lockstep.Layers, Experts: lockstep.Experts, SlotsPerRank: lockstep.SlotsPerRank, SpareSlots: lockstep.SpareSlots}
 	o.process = &experts.Owner{
 		Clock: clock.System(), Log: c.log, Self: fmt.Sprint("owner", i), Service: "s", Ranks: o, Claimer: c,
 		Members:     func() []experts.Member { return c.registered(members) },
-		Engine:      func() *config.Engine { return engine },
+		Engine:      c.engine.Load,
 		OwnerStatus: o.exchangeHeartbeats,
 	}
 	go o.process.Run(ctx)
