Take a group for complete only if all ranks report its size

Seen in tests: while the last rank was missing and rank 0 reported one rank less than there are, the others passed for the whole group.

Cause: arrangeByRank compared the number of ranks with the size that rank 0 reports, and no others.

Change: every rank must report that size. Otherwise the ranks are queried again in the next cycle.

Tests: TestCompleteGroup failed before in two cases (complete: true).

--- a/entry/process/experts/query.go
+++ b/entry/process/experts/query.go
@@ -195,7 +195,7 @@
 }
 
 // arrangeByRank sorts replies by rank and reports whether they form a complete
-// group in a single epoch.
+// group in a single epoch, whose size all of them agree on.
 func arrangeByRank(responding []*rank) ([]*rank, bool) {
 	var ranks []*rank
 	for _, r := range responding {
@@ -207,11 +207,11 @@
 		}
 		ranks[r.report.Rank] = r
 	}
-	if len(ranks) == 0 || ranks[0] == nil || len(ranks) != ranks[0].report.Size {
+	if len(ranks) == 0 || ranks[0] == nil {
 		return ranks, false
 	}
 	for _, r := range ranks {
-		if r == nil || r.report.Epoch != ranks[0].report.Epoch || r.report.Group != ranks[0].report.Group || !r.report.Open {
+		if r == nil || r.report.Size != len(ranks) || r.report.Epoch != ranks[0].report.Epoch || r.report.Group != ranks[0].report.Group || !r.report.Open {
 			return ranks, false
 		}
 	}
--- a/measure/mapswitch/rank_test.go
+++ b/measure/mapswitch/rank_test.go
@@ -29,6 +29,8 @@
 	lastReport *group.Report
 	// spoil, if not nil, changes the lists of experts that the rank returns.
 	spoil func(layers [][]int) [][]int
+	// change, if not nil, changes the reports of the rank.
+	change func(r *group.Report)
 }
 
 // copyShare is the share of calls that are answered with a copy.
@@ -61,6 +63,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	last := r.lastReport
+	if r.change != nil {
+		r.change(&own)
+	}
 	r.lastReport = &own
 	if last != nil && r.copies() {
 		return *last
@@ -68,6 +73,13 @@
 	return own
 }
 
+// changeReports makes change change the reports of the rank, nil for none.
+func (r *responses) changeReports(change func(r *group.Report)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.change = change
+}
+
 // spoilLists makes spoil change the lists of experts that the rank returns, nil for none.
 func (r *responses) spoilLists(spoil func(layers [][]int) [][]int) {
 	r.mu.Lock()
