Roll back a change also while the map is unknown

Seen in tests: where an earlier owner had left a pass held and the lists of experts of one rank were not a map, the whole group waited for as long as the rank wrote such lists. It was the same, since lists are checked, where the configuration stated another engine than the ranks have.

Cause: a change is superseded by an order to prepare the map in use, which the next owner reads from the lists. Without a map it went back to the next cycle and left the pass held.

Change: no rank switches to the map that supersedes a change, so a likely one will do. The stand-in of a group refuses maps that lack an expert now.

--- a/entry/process/experts/owner.go
+++ b/entry/process/experts/owner.go
@@ -138,6 +138,8 @@
 	version    int64
 	// resolved is true if no change of this or an earlier owner can be pending.
 	resolved bool
+	// rollbacksWithoutMap counts the attempts to roll back a change while the map is unknown.
+	rollbacksWithoutMap int
 	// changing is true while a change is in progress.
 	changing bool
 	// switchStep is the pass at which the map of the last change takes effect.
--- a/entry/process/experts/resolve.go
+++ b/entry/process/experts/resolve.go
@@ -10,6 +10,7 @@
 	"goldcrestshore/core/process/event"
 	"goldcrestshore/core/version/group"
 	"goldcrestshore/entry/version/config"
+	"goldcrestshore/entry/version/placement"
 )
 
 // maxDirectOrderAge bounds how long after querying the ranks an order may still be
@@ -77,10 +78,10 @@
 // version of the current map, after which they refuse late orders to arm. No rank is
 // disarmed before all hold the pass, and none is released before all have prepared.
 func (o *Owner) rollBack(ctx context.Context, ranks []*rank, engine *config.Engine, step int64, observedAt clock.Millis) error {
-	if o.loadMap(ranks, engine); !o.state.mapKnown {
+	current, ok := o.mapForRollback(ranks, engine)
+	if !ok {
 		return nil // retried in the next cycle
 	}
-	current := o.state.current
 	o.state.mapKnown = false
 	if err := forEachRank(ranks, func(r *rank) error { return o.holdRank(ctx, r, step, observedAt) }); err != nil {
 		return err
@@ -99,6 +100,25 @@
 	return o.releaseAll(ctx, ranks, observedAt)
 }
 
+// mapForRollback returns the map that ranks prepare to supersede a change. No rank switches to
+// it, so that one that is likely the map in use will do while their lists of experts are not a
+// map: the group waits. Ranks refuse what they can't prepare; another candidate is tried then.
+func (o *Owner) mapForRollback(ranks []*rank, engine *config.Engine) (placement.Map, bool) {
+	if o.loadMap(ranks, engine); o.state.mapKnown {
+		return o.state.current, true
+	}
+	if !haveLists(ranks) {
+		return nil, false
+	}
+	candidates := shapeOf(engine, ranks).Candidates(listsOf(ranks))
+	if len(candidates) == 0 {
+		return nil, false
+	}
+	candidate := candidates[o.state.rollbacksWithoutMap%len(candidates)]
+	o.state.rollbacksWithoutMap++
+	return candidate, true
+}
+
 // rolledBack reports whether no rank is armed or can still be armed for a version
 // before the given one.
 func rolledBack(ranks []*rank, version int64) bool {
--- a/measure/mapswitch/engine_test.go
+++ b/measure/mapswitch/engine_test.go
@@ -12,20 +12,30 @@
 	"goldcrestshore/standin/process/lockstep"
 )
 
+// otherDimensions are changes of an engine's configuration that the ranks do not follow.
+var otherDimensions = []struct {
+	name   string
+	change func(e *config.Engine)
+}{
+	{"more experts", func(e *config.Engine) { e.Experts *= 2 }},
+	{"fewer experts", func(e *config.Engine) { e.Experts /= 2 }},
+	{"more layers", func(e *config.Engine) { e.Layers++ }},
+	{"fewer layers", func(e *config.Engine) { e.Layers-- }},
+	{"as many counts", func(e *config.Engine) { e.Layers, e.Experts = 2*e.Layers, e.Experts/2 }},
+}
+
+// changeEngine puts a changed configuration of the engine in force.
+func (c *cluster) changeEngine(change func(e *config.Engine)) {
+	engine := lockstepEngine()
+	change(engine)
+	c.engine.Store(engine)
+}
+
 // Guards against an entry that ends because a configuration changes the dimensions of an engine
 // whose demand it has counted, and against maps for an engine that the ranks do not have. The
 // map must follow the demand again once the configuration is that of the ranks.
 func TestEngineOfOtherDimensions(t *testing.T) {
-	for _, tc := range []struct {
-		name   string
-		change func(e *config.Engine)
-	}{
-		{"more experts", func(e *config.Engine) { e.Experts *= 2 }},
-		{"fewer experts", func(e *config.Engine) { e.Experts /= 2 }},
-		{"more layers", func(e *config.Engine) { e.Layers++ }},
-		{"fewer layers", func(e *config.Engine) { e.Layers-- }},
-		{"as many counts", func(e *config.Engine) { e.Layers, e.Experts = 2*e.Layers, e.Experts/2 }},
-	} {
+	for _, tc := range otherDimensions {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) { checkOtherDimensions(t, tc.change) })
 		})
@@ -38,9 +48,7 @@
 	defer finish(cancel)
 	c := newCluster(ctx, t, 1, 3)
 	time.Sleep(5 * time.Second)
-	engine := lockstepEngine()
-	change(engine)
-	c.engine.Store(engine)
+	c.changeEngine(change)
 	time.Sleep(time.Second) // a change of the map in progress ends
 	switches, step := c.Switches(), c.Step()
 	time.Sleep(changed)
--- a/standin/process/lockstep/lockstep.go
+++ b/standin/process/lockstep/lockstep.go
@@ -362,7 +362,7 @@
 }
 
 func (r *Rank) prepare(o group.Order) bool {
-	if o.Version <= r.highestVersion || r.armedVersion != group.None {
+	if o.Version <= r.highestVersion || r.armedVersion != group.None || !isMap(o.Map) {
 		return false
 	}
 	next := make([][]int, Layers)
@@ -381,3 +381,22 @@
 	r.highestVersion, r.prepared, r.next, r.copyDoneAt = o.Version, o.Version, next, time.Now().Add(copyDuration)
 	return true
 }
+
+// isMap reports whether m has the dimensions of the group and every expert at some rank.
+func isMap(m [][][]int) bool {
+	if len(m) != Layers {
+		return false
+	}
+	for _, ranks := range m {
+		if len(ranks) != Ranks {
+			return false
+		}
+		all := slices.Concat(ranks...)
+		slices.Sort(all)
+		all = slices.Compact(all)
+		if len(all) != Experts || all[0] != 0 || all[Experts-1] != Experts-1 {
+			return false
+		}
+	}
+	return true
+}
