Keep a rank's report where its counts or lists can't be read

Seen in tests: a group waited for 9.9 to 10 s of 10 for a pass that an earlier owner had left held, because one rank wrote counts and lists of experts that can't be decoded.

Cause: an agent answered a call without any report if one of its queries failed. The rank then counted as missing, and a change is resolved only through all ranks.

Change: the agent logs the query that failed and sends the report without its result. The owner leaves out such counts, as those of ranks that it calls directly, and such lists are not a map.

Tests: TestReportWithoutCountsAndExperts and four cases of TestRollbackWithoutMap failed before.

--- a/agent/process/orders/orders.go
+++ b/agent/process/orders/orders.go
@@ -110,7 +110,8 @@
 	return reply
 }
 
-// fillReply sets the fields of reply that the call requests.
+// fillReply sets the fields of reply that the call requests. Without counts or lists of experts
+// the report still counts: a pending change can only be resolved through all ranks.
 func (e *Executor) fillReply(ctx context.Context, c *group.Call, reply *group.Reply) error {
 	var err error
 	if reply.Report, err = e.Rank.Report(ctx); err != nil {
@@ -119,12 +120,14 @@
 	e.recordStatus(&reply.Report)
 	if c.WantCounts {
 		if reply.Counts, err = e.Rank.Counts(ctx); err != nil {
-			return errors.Wrap(err, "counts")
+			reply.Counts = nil
+			e.Log.Error(event.RankUnreachable, err, event.Fields{"query": "counts"})
 		}
 	}
 	if c.WantMap {
 		if reply.Experts, err = e.Rank.Experts(ctx); err != nil {
-			return errors.Wrap(err, "experts")
+			reply.Experts = nil
+			e.Log.Error(event.RankUnreachable, err, event.Fields{"query": "experts"})
 		}
 	}
 	return nil
--- a/agent/process/orders/orders_test.go
+++ b/agent/process/orders/orders_test.go
@@ -21,6 +21,8 @@
 	replies []error
 	report  group.Report
 	copies  []group.Order
+	// queryError, if not nil, is returned by queries other than for the report.
+	queryError error
 }
 
 func (s *scriptedRank) Report(context.Context) (group.Report, error) {
@@ -29,8 +31,8 @@
 	return s.report, nil
 }
 
-func (s *scriptedRank) Counts(context.Context) ([]int64, error)  { return []int64{1, 2}, nil }
-func (s *scriptedRank) Experts(context.Context) ([][]int, error) { return [][]int{{0}}, nil }
+func (s *scriptedRank) Counts(context.Context) ([]int64, error)  { return []int64{1, 2}, s.queryError }
+func (s *scriptedRank) Experts(context.Context) ([][]int, error) { return [][]int{{0}}, s.queryError }
 
 func (s *scriptedRank) Order(ctx context.Context, o group.Order) error {
 	s.mu.Lock()
@@ -172,3 +174,14 @@
 		check.Equal(t, "state without reports", s.GroupState(), group.StateUnknown)
 	})
 }
+
+// Guards against a rank that counts as missing, so that a change is not resolved and the group
+// waits, because its counts or lists of experts can't be read.
+func TestReportWithoutCountsAndExperts(t *testing.T) {
+	rank := &scriptedRank{report: reportAfter, queryError: ErrNoReply}
+	reply := newExecutor(t, rank).Serve(context.Background(), &group.Call{Term: 1, WantCounts: true, WantMap: true})
+	check.Equal(t, "failure", reply.Failure, "")
+	check.Equal(t, "armed version", reply.Report.ArmedVersion, reportAfter.ArmedVersion)
+	check.Equal(t, "counts", len(reply.Counts), 0)
+	check.Equal(t, "layers", len(reply.Experts), 0)
+}
--- a/measure/mapswitch/rank_test.go
+++ b/measure/mapswitch/rank_test.go
@@ -29,6 +29,8 @@
 	lastReport *group.Report
 	// spoil, if not nil, changes the lists of experts that the rank returns.
 	spoil func(layers [][]int) [][]int
+	// queryError, if not nil, is returned in place of lists of experts and counts.
+	queryError error
 	// change, if not nil, changes the reports of the rank.
 	change func(r *group.Report)
 }
@@ -87,6 +89,20 @@
 	r.spoil = spoil
 }
 
+// failQueries makes the rank return err in place of lists of experts and counts, nil for none.
+func (r *responses) failQueries(err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.queryError = err
+}
+
+// failure returns the error of a query of lists of experts or counts.
+func (r *responses) failure() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.queryError
+}
+
 // experts returns the response to a query of the lists whose own response is own.
 func (r *responses) experts(own [][]int) [][]int {
 	r.mu.Lock()
@@ -102,6 +118,9 @@
 }
 
 func (r rank) Experts(ctx context.Context) ([][]int, error) {
+	if err := r.responses.failure(); err != nil {
+		return nil, err
+	}
 	own, err := r.Rank.Experts(ctx)
 	if err != nil {
 		return own, err
@@ -109,6 +128,13 @@
 	return r.responses.experts(own), nil
 }
 
+func (r rank) Counts(ctx context.Context) ([]int64, error) {
+	if err := r.responses.failure(); err != nil {
+		return nil, err
+	}
+	return r.Rank.Counts(ctx)
+}
+
 func (r rank) Report(ctx context.Context) (group.Report, error) {
 	own, err := r.Rank.Report(ctx)
 	if err != nil {
--- a/measure/mapswitch/rollback_test.go
+++ b/measure/mapswitch/rollback_test.go
@@ -8,11 +8,16 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"goldcrestshore/core/process/check"
 	"goldcrestshore/core/version/group"
 	"goldcrestshore/standin/process/lockstep"
 )
 
+// errUnreadable stands in for the error of a response that can't be decoded.
+var errUnreadable = errors.New("response can't be decoded")
+
 // Guards against a group that stalls for good because an earlier owner has left a pass held, and
 // no map can be made of the lists of experts from which its change is rolled back.
 func TestRollbackWithoutMap(t *testing.T) {
@@ -23,6 +28,11 @@
 			})
 		}
 	}
+	for i := range lockstep.Ranks {
+		t.Run(fmt.Sprint("lists and counts can't be read, rank ", i), func(t *testing.T) {
+			checkRollback(t, func(c *cluster) { c.responses[i].failQueries(errUnreadable) })
+		})
+	}
 	for _, tc := range otherDimensions {
 		t.Run(tc.name, func(t *testing.T) {
 			checkRollback(t, func(c *cluster) { c.changeEngine(tc.change) })
