Read the lists of experts twice before they are believed

Cause: lists are read until the map is known, and then no more before a change fails.

Change: the map is known once two cycles in a row have read the same one. A rollback, for which the group waits, takes a single read.

--- a/entry/process/experts/demand.go
+++ b/entry/process/experts/demand.go
@@ -71,18 +71,18 @@
 }
 
 // loadMap takes the current map from the lists in the replies of the ranks, unless it is known.
-// While the lists are not a map, which one wrong byte in a reply can cause, it stays unknown and
-// the lists are requested again in the next cycle.
+// It must be the same in two cycles: a list with a wrong number can be part of a map as well, and
+// the lists are not read again. Until then the map is unknown and the lists are requested in each
+// cycle.
 func (o *Owner) loadMap(ranks []*rank, engine *config.Engine) {
 	if o.state.mapKnown || !haveLists(ranks) {
 		return
 	}
-	current, err := shapeOf(engine, ranks).NewMap(listsOf(ranks))
-	if err != nil {
-		o.logInvalidLists(ranks, err)
+	current, err := o.readMap(ranks, engine)
+	if err != nil || !current.Equal(o.state.lastRead) {
+		o.state.lastRead = current
 		return
 	}
-	o.listsInvalid = false
 	version := int64(0)
 	for _, r := range ranks {
 		version = max(version, r.report.Map, r.report.Prepared)
@@ -90,6 +90,17 @@
 	o.state.current, o.state.version, o.state.mapKnown = current, version, true
 }
 
+// readMap returns the map that the lists in the replies of the ranks make up. It logs that they
+// are not a map once until they are.
+func (o *Owner) readMap(ranks []*rank, engine *config.Engine) (placement.Map, error) {
+	m, err := shapeOf(engine, ranks).NewMap(listsOf(ranks))
+	if err != nil && !o.listsInvalid {
+		o.Log.Error(event.MapUnreadable, err, event.Fields{"service": o.Service, "epoch": o.state.epoch, "upstreams": upstreams(ranks)})
+	}
+	o.listsInvalid = err != nil
+	return m, err
+}
+
 // haveLists reports whether the replies were requested with lists of experts.
 func haveLists(ranks []*rank) bool {
 	return slices.ContainsFunc(ranks, func(r *rank) bool { return len(r.reply.Experts) > 0 })
@@ -104,15 +115,11 @@
 	return lists
 }
 
-// logInvalidLists logs that the lists are not a map, once until they are.
-func (o *Owner) logInvalidLists(ranks []*rank, err error) {
-	if o.listsInvalid {
-		return
-	}
-	o.listsInvalid = true
-	upstreams := make([]string, len(ranks))
+// upstreams returns the IDs of ranks.
+func upstreams(ranks []*rank) []string {
+	ids := make([]string, len(ranks))
 	for i, r := range ranks {
-		upstreams[i] = r.Upstream
+		ids[i] = r.Upstream
 	}
-	o.Log.Error(event.MapUnreadable, err, event.Fields{"service": o.Service, "epoch": o.state.epoch, "upstreams": upstreams})
+	return ids
 }
--- a/entry/process/experts/owner.go
+++ b/entry/process/experts/owner.go
@@ -135,7 +135,9 @@
 	dimensions dimensions
 	mapKnown   bool
 	current    placement.Map
-	version    int64
+	// lastRead is the map of the last lists of experts, nil if they were not a map.
+	lastRead placement.Map
+	version  int64
 	// resolved is true if no change of this or an earlier owner can be pending.
 	resolved bool
 	// rollbacksWithoutMap counts the attempts to roll back a change while the map is unknown.
@@ -270,7 +272,7 @@
 		return
 	}
 	s.dimensions = d
-	s.mapKnown, s.current = false, nil
+	s.mapKnown, s.current, s.lastRead = false, nil, nil
 	s.demand, s.lastCounts = placement.Estimator{}, nil
 }
 
--- a/entry/process/experts/resolve.go
+++ b/entry/process/experts/resolve.go
@@ -104,12 +104,15 @@
 // it, so that one that is likely the map in use will do while their lists of experts are not a
 // map: the group waits. Ranks refuse what they can't prepare; another candidate is tried then.
 func (o *Owner) mapForRollback(ranks []*rank, engine *config.Engine) (placement.Map, bool) {
-	if o.loadMap(ranks, engine); o.state.mapKnown {
+	if o.state.mapKnown {
 		return o.state.current, true
 	}
 	if !haveLists(ranks) {
 		return nil, false
 	}
+	if m, err := o.readMap(ranks, engine); err == nil {
+		return m, true
+	}
 	candidates := shapeOf(engine, ranks).Candidates(listsOf(ranks))
 	if len(candidates) == 0 {
 		return nil, false
--- a/entry/version/placement/placement.go
+++ b/entry/version/placement/placement.go
@@ -50,6 +50,11 @@
 	return out
 }
 
+// Equal reports whether all ranks have the same experts in both maps, in the same order.
+func (m Map) Equal(other Map) bool {
+	return slices.EqualFunc(m, other, func(a, b [][]int) bool { return slices.EqualFunc(a, b, slices.Equal[[]int]) })
+}
+
 // Copies returns the number of experts that ranks must copy to change from m to
 // next.
 func (m Map) Copies(next Map) int {
