Name operations and outcomes that a process does not know

Seen in a test: the name of an operation or outcome of an order outside the known ones was looked up by its number, which ends the process: the entry that owns the maps by the outcome of an agent's reply, the agent by the operation of an owner's call.

Change: names of known values, "none" for others.

Test: TestNamesOfUnknownValues panicked before (index out of range).

--- a/core/version/group/group.go
+++ b/core/version/group/group.go
@@ -79,9 +79,24 @@
 	Release
 )
 
+// noName is the name of a value that has none, as another process may send it.
+const noName = "none"
+
 // String returns the name that is used in logs.
 func (o Op) String() string {
-	return [...]string{"none", "prepare", "arm", "disarm", "hold", "release"}[o]
+	switch o {
+	case Prepare:
+		return "prepare"
+	case Arm:
+		return "arm"
+	case Disarm:
+		return "disarm"
+	case Hold:
+		return "hold"
+	case Release:
+		return "release"
+	}
+	return noName
 }
 
 // Order is a request to a rank to change its state.
@@ -115,7 +130,17 @@
 
 // String returns the name that is used in metrics.
 func (o Outcome) String() string {
-	return [...]string{"none", "accepted", "refused", "unknown", "fenced"}[o]
+	switch o {
+	case Accepted:
+		return "accepted"
+	case Refused:
+		return "refused"
+	case Unknown:
+		return "unknown"
+	case Fenced:
+		return "fenced"
+	}
+	return noName
 }
 
 // Call is a request from an owner of maps to the agent of a rank.
