End an attempt at once whose response has no status of the protocol

Seen by callers where a replica in trouble answers with status 000, 099 or 101: a request that may not run twice waits until its deadline and gets nothing, others wait before they go elsewhere. Where the body of that answer is a response, they get it, signed, as their own. 600 and 999 reach callers as they are, signed.

Cause: each status below 200 was taken for that of an interim response, which has no body and which another response follows, so that the body was read as the next head. Above 200 every status was taken. Interim responses were counted with late responses to other requests.

Change: a final response has a status from 200 to 599; an interim one is 100, 102 or 103, states no body, and three may come before a final one. What is neither is malformed: the connection is closed, the caller gets 502 or another attempt. The rule is in core/connection/httpstatus, and the cause in the log of such an attempt is "malformed" now.

An answer whose status is read as 100 stays undetected where its head states neither a length, an encoding nor a type and its body is a whole response to the request: it can't be told from two.

--- a/entry/connection/upstream/exchange.go
+++ b/entry/connection/upstream/exchange.go
@@ -13,11 +13,12 @@
 
 	"github.com/cockroachdb/errors"
 
+	"goldcrestshore/core/connection/httpstatus"
 	"goldcrestshore/core/process/clock"
 )
 
-// maxUnmatchedResponses is the number of responses that are not the final one to
-// the request after which an exchange fails.
+// maxUnmatchedResponses is the number of responses to other requests after which an
+// exchange fails.
 const maxUnmatchedResponses = 3
 
 // Request is a request to an upstream.
@@ -235,15 +236,9 @@
 // earlier request may arrive late.
 func readResponse(c *conn, r *Request) (*ResponseReader, error) {
 	for range maxUnmatchedResponses {
-		if err := awaitResponse(c, r); err != nil {
-			return nil, fmt.Errorf("%w: %w", ErrBroken, err)
-		}
-		resp, err := readHead(c, r)
+		resp, err := readFinal(c, r)
 		if err != nil {
-			return nil, fmt.Errorf("%w: %w: %w", ErrBroken, ErrMalformed, err)
-		}
-		if resp.StatusCode < 200 {
-			continue
+			return nil, err
 		}
 		if id := resp.Header.Get(r.IDHeader); r.ID == "" || id == r.ID {
 			return newResponseReader(resp), nil
@@ -255,6 +250,39 @@
 	return nil, fmt.Errorf("%w: %w: response belongs to another request", ErrBroken, ErrMalformed)
 }
 
+// readFinal reads the next response and the interim ones before it.
+func readFinal(c *conn, r *Request) (*http.Response, error) {
+	for interim := 1; ; interim++ {
+		if err := awaitResponse(c, r); err != nil {
+			return nil, fmt.Errorf("%w: %w", ErrBroken, err)
+		}
+		resp, err := readHead(c, r)
+		if err != nil {
+			return nil, malformed(err)
+		}
+		if httpstatus.IsFinal(resp.StatusCode) {
+			if err := httpstatus.CheckFinal(resp.StatusCode); err != nil {
+				return nil, malformed(err)
+			}
+			return resp, nil
+		}
+		if err := checkInterim(resp, interim); err != nil {
+			return nil, malformed(err)
+		}
+	}
+}
+
+// malformed returns the error of an exchange whose response is malformed.
+func malformed(err error) error { return fmt.Errorf("%w: %w: %w", ErrBroken, ErrMalformed, err) }
+
+// checkInterim checks an interim response, whose chunked encoding is not in its header any more.
+func checkInterim(resp *http.Response, count int) error {
+	if len(resp.TransferEncoding) > 0 {
+		resp.Header.Set("Transfer-Encoding", resp.TransferEncoding[0])
+	}
+	return httpstatus.CheckInterim(resp.StatusCode, resp.Header, count)
+}
+
 // readHead reads the head of a response whose first byte has arrived. It bounds the
 // bytes of the head and the time until its end; the read deadline then holds for a body
 // that is discarded, too.
--- a/entry/request/forward/attempt.go
+++ b/entry/request/forward/attempt.go
@@ -48,10 +48,7 @@
 		c.failure = "connect"
 	case err != nil:
 		c.possibleRuns++
-		c.failure = "broken"
-		if errors.Is(err, upstream.ErrStalled) {
-			c.failure = "stalled"
-		}
+		c.failure = exchangeFailure(err)
 	default:
 		c.recordStatements(resp)
 		outcome, done = c.handleResponse(resp)
@@ -70,6 +67,17 @@
 	return done
 }
 
+// exchangeFailure returns the cause of a failed attempt that may have reached its upstream.
+func exchangeFailure(err error) string {
+	switch {
+	case errors.Is(err, upstream.ErrStalled):
+		return "stalled"
+	case errors.Is(err, upstream.ErrMalformed):
+		return "malformed"
+	}
+	return "broken"
+}
+
 // logFailure logs an attempt that the upstream failed. err is the error of the exchange,
 // nil if a response has begun.
 func (c *call) logFailure(err error) {
