--- a/agent/request/upstream/upstream_test.go
+++ b/agent/request/upstream/upstream_test.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"fmt"
@@ -64,6 +65,24 @@
 	check.Equal(t, "body", r.body.String(), "hello")
 }
 
+// Guards against a status that no caller can be sent, as an engine in trouble writes it.
+func TestMalformedStatus(t *testing.T) {
+	for _, status := range []string{"000", "099", "101", "600", "999"} {
+		t.Run(status, func(t *testing.T) {
+			l := check.ServeConns(t, func(c net.Conn) {
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+					return
+				}
+				_, _ = io.WriteString(c, "HTTP/1.1 "+status+" X\r\nContent-Length: 1\r\n\r\nx")
+			})
+			r, err := run(t, l.Addr().String(), call("POST", false))
+			check.Is(t, "Run", err, ErrInterrupted)
+			check.Equal(t, "status", r.status, 0)
+			check.Equal(t, "body", r.body.String(), "")
+		})
+	}
+}
+
 func TestEventStream(t *testing.T) {
 	t.Run("the final event is withheld", func(t *testing.T) {
 		r, err := run(t, serve(t, events(`data: {"a":1}`, ": comment", "data: [DONE]")), call("POST", true))
