Take an agent's response without a status of the protocol for a lost one

Cause: the entry wrote whatever status an agent's frame bears, and the HTTP server panics below 100 and above 999.

Change: such a head ends its exchange, and no other, with an unknown outcome: the caller gets 502 or another attempt.

--- a/entry/connection/agent/link.go
+++ b/entry/connection/agent/link.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"goldcrestshore/core/connection/frame"
+	"goldcrestshore/core/connection/httpstatus"
 	"goldcrestshore/core/connection/peer"
 	"goldcrestshore/core/process/clock"
 	"goldcrestshore/core/process/event"
@@ -255,7 +256,7 @@
 	case *frame.Refused:
 		e.push(Refused{refusalOf(m)})
 	case *frame.ResponseHead:
-		e.push(Head{m})
+		l.handleHead(e, m)
 	case *frame.Data:
 		if !e.handleData(m) {
 			l.logUnmatched(id)
@@ -275,6 +276,17 @@
 	l.Log.Emit(event.PeerUnmatchedFrame, event.Fields{"peer": l.Name, "request": id.Sequence()})
 }
 
+// handleHead passes on a head whose status a final response can have. Another one can't be sent to
+// the caller; the request may have run.
+func (l *Link) handleHead(e *Exchange, m *frame.ResponseHead) {
+	if err := httpstatus.CheckFinal(m.Status()); err != nil {
+		l.Log.Error(event.UpstreamFailed, err, event.Fields{"peer": l.Name, "request": e.id.Sequence()})
+		e.push(Lost{})
+		return
+	}
+	e.push(Head{m})
+}
+
 func refusalOf(m *frame.Refused) *outcome.Refusal {
 	result := outcome.Unknown
 	if m.NotRun() {
