Start a background duty again that panics, where nobody else uses its state

Cause: a panic in any goroutine but those of requests ends the process.

An owner gives up its term, so that the next one, here or elsewhere, resolves what was pending. Calls to ranks that run at once return a panic to their owner (supervise.Each, in place of three copies of such a loop).

Tests: TestPanicOfOwner ended the process before (panic: members); now maps follow the demand again, without mixed maps and with the group stalled for less than 4 s. TestRun, TestEach.

--- a/core/process/event/catalogue.go
+++ b/core/process/event/catalogue.go
@@ -20,6 +20,8 @@
 	ProcessStopping = define(1001, logrus.InfoLevel, "process is shutting down; in-flight requests are completed first")
 	ProcessStopped  = define(1002, logrus.InfoLevel, "process stopped")
 	ProcessFailed   = define(1003, logrus.ErrorLevel, "process failed")
+	DutyRestarted   = define(1004, logrus.ErrorLevel, "background duty panicked and is started again")
+	DutyGivenUp     = define(1005, logrus.ErrorLevel, "background duty has panicked too often and stays down")
 )
 
 // Events of connections between processes of this project, 1100-1199.
--- a/entry/process/experts/owner.go
+++ b/entry/process/experts/owner.go
@@ -162,9 +162,13 @@
 // Term returns the term of this process's ownership, 0 for none.
 func (o *Owner) Term() int64 { return o.term.Load() }
 
-// Run manages the maps, or waits to take over, until ctx is done.
+// Run manages the maps, or waits to take over, until ctx is done. It may be called again after a
+// panic: it begins without a map and without the term of before, whose orders may be in transit.
 func (o *Owner) Run(ctx context.Context) {
+	o.state, o.members, o.unresponsive = state{}, memberLog{}, nil
+	o.nextClaimAt, o.claimedTerm, o.nextDirectAt = 0, 0, 0
 	o.started = o.Clock.Now()
+	defer o.term.Store(0) // another process takes over
 	clock.Every(ctx, cycle, func() { o.cycle(ctx) })
 }
 
--- a/entry/process/experts/query.go
+++ b/entry/process/experts/query.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"slices"
-	"sync"
 
 	"goldcrestshore/core/process/clock"
 	"goldcrestshore/core/process/event"
+	"goldcrestshore/core/process/supervise"
 	"goldcrestshore/core/version/group"
 )
 
@@ -74,15 +74,13 @@
 func (o *Owner) callAgents(ctx context.Context, members []Member, call group.Call, timeout clock.Millis) []agentReply {
 	replies := make([]agentReply, len(members))
 	now := o.Clock.Now()
-	var wg sync.WaitGroup
-	for i, m := range members {
-		if now < o.unresponsive[m.Upstream] {
+	supervise.Each(len(members), func(i int) {
+		if now < o.unresponsive[members[i].Upstream] {
 			replies[i].unresponsive = true
-			continue
+			return
 		}
-		wg.Go(func() { replies[i] = o.callAgent(ctx, m, call, timeout) })
-	}
-	wg.Wait()
+		replies[i] = o.callAgent(ctx, members[i], call, timeout)
+	})
 	for i, m := range members {
 		switch {
 		case !replies[i].unresponsive:
@@ -117,18 +115,15 @@
 func (o *Owner) callDirectly(ctx context.Context, members []Member, call group.Call, timeout clock.Millis) []*rank {
 	call.WantCounts = false
 	responding := make([]*rank, len(members))
-	var wg sync.WaitGroup
-	for i, m := range members {
-		wg.Go(func() {
-			reply, err := o.Ranks.CallDirect(ctx, m, &call, timeout)
-			if err != nil {
-				o.Log.Error(event.RankUnreachable, err, event.Fields{"upstream": m.Upstream})
-				return
-			}
-			responding[i] = o.rank(m, reply)
-		})
-	}
-	wg.Wait()
+	supervise.Each(len(members), func(i int) {
+		m := members[i]
+		reply, err := o.Ranks.CallDirect(ctx, m, &call, timeout)
+		if err != nil {
+			o.Log.Error(event.RankUnreachable, err, event.Fields{"upstream": m.Upstream})
+			return
+		}
+		responding[i] = o.rank(m, reply)
+	})
 	for _, r := range responding {
 		if r != nil {
 			r.direct = true
--- a/entry/process/experts/resolve.go
+++ b/entry/process/experts/resolve.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"sync"
 
 	"github.com/cockroachdb/errors"
 
 	"goldcrestshore/core/process/clock"
 	"goldcrestshore/core/process/event"
+	"goldcrestshore/core/process/supervise"
 	"goldcrestshore/core/version/group"
 	"goldcrestshore/entry/version/config"
 	"goldcrestshore/entry/version/placement"
@@ -171,11 +171,7 @@
 // order.
 func forEachRank(ranks []*rank, f func(r *rank) error) error {
 	errs := make([]error, len(ranks))
-	var wg sync.WaitGroup
-	for i, r := range ranks {
-		wg.Go(func() { errs[i] = f(r) })
-	}
-	wg.Wait()
+	supervise.Each(len(ranks), func(i int) { errs[i] = f(ranks[i]) })
 	for _, err := range errs {
 		if err != nil {
 			return err
--- a/measure/mapswitch/cluster_test.go
+++ b/measure/mapswitch/cluster_test.go
@@ -35,6 +35,9 @@
 	// unreachableUntil the time until which calls do not reach its rank either.
 	pausedUntil, unreachableUntil [lockstep.Ranks]time.Time
 
+	// membersPanic makes each read of the members panic.
+	membersPanic atomic.Bool
+
 	// lapsed marks the ranks whose records are missing.
 	lapsed [lockstep.Ranks]bool
 
@@ -120,6 +123,9 @@
 
 // registered returns the members whose records have not lapsed.
 func (c *cluster) registered(members []experts.Member) []experts.Member {
+	if c.membersPanic.Load() {
+		panic("members")
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var out []experts.Member
--- a/measure/mapswitch/owner_test.go
+++ b/measure/mapswitch/owner_test.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"goldcrestshore/core/process/clock"
+	"goldcrestshore/core/process/supervise"
 	"goldcrestshore/core/version/group"
 	"goldcrestshore/entry/process/experts"
 	"goldcrestshore/standin/process/lockstep"
@@ -45,7 +46,8 @@
 		Engine:      c.engine.Load,
 		OwnerStatus: o.exchangeHeartbeats,
 	}
-	go o.process.Run(ctx)
+	supervisor := &supervise.Supervisor{Clock: clock.System(), Log: c.log}
+	go supervisor.Run(ctx, "maps", o.process.Run)
 	go clock.Every(ctx, 120, func() {
 		if !o.isPaused() {
 			o.exchangeHeartbeats()
