Refuse messages between entries and agents whose numbers are out of bounds

Seen in tests: loads with -1 entries, a slowdown that is no number, or -5 requests of others, and rate limits that are no number or below zero were taken, and would decide for all requests of an entry: shared limits are divided by the number of entries, upstreams compared by their load.

Change: heartbeats, loads, rate limits and departures are checked where frames are decoded; another one is a malformed frame (1106), as if it had been lost.

--- a/core/connection/frame/kind.go
+++ b/core/connection/frame/kind.go
@@ -145,9 +145,17 @@
 	if len(rest) != 0 {
 		return nil, errors.Wrapf(ErrMalformed, "%d bytes after the body", len(rest))
 	}
+	if v, found := any(m).(validator); found {
+		if err := v.Validate(); err != nil {
+			return nil, errors.Wrapf(ErrMalformed, "%v", err)
+		}
+	}
 	return m, nil
 }
 
+// validator is a message that can hold more than any process sends.
+type validator interface{ Validate() error }
+
 // Kinds of messages between entries and the agents of ranks.
 const (
 	kindEntryHeartbeat = 40
