--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 SEED ?= 1
 export CGO_ENABLED := 1
 
-.PHONY: build demo test format vet lint generated unit soak
+.PHONY: build demo test format vet lint generated unit soak fuzz
 
 build:
 	@mkdir -p bin
@@ -51,6 +51,14 @@
 soak:
 	@cd platform && SOAK_SEED=$(SEED) SOAK_SEEDS=$(SEEDS) go test -count=1 -timeout 60m -v ./soak
 
+# Runs each fuzz target for TIME with PROCS processes. Its seeds are run by make test.
+TIME ?= 60s
+PROCS ?= 4
+fuzz:
+	@grep -rn '^func Fuzz' --include='*_test.go' $(MODULES) | sed -E 's|/[^/]*:[0-9]+:func (Fuzz[A-Za-z]*).*| \1|' | sort | \
+	while read -r package name; do echo "$$package $$name"; \
+	(cd core && go test -run '^$$' -fuzz "^$$name\$$" -fuzztime $(TIME) -fuzzminimizetime 10x -parallel $(PROCS) "goldcrestshore/$$package") || exit 1; done
+
 # Measures the decision packages in virtual time; each run ends with a line "result …".
 measure-%: build
 	@bin/goldcrest-measure $* -seed $(SEED)
--- a/core/connection/frame/fuzz_test.go
+++ b/core/connection/frame/fuzz_test.go
@@ -20,7 +20,11 @@
 		&RateLimits{RateLimits: group.RateLimits{Limits: []group.RateLimit{{Upstream: "u", PerSecond: 2}}}},
 		&Departures{Departures: group.Departures{Departures: []group.Departure{{Upstream: "u", StartTime: 1}}}},
 	} {
-		f.Add(mustEncode(f, m))
+		raw := mustEncode(f, m)
+		f.Add(raw)
+		for _, mutation := range check.Mutations(300, raw) {
+			f.Add(mutation)
+		}
 	}
 	f.Add(mustEncode(f, NewHello("entry", "e1", "bilbao", 1, []byte{1})))
 	f.Add(mustEncode(f, NewEnd(3, 4, true, "")))
--- a/entry/request/forward/forward_test.go
+++ b/entry/request/forward/forward_test.go
@@ -44,7 +44,7 @@
 
 // newTestEntry starts an entry. Each request that reaches any upstream uses up the
 // next of the responders.
-func newTestEntry(t *testing.T, responders ...responder) *testEntry {
+func newTestEntry(t testing.TB, responders ...responder) *testEntry {
 	t.Helper()
 	log, err := event.NewLog(io.Discard, "error", "entry", "e")
 	check.NoError(t, "NewLog", err)
@@ -83,7 +83,7 @@
 }
 
 // listen serves upstreams on one address until the listener that it returns is closed.
-func (s *testEntry) listen(t *testing.T, responders []responder) net.Listener {
+func (s *testEntry) listen(t testing.TB, responders []responder) net.Listener {
 	t.Helper()
 	pending := make(chan responder, len(responders))
 	for _, f := range responders {
@@ -175,7 +175,7 @@
 	err    error
 }
 
-func (s *testEntry) call(t *testing.T, path string, edit func(*http.Request)) callResult {
+func (s *testEntry) call(t testing.TB, path string, edit func(*http.Request)) callResult {
 	t.Helper()
 	q, err := http.NewRequestWithContext(context.Background(), http.MethodPost, s.httpServer.URL+path, strings.NewReader("in"))
 	check.NoError(t, "NewRequest", err)
