Bound a stated rate limit from above

Seen in a test: "Inf" was taken for a number of requests per second. What such a limit has allowed is no number, and what later limits have allowed is counted on from it, so that turns at that upstream were no longer kept or no longer came.

Change: a limit above a million requests a second counts as that.

Test: TestRateLimitIsFinite failed before in all four cases.

--- a/entry/request/forward/ratelimit.go
+++ b/entry/request/forward/ratelimit.go
@@ -12,8 +12,12 @@
 )
 
 // minRateLimit replaces a stated limit that is lower, in requests per second. An upstream
-// that got nothing could not state that its limit has ended.
-const minRateLimit = 0.1
+// that got nothing could not state that its limit has ended. maxRateLimit replaces one that is
+// higher, with which the requests that it allows can't be counted.
+const (
+	minRateLimit = 0.1
+	maxRateLimit = 1e6
+)
 
 // recordRateLimit records how many requests the upstream states that it takes. A statement
 // that cannot be read changes nothing.
@@ -42,5 +46,5 @@
 	if err != nil || math.IsNaN(perSecond) || perSecond < 0 {
 		return 0, false
 	}
-	return max(perSecond, minRateLimit), true
+	return min(max(perSecond, minRateLimit), maxRateLimit), true
 }
--- a/entry/request/forward/ratelimit_test.go
+++ b/entry/request/forward/ratelimit_test.go
@@ -91,3 +91,15 @@
 		check.Equal(t, "upstreams called, "+phase.name, len(called), upstreams)
 	}
 }
+
+// Guards against a limit without an end, with which turns are counted as no number from then on,
+// also for the limits that follow it.
+func TestRateLimitIsFinite(t *testing.T) {
+	for _, stated := range []string{"Inf", "+Inf", "1e308", "1e30"} {
+		t.Run(stated, func(t *testing.T) {
+			perSecond, ok := parseRateLimit(stated)
+			check.Equal(t, "is read", ok, true)
+			check.AtMost(t, "requests per second", perSecond, 1e6)
+		})
+	}
+}
