Take counts of tokens only once the next read fits them

Seen in tests: a count of a rank that is too high, by one wrong digit or byte, was added to the estimate of the demand and outweighed the others for up to 63 half-lives (57 s); a negative one overflowed. Maps are planned by the estimate, and each costs copies.

Cause: each read was believed at once, and nothing took it back.

Change: counts never fall, so a read counts once the next one is not lower, 0.1 s later; one that is lower than a confirmed one is left out, and three of them in a row begin the counts anew.

--- a/entry/process/experts/demand.go
+++ b/entry/process/experts/demand.go
@@ -9,34 +9,30 @@
 	"goldcrestshore/entry/version/placement"
 )
 
-// rankCounts holds the cumulative token counts of one incarnation of a rank.
-type rankCounts struct {
-	startedMs int64
-	counts    []int64
-}
-
 // updateDemand adds the tokens counted since the previous query to the demand
 // estimate, and updates the duration of a pass.
 func (o *Owner) updateDemand(ranks []*rank, engine *config.Engine) {
 	s := &o.state
 	now := o.Clock.Now()
 	s.demand.HalfLife = demandHalfLife
-	if s.lastCounts == nil {
-		s.lastCounts = make(map[string]rankCounts)
+	if s.counts == nil {
+		s.counts = make(map[string]*rankCounts)
 	}
 	sum := make(placement.Loads, engine.Layers)
 	for layer := range sum {
 		sum[layer] = make([]float64, engine.Experts)
 	}
 	for _, r := range ranks {
-		counts := r.reply.Counts
-		previous := s.lastCounts[r.Upstream]
-		s.lastCounts[r.Upstream] = rankCounts{r.report.StartTime, counts}
-		if previous.startedMs != r.report.StartTime || len(counts) != engine.Layers*engine.Experts || len(previous.counts) != len(counts) {
+		known := s.counts[r.Upstream]
+		if known == nil || known.startTime != r.report.StartTime {
+			known = &rankCounts{startTime: r.report.StartTime}
+			s.counts[r.Upstream] = known
+		}
+		if len(r.reply.Counts) != engine.Layers*engine.Experts {
 			continue
 		}
-		for i, n := range counts {
-			sum[i/engine.Experts][i%engine.Experts] += float64(max(n-previous.counts[i], 0))
+		for i, n := range known.add(r.reply.Counts) {
+			sum[i/engine.Experts][i%engine.Experts] += float64(n)
 		}
 	}
 	if demandShifted(s, sum) {
--- a/entry/process/experts/owner.go
+++ b/entry/process/experts/owner.go
@@ -131,7 +131,7 @@
 // state is the owner's view of the group.
 type state struct {
 	epoch int64
-	// dimensions are those of current, demand and lastCounts.
+	// dimensions are those of current, demand and counts.
 	dimensions dimensions
 	mapKnown   bool
 	current    placement.Map
@@ -147,9 +147,10 @@
 	// switchStep is the pass at which the map of the last change takes effect.
 	switchStep int64
 	// maxHeldStep is the latest pass that this or an earlier owner may have held.
-	maxHeldStep  int64
-	demand       placement.Estimator
-	lastCounts   map[string]rankCounts
+	maxHeldStep int64
+	demand      placement.Estimator
+	// counts are those of each rank, by upstream.
+	counts       map[string]*rankCounts
 	lastStep     int64
 	lastStepAt   clock.Millis
 	passDuration clock.Millis
@@ -246,7 +247,7 @@
 	if ranks[0].report.Epoch != o.state.epoch {
 		o.state = state{
 			epoch: ranks[0].report.Epoch, resolved: o.state.resolved,
-			dimensions: o.state.dimensions, lastCounts: o.state.lastCounts, demand: o.state.demand,
+			dimensions: o.state.dimensions, counts: o.state.counts, demand: o.state.demand,
 		}
 		o.state.maxHeldStep = maxPossibleHeldStep(ranks)
 	}
@@ -277,7 +278,7 @@
 	}
 	s.dimensions = d
 	s.mapKnown, s.current, s.lastRead = false, nil, nil
-	s.demand, s.lastCounts = placement.Estimator{}, nil
+	s.demand, s.counts = placement.Estimator{}, nil
 }
 
 // awaitingSwitch reports whether all ranks are armed for the last change and no
