Count tokens at once, and take them back if the next read does not fit

Change: a read counts at once. If the next one shows that it was too high, the estimate takes back what it added, before it decays; a read that is too low is still left out.

--- a/entry/process/experts/counts.go
+++ b/entry/process/experts/counts.go
@@ -3,28 +3,30 @@
 // maxIgnoredReads is the number of reads in a row that may not fit before the counts start anew.
 const maxIgnoredReads = 3
 
-// rankCounts are the cumulative token counts of one incarnation of a rank. A read counts once the
-// next one fits it: counts never fall, so that one that is too high shows with the next read, and
-// one that is too low at once.
+// rankCounts are the cumulative token counts of one incarnation of a rank. Counts never fall, so
+// that a read that is too high shows with the next one, and one that is too low at once.
 type rankCounts struct {
 	startTime int64
-	// confirmed is the last read that the one after it fits, and latest the last read.
+	// latest is the last read, and confirmed the one before it, which latest fits; nil for none.
 	confirmed, latest []int64
-	// ignored is the number of reads since then that were lower.
+	// ignored is the number of reads since then that were too low.
 	ignored int
 }
 
-// add adds a read of the counts. It returns the tokens that have been counted between the two
-// reads that are confirmed last, nil if no further one is.
+// add adds a read of the counts. It returns the tokens that have been counted since the latest one,
+// nil if they are not known. Below zero are those that the latest read counted and that there are
+// not.
 func (c *rankCounts) add(read []int64) []int64 {
 	switch {
-	case c.latest == nil:
-		c.latest = read
-	case notLower(read, c.latest):
-		return c.confirm(read)
+	case c.latest != nil && notLower(read, c.latest):
+		counted := difference(read, c.latest)
+		c.confirmed, c.latest, c.ignored = c.latest, read, 0
+		return counted
 	case c.confirmed != nil && notLower(read, c.confirmed):
-		c.latest, c.ignored = read, 0 // the latest read was too high
-	case c.ignored < maxIgnoredReads:
+		counted := difference(read, c.latest)
+		c.latest, c.ignored = read, 0
+		return counted
+	case c.latest != nil && c.ignored < maxIgnoredReads:
 		c.ignored++
 	default:
 		c.confirmed, c.latest, c.ignored = nil, read, 0
@@ -32,16 +34,13 @@
 	return nil
 }
 
-// confirm takes the latest read for right, which read fits.
-func (c *rankCounts) confirm(read []int64) (counted []int64) {
-	if c.confirmed != nil {
-		counted = make([]int64, len(read))
-		for i := range counted {
-			counted[i] = c.latest[i] - c.confirmed[i]
-		}
+// difference returns by how much each count of a read exceeds that of an earlier one.
+func difference(read, earlier []int64) []int64 {
+	out := make([]int64, len(read))
+	for i := range out {
+		out[i] = read[i] - earlier[i]
 	}
-	c.confirmed, c.latest, c.ignored = c.latest, read, 0
-	return counted
+	return out
 }
 
 // notLower reports whether no count of a read is lower than that of an earlier one.
--- a/entry/version/placement/placement.go
+++ b/entry/version/placement/placement.go
@@ -122,7 +122,8 @@
 	last  clock.Millis
 }
 
-// Add adds the tokens counted since the last call.
+// Add adds the tokens counted since the last call. Tokens below zero take back some that the last
+// call added and that there were not.
 func (e *Estimator) Add(now clock.Millis, counts Loads) {
 	if e.loads == nil {
 		e.loads = make(Loads, len(counts))
@@ -135,7 +136,8 @@
 	e.last = now
 	for layer := range counts {
 		for i, n := range counts[layer] {
-			e.loads[layer][i] = e.loads[layer][i]*factor + n
+			known := max(e.loads[layer][i]+min(n, 0), 0)
+			e.loads[layer][i] = known*factor + max(n, 0)
 		}
 	}
 }
--- a/entry/version/placement/placement_test.go
+++ b/entry/version/placement/placement_test.go
@@ -139,3 +139,15 @@
 	check.AtMost(t, "old load", got[0], 7)
 	check.Equal(t, "new load", got[1], 100.0)
 }
+
+// Guards against an estimate that keeps tokens which were counted by mistake, or falls below zero.
+func TestEstimatorTakesBack(t *testing.T) {
+	e := Estimator{HalfLife: 1 * clock.Second}
+	e.Add(0, Loads{{100, 50}})
+	e.Add(100, Loads{{1e12, 10}})
+	e.Add(200, Loads{{-1e12, 10}})
+	check.AtMost(t, "load without the mistake", e.Loads()[0][0], 100)
+	e.Add(300, Loads{{-500, 10}})
+	check.Equal(t, "lowest load", e.Loads()[0][0], 0.0)
+	check.AtMost(t, "other load", e.Loads()[0][1], 80)
+}
