Leave out a pass that one rank reports far ahead of the others

Seen in tests: one report with a wrong pass, once in 50 of a rank, and the map no longer followed the demand for the rest of the term, or at all for the next owner. A change was armed for a pass that comes in years, or new holds had to lie behind such a pass.

Cause: the pass to hold was counted from the latest one that any rank reports, and so was the end of passes that an earlier owner may have held.

Change: the pass to hold is counted from the latest one that two ranks report; one that has begun is refused by the rank and chosen anew, as before. Elsewhere a pass that lies over 1,000 ahead of all others is left out.

--- a/entry/process/experts/change.go
+++ b/entry/process/experts/change.go
@@ -249,7 +249,7 @@
 	if passDuration <= 0 {
 		passDuration = defaultPassDuration
 	}
-	last := latestStep(ranks)
+	last := confirmedStep(ranks) // a wrong pass far ahead would be waited for
 	passes := min(max(minStepsAhead, int64(leadTime/passDuration)+1), maxStepsAhead)
 	step = max(last+passes, o.state.maxHeldStep+1)
 	return step, step <= last+maxStepsAhead
--- a/entry/process/experts/query.go
+++ b/entry/process/experts/query.go
@@ -213,13 +213,41 @@
 	return ranks, true
 }
 
-// latestStep returns the latest pass that any rank has begun.
+// maxStepSpread exceeds the passes by which reports of ranks differ, which begin each pass together;
+// a report may be a few hundred milliseconds old.
+const maxStepSpread = 1000
+
+// latestStep returns the latest pass that any rank has begun. It leaves out one rank that reports a
+// pass far ahead of all others.
 func latestStep(ranks []*rank) int64 {
-	last := int64(0)
+	latest, second := latestSteps(ranks)
+	if len(ranks) > 1 && latest-second > maxStepSpread {
+		return second
+	}
+	return latest
+}
+
+// latestSteps returns the two latest passes that ranks report.
+func latestSteps(ranks []*rank) (latest, second int64) {
 	for _, r := range ranks {
-		last = max(last, r.report.Step)
+		switch {
+		case r == nil:
+		case r.report.Step > latest:
+			latest, second = r.report.Step, latest
+		case r.report.Step > second:
+			second = r.report.Step
+		}
+	}
+	return latest, second
+}
+
+// confirmedStep returns the latest pass that two ranks have begun, or that of the only rank.
+func confirmedStep(ranks []*rank) int64 {
+	latest, second := latestSteps(ranks)
+	if len(ranks) == 1 {
+		return latest
 	}
-	return last
+	return second
 }
 
 // countHolding returns the number of ranks that hold a pass.
