--- a/core/process/check/mutate.go
+++ b/core/process/check/mutate.go
@@ -47,6 +47,14 @@
 	return in
 }
 
+// ChangeNumber returns a copy of an input in which one number is an unusual one.
+func ChangeNumber(random *rand.Rand, in []byte) []byte {
+	if len(in) == 0 {
+		return nil
+	}
+	return changeNumber(random, bytes.Clone(in), random.IntN(len(in)))
+}
+
 // changeNumber replaces the first number at or after a position.
 func changeNumber(random *rand.Rand, in []byte, from int) []byte {
 	isDigit := func(r rune) bool { return r >= '0' && r <= '9' }
