--- a/entry/process/experts/change.go
+++ b/entry/process/experts/change.go
@@ -12,10 +12,6 @@
 	"goldcrestshore/entry/version/placement"
 )
 
-// ErrRefused means that a change failed because a rank did not accept an order or
-// did not reach the expected state.
-var ErrRefused = errors.New("rank did not accept an order")
-
 const (
 	// minGain is the minimum reduction in skew required for a change.
 	minGain = 0.05
@@ -273,62 +269,3 @@
 	}
 	return true
 }
-
-// order sends an order to a rank through its agent, or directly if the agent was
-// unresponsive.
-func (o *Owner) order(ctx context.Context, r *rank, order group.Order, timeout clock.Millis) error {
-	call := &group.Call{Term: o.term.Load(), HasOrder: true, Order: order}
-	send := o.Ranks.Call
-	if r.direct {
-		send = o.Ranks.CallDirect
-	}
-	reply, err := send(ctx, r.Member, call, timeout)
-	return o.checkOutcome(r.Member, order, reply, err)
-}
-
-// checkOutcome returns nil if an order was accepted. It ends the ownership of
-// this process if the order was fenced.
-func (o *Owner) checkOutcome(m Member, order group.Order, reply *group.Reply, err error) error {
-	fields := event.Fields{"upstream": m.Upstream, "op": group.Op(order.Op).String(), "version": order.Version, "step": order.Step, "epoch": order.Epoch}
-	if err != nil {
-		o.countOrder(order, group.Unknown)
-		o.Log.Error(event.RankUnreachable, err, fields)
-		return errors.Wrapf(ErrRefused, "%s: no reply from %s", group.Op(order.Op), m.Upstream)
-	}
-	o.countOrder(order, group.Outcome(reply.Outcome))
-	switch group.Outcome(reply.Outcome) {
-	case group.Accepted:
-		return nil
-	case group.Fenced:
-		o.term.Store(0)
-		return errors.Wrapf(ErrNotOwner, "%s at %s", group.Op(order.Op), m.Upstream)
-	case group.Refused, group.Unknown:
-	}
-	fields["outcome"] = reply.Outcome
-	o.Log.Emit(event.OrderRefused, fields)
-	return errors.Wrapf(ErrRefused, "%s at %s", group.Op(order.Op), m.Upstream)
-}
-
-func (o *Owner) countOrder(order group.Order, outcome group.Outcome) {
-	if o.CountOrder != nil {
-		o.CountOrder(group.Op(order.Op), outcome)
-	}
-}
-
-// orderFirstRank sends an order directly to the first rank, bypassing its agent. If
-// the instance of the rank that holds a pass stopped, nobody could release the hold;
-// if this process stops, the next owner can.
-func (o *Owner) orderFirstRank(ctx context.Context, ranks []*rank, order group.Order) error {
-	call := &group.Call{Term: o.term.Load(), HasOrder: true, Order: order}
-	reply, err := o.Ranks.CallDirect(ctx, ranks[0].Member, call, callTimeout)
-	return o.checkOutcome(ranks[0].Member, order, reply, err)
-}
-
-// orderAll sends the same order to all ranks concurrently. It fails unless most
-// ranks were reached through their agents.
-func (o *Owner) orderAll(ctx context.Context, ranks []*rank, order group.Order, timeout clock.Millis) error {
-	if !mostViaAgents(ranks) {
-		return errors.Wrap(ErrRefused, "at least half of the agents are unresponsive")
-	}
-	return forEachRank(ranks, func(r *rank) error { return o.order(ctx, r, order, timeout) })
-}
--- a/entry/process/experts/resolve.go
+++ b/entry/process/experts/resolve.go
@@ -7,21 +7,11 @@
 
 	"goldcrestshore/core/process/clock"
 	"goldcrestshore/core/process/event"
-	"goldcrestshore/core/process/supervise"
 	"goldcrestshore/core/version/group"
 	"goldcrestshore/entry/version/config"
 	"goldcrestshore/entry/version/placement"
 )
 
-// maxDirectOrderAge bounds how long after querying the ranks an order may still be
-// sent directly, since only agents refuse orders of an owner that was paused and
-// replaced.
-const maxDirectOrderAge clock.Millis = 800
-
-// agentOrderTimeout bounds an order through an agent before it is sent directly to
-// the rank. It is short because the whole group waits.
-const agentOrderTimeout clock.Millis = 350
-
 // resolveChange completes or rolls back a pending change of this process or an
 // earlier owner. It completes the change if every rank is armed for the same pass and
 // at most one rank holds a pass: holds on more ranks show that a rollback was in
@@ -166,33 +156,3 @@
 		return o.forceOrder(ctx, r, group.Order{Op: int(group.Release), Step: r.report.HeldStep, Epoch: o.state.epoch}, observedAt)
 	})
 }
-
-// forEachRank calls f concurrently for all ranks and returns the first error in rank
-// order.
-func forEachRank(ranks []*rank, f func(r *rank) error) error {
-	errs := make([]error, len(ranks))
-	supervise.Each(len(ranks), func(i int) { errs[i] = f(ranks[i]) })
-	for _, err := range errs {
-		if err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// forceOrder sends an order through the agent, or directly to the rank if the agent
-// is unresponsive and the ranks were queried less than maxDirectOrderAge ago.
-func (o *Owner) forceOrder(ctx context.Context, r *rank, order group.Order, observedAt clock.Millis) error {
-	call := &group.Call{Term: o.term.Load(), HasOrder: true, Order: order}
-	if !r.direct {
-		reply, err := o.Ranks.Call(ctx, r.Member, call, agentOrderTimeout)
-		if err == nil {
-			return o.checkOutcome(r.Member, order, reply, err)
-		}
-	}
-	if o.Clock.Now()-observedAt > maxDirectOrderAge {
-		return errors.Wrapf(ErrRefused, "%s: agent of %s is unresponsive and the report of the rank is too old", group.Op(order.Op), r.Upstream)
-	}
-	reply, err := o.Ranks.CallDirect(ctx, r.Member, call, callTimeout)
-	return o.checkOutcome(r.Member, order, reply, err)
-}
--- a/measure/mapswitch/engine_test.go
+++ b/measure/mapswitch/engine_test.go
@@ -57,7 +57,5 @@
 	c.engine.Store(lockstepEngine())
 	time.Sleep(10 * time.Second)
 	check.Equal(t, "mixed maps", fmt.Sprint(c.MixedPasses()), "[]")
-	if c.Switches() < switches+lockstep.Ranks {
-		t.Errorf("switches of ranks afterwards: got %d, want at least %d", c.Switches(), switches+lockstep.Ranks)
-	}
+	checkFollowsAgain(t, c, switches)
 }
--- a/measure/mapswitch/lists_test.go
+++ b/measure/mapswitch/lists_test.go
@@ -55,7 +55,5 @@
 	c.responses[rank].spoilLists(nil)
 	time.Sleep(10 * time.Second)
 	check.Equal(t, "mixed maps", fmt.Sprint(c.MixedPasses()), "[]")
-	if c.Switches() < lockstep.Ranks {
-		t.Errorf("switches of ranks afterwards: got %d, want at least %d", c.Switches(), lockstep.Ranks)
-	}
+	checkFollowsAgain(t, c, 0)
 }
--- a/measure/mapswitch/mapswitch_test.go
+++ b/measure/mapswitch/mapswitch_test.go
@@ -17,6 +17,14 @@
 	"goldcrestshore/standin/process/lockstep"
 )
 
+// checkFollowsAgain checks that all ranks have switched since they had switched before times.
+func checkFollowsAgain(t *testing.T, c *cluster, before int) {
+	t.Helper()
+	if c.Switches() < before+lockstep.Ranks {
+		t.Errorf("switches of ranks afterwards: got %d, want at least %d", c.Switches(), before+lockstep.Ranks)
+	}
+}
+
 // checkMapsFollowDemand checks for 30 s that maps change with the demand, that
 // each pass has one map, and that the group stalls for at most maxStall.
 func checkMapsFollowDemand(t *testing.T, maxStall time.Duration, inject func(c *cluster)) {
--- a/measure/mapswitch/panic_test.go
+++ b/measure/mapswitch/panic_test.go
@@ -35,9 +35,7 @@
 				time.Sleep(20 * time.Second)
 				check.Equal(t, "mixed maps", fmt.Sprint(c.MixedPasses()), "[]")
 				check.AtMost(t, "stalled ms", c.Stalled().Milliseconds(), 4000)
-				if c.Switches() < switches+lockstep.Ranks {
-					t.Errorf("switches of ranks afterwards: got %d, want at least %d", c.Switches(), switches+lockstep.Ranks)
-				}
+				checkFollowsAgain(t, c, switches)
 			})
 		})
 	}
--- a/measure/mapswitch/size_test.go
+++ b/measure/mapswitch/size_test.go
@@ -36,7 +36,5 @@
 	c.responses[rank].changeReports(nil)
 	time.Sleep(10 * time.Second)
 	check.Equal(t, "mixed maps", fmt.Sprint(c.MixedPasses()), "[]")
-	if c.Switches() < switches+lockstep.Ranks {
-		t.Errorf("switches of ranks afterwards: got %d, want at least %d", c.Switches(), switches+lockstep.Ranks)
-	}
+	checkFollowsAgain(t, c, switches)
 }
--- a/measure/mapswitch/step_test.go
+++ b/measure/mapswitch/step_test.go
@@ -41,9 +41,7 @@
 	switches, step := c.Switches(), c.Step()
 	time.Sleep(10 * time.Second)
 	check.Equal(t, "mixed maps", fmt.Sprint(c.MixedPasses()), "[]")
-	if c.Switches() < switches+lockstep.Ranks {
-		t.Errorf("switches of ranks afterwards: got %d, want at least %d", c.Switches(), switches+lockstep.Ranks)
-	}
+	checkFollowsAgain(t, c, switches)
 	if passes := c.Step() - step; passes < 150 {
 		t.Errorf("passes in 10 s afterwards: got %d, want at least 150", passes)
 	}
