Forget the reads of a map once it is known

The read before a map was known was kept, so that after a failed change a single read that equals it was believed. Two are needed then as well; comments on the cases of reads of counts.

--- a/entry/process/experts/counts.go
+++ b/entry/process/experts/counts.go
@@ -18,17 +18,17 @@
 // not.
 func (c *rankCounts) add(read []int64) []int64 {
 	switch {
-	case c.latest != nil && notLower(read, c.latest):
+	case c.latest != nil && notLower(read, c.latest): // the usual one
 		counted := difference(read, c.latest)
 		c.confirmed, c.latest, c.ignored = c.latest, read, 0
 		return counted
-	case c.confirmed != nil && notLower(read, c.confirmed):
+	case c.confirmed != nil && notLower(read, c.confirmed): // the latest read was too high
 		counted := difference(read, c.latest)
 		c.latest, c.ignored = read, 0
 		return counted
-	case c.latest != nil && c.ignored < maxIgnoredReads:
+	case c.latest != nil && c.ignored < maxIgnoredReads: // this read is too low
 		c.ignored++
-	default:
+	default: // the first read, or the latest ones were wrong
 		c.confirmed, c.latest, c.ignored = nil, read, 0
 	}
 	return nil
--- a/entry/process/experts/demand.go
+++ b/entry/process/experts/demand.go
@@ -84,6 +84,7 @@
 		version = max(version, r.report.Map, r.report.Prepared)
 	}
 	o.state.current, o.state.version, o.state.mapKnown = current, version, true
+	o.state.lastRead = nil // read twice again after a failed change
 }
 
 // readMap returns the map that the lists in the replies of the ranks make up. It logs that they
--- a/entry/process/experts/demand_test.go
+++ b/entry/process/experts/demand_test.go
@@ -44,6 +44,7 @@
 				o.loadMap(ranks, engine)
 			}
 			check.Equal(t, "map is known", o.state.mapKnown, tc.known)
+			check.Equal(t, "reads are forgotten", o.state.lastRead == nil, tc.known)
 			if tc.known {
 				check.Equal(t, "last expert of rank 0", o.state.current[0][0][2], 1)
 			}
