Give up a position of the store that its lists contradict

Seen in a test: where one response of the store stated a position far ahead, an entry ignored the store for good, since whatever came afterwards counted as older than what was known. It would go on sending to replicas that drain, by old configurations and keys, until it is restarted or the store is restored. Entries that ask it for objects would take the position over.

Cause: positions only rise within a timeline, and nothing compares one with the store again.

Change: the store's lists are linearizable, so that one that is requested after a position was known can't be older.

--- a/core/process/event/catalogue.go
+++ b/core/process/event/catalogue.go
@@ -63,6 +63,7 @@
 	ViewOverdue       = define(1265, logrus.WarnLevel, "store has not responded for longer than a change of this kind of object may take to be applied")
 	StoreResponseLost = define(1266, logrus.WarnLevel, "store did not respond to a call in time; the call is repeated")
 	UpstreamLeaving   = define(1267, logrus.InfoLevel, "upstream says that it leaves; it gets no new requests")
+	PositionGivenUp   = define(1268, logrus.WarnLevel, "lists of the store contradict the position that is known; it is given up")
 )
 
 // Events of requests at an entry, 1300-1399.
--- a/entry/version/objects/objects.go
+++ b/entry/version/objects/objects.go
@@ -159,6 +159,10 @@
 	return true
 }
 
+// GiveUpPosition makes the next list of the same timeline replace all objects, whatever its
+// revision, for use where the known position is wrong.
+func (s *Set) GiveUpPosition() { s.at.Revision = 0 }
+
 // load replaces all objects. What was in force is retained if the timeline is a new one.
 func (s *Set) load(now clock.Millis, list []snapshot.Object, at snapshot.Position) {
 	next := make(map[string]object, len(list))
