--- a/entry/process/experts/counts.go
+++ b/entry/process/experts/counts.go
@@ -13,19 +13,17 @@
 	ignored int
 }
 
-// add adds a read of the counts. It returns the tokens that have been counted since the latest one,
-// nil if they are not known. Below zero are those that the latest read counted and that there are
-// not.
-func (c *rankCounts) add(read []int64) []int64 {
+// add adds a read of the counts. It returns the read since which its tokens count, nil if there is
+// none. A count that is lower than in that read takes back what it added by mistake.
+func (c *rankCounts) add(read []int64) (since []int64) {
+	since = c.latest
 	switch {
 	case c.latest != nil && notLower(read, c.latest): // the usual one
-		counted := difference(read, c.latest)
 		c.confirmed, c.latest, c.ignored = c.latest, read, 0
-		return counted
+		return since
 	case c.confirmed != nil && notLower(read, c.confirmed): // the latest read was too high
-		counted := difference(read, c.latest)
 		c.latest, c.ignored = read, 0
-		return counted
+		return since
 	case c.latest != nil && c.ignored < maxIgnoredReads: // this read is too low
 		c.ignored++
 	default: // the first read, or the latest ones were wrong
@@ -34,15 +32,6 @@
 	return nil
 }
 
-// difference returns by how much each count of a read exceeds that of an earlier one.
-func difference(read, earlier []int64) []int64 {
-	out := make([]int64, len(read))
-	for i := range out {
-		out[i] = read[i] - earlier[i]
-	}
-	return out
-}
-
 // notLower reports whether no count of a read is lower than that of an earlier one.
 func notLower(read, earlier []int64) bool {
 	for i := range read {
--- a/entry/process/experts/counts_test.go
+++ b/entry/process/experts/counts_test.go
@@ -30,7 +30,7 @@
 			got := make([]int64, 2)
 			for _, read := range tc.reads {
 				for i, n := range c.add(read) {
-					got[i] += n
+					got[i] += read[i] - n
 				}
 			}
 			check.Equal(t, "counted tokens", fmt.Sprint(got), fmt.Sprint(tc.want))
--- a/entry/process/experts/demand.go
+++ b/entry/process/experts/demand.go
@@ -32,7 +32,7 @@
 			continue
 		}
 		for i, n := range known.add(r.reply.Counts) {
-			sum[i/engine.Experts][i%engine.Experts] += float64(n)
+			sum[i/engine.Experts][i%engine.Experts] += float64(r.reply.Counts[i] - n)
 		}
 	}
 	if demandShifted(s, sum) {
