Drop log lines after the log is closed

Callers lost nothing; the platform sees a process that failed.

Cause: the owner of expert maps may go on for a moment while the process ends, and Sink.Write after Close sends on a closed channel. The supervisor's own line about that panicked as well.

Change: Write and Close exclude each other, and lines after Close are dropped.

Test: TestLinesAfterClose panicked before.

--- a/core/process/event/sink.go
+++ b/core/process/event/sink.go
@@ -31,7 +31,9 @@
 	dropped atomic.Int64
 	done    chan struct{}
 
-	mu            sync.Mutex
+	mu sync.Mutex
+	// closed is true from Close on.
+	closed        bool
 	currentSecond int64
 	normal        int // non-urgent lines in the current second
 	urgent        int // urgent lines in the current second
@@ -51,14 +53,18 @@
 	}
 }
 
-// Write queues or drops one line without blocking. It always reports success.
+// Write queues or drops one line without blocking. It always reports success. Lines after Close are
+// dropped: goroutines may go on for a moment while the process ends.
 func (s *Sink) Write(line []byte) (int, error) {
-	if !s.allow(isUrgent(line)) {
+	queued := append([]byte(nil), line...)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed || !s.allow(isUrgent(line)) {
 		s.dropped.Add(1)
 		return len(line), nil
 	}
 	select {
-	case s.lines <- append([]byte(nil), line...):
+	case s.lines <- queued:
 	default:
 		s.dropped.Add(1)
 	}
@@ -66,11 +72,9 @@
 }
 
 // allow counts a line against the rate limit of its class and reports whether it
-// is within the limit.
+// is within the limit. It must be called with mu held.
 func (s *Sink) allow(urgent bool) bool {
 	now := time.Now().Unix()
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	if now != s.currentSecond {
 		s.currentSecond, s.normal, s.urgent = now, 0, 0
 	}
@@ -86,9 +90,12 @@
 func (s *Sink) Dropped() int64 { return s.dropped.Load() }
 
 // Close waits until the queued lines are written, at most for timeout, and stops
-// the goroutine. Write must not be called afterwards.
+// the goroutine.
 func (s *Sink) Close(timeout clock.Millis) {
+	s.mu.Lock()
+	s.closed = true
 	close(s.lines)
+	s.mu.Unlock()
 	select {
 	case <-s.done:
 	case <-time.After(timeout.Duration()):
--- a/core/process/event/sink_test.go
+++ b/core/process/event/sink_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"strings"
 	"testing"
 
@@ -53,3 +54,13 @@
 		t.Errorf("dropped lines: got 0, want some")
 	}
 }
+
+// Guards against a process that ends with a panic, after its last response, because a goroutine logs
+// while it stops.
+func TestLinesAfterClose(t *testing.T) {
+	s := NewSink(io.Discard)
+	s.Close(clock.Second)
+	_, err := s.Write([]byte("late"))
+	check.NoError(t, "Write", err)
+	check.Equal(t, "dropped lines", s.Dropped(), 1)
+}
