--- /dev/null
+++ b/review/standin-3/process.go
@@ -0,0 +1,108 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+)
+
+// program is the program of the deploy file.
+const program = "target/goldcrest-platform"
+
+// Ports of an entry; each entry has a loopback address of its own.
+const (
+	portCallers = 18227
+	portReady   = 18220
+	portFirst   = 17340
+	portMetrics = 19100
+)
+
+// entry is an entry process, started as the deploy file says.
+type entry struct {
+	name, address string
+	settingsPath  string
+	cmd           *exec.Cmd
+	ended         chan struct{}
+}
+
+// entrySettings are settings as the template of the deploy file has them.
+func entrySettings(name, address, storeAddress string) map[string]any {
+	return map[string]any{
+		"instance": name, "dataCentre": "zone-a", "address": address,
+		"callers": fmt.Sprintf("%s:%d", address, portCallers), "ready": fmt.Sprintf("%s:%d", address, portReady),
+		"peers": "", "portRange": fmt.Sprintf("%d,%d", portFirst, portFirst+15), "contacts": "", "replica": "",
+		"store": storeAddress, "metricsPort": portMetrics, "memoryMB": "284", "maxDescriptors": "4100",
+		"graceS": "8", "stallMs": "1500", "heartbeatMs": "1200", "configMs": "2000", "drainMs": "2000",
+		"dataCentreMs": "5000", "retryRatio": "0.2", "retryWindowS": "10", "retryAllowance": "94",
+	}
+}
+
+// startEntry starts an entry process. Its log goes to a file beside its settings.
+func startEntry(folder, name, address, storeAddress string) (*entry, error) {
+	e := &entry{name: name, address: address, settingsPath: filepath.Join(folder, name+".conf"), ended: make(chan struct{})}
+	if err := e.writeSettings(entrySettings(name, address, storeAddress)); err != nil {
+		return nil, err
+	}
+	log, err := os.Create(filepath.Join(folder, name+".log"))
+	if err != nil {
+		return nil, err
+	}
+	e.cmd = exec.Command(program, "entry")
+	e.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "GOLDCRESTSHORE_SETTINGS=" + e.settingsPath}
+	e.cmd.Stdout, e.cmd.Stderr = log, log
+	e.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := e.cmd.Start(); err != nil {
+		return nil, err
+	}
+	go func() {
+		_ = e.cmd.Wait() // the exit status is in ProcessState
+		close(e.ended)
+	}()
+	return e, nil
+}
+
+func (e *entry) writeSettings(settings map[string]any) error {
+	raw, err := json.MarshalIndent(settings, "", "\t")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(e.settingsPath, raw, 0o644)
+}
+
+func (e *entry) callers() string { return fmt.Sprintf("%s:%d", e.address, portCallers) }
+
+// awaitReady waits until the entry says that it is ready.
+func (e *entry) awaitReady(timeout time.Duration) error {
+	client := http.Client{Timeout: time.Second}
+	for end := time.Now().Add(timeout); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		resp, err := client.Get(fmt.Sprintf("http://%s:%d/readyz", e.address, portReady))
+		if err != nil {
+			continue
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode == http.StatusOK {
+			return nil
+		}
+	}
+	return fmt.Errorf("%s is not ready after %v", e.name, timeout)
+}
+
+func (e *entry) signal(s syscall.Signal) error { return e.cmd.Process.Signal(s) }
+
+// stop kills the process and waits for its end.
+func (e *entry) stop() {
+	_ = e.cmd.Process.Kill() // it may have ended
+	<-e.ended
+}
+
+// loopback returns a loopback address that belongs to this process.
+func loopback(n int) string {
+	pid := os.Getpid()
+	return net.IPv4(127, byte(60+pid>>14&63), byte(1+(pid>>7)&127), byte(1+(pid&15)*16+n)).String()
+}
