--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -25,7 +25,7 @@
 }
 
 var cases = map[string]func(*lab) (bool, error){
-	"silence": silence,
+	"pause": pause, "withdrawn": withdrawn, "capitals": capitals,
 }
 
 func main() {
--- a/review/standin-3/store.go
+++ b/review/standin-3/store.go
@@ -24,6 +24,8 @@
 	objects  map[string]map[string]object
 	history  []change
 	changed  chan struct{}
+	// busy makes the store answer every call with 503.
+	busy bool
 }
 
 type metadata struct {
@@ -98,8 +100,27 @@
 	return o
 }
 
+// setBusy makes the store answer every call with 503, also those that wait, or serve again.
+func (s *store) setBusy(busy bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.busy = busy
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *store) isBusy() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.busy
+}
+
 // ServeHTTP implements http.Handler.
 func (s *store) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	if s.isBusy() {
+		respond(w, http.StatusServiceUnavailable, nil)
+		return
+	}
 	kind, name, _ := strings.Cut(strings.TrimPrefix(q.URL.Path, "/objects/"), "/")
 	switch {
 	case q.Method == http.MethodPost || q.Method == http.MethodPut:
@@ -177,6 +198,10 @@
 	waitMs, _ := strconv.Atoi(q.URL.Query().Get("wait_ms"))
 	end := time.After(time.Duration(waitMs) * time.Millisecond)
 	for {
+		if s.isBusy() {
+			respond(w, http.StatusServiceUnavailable, nil)
+			return
+		}
 		s.mu.Lock()
 		events := []change{}
 		for _, c := range s.history {
