--- a/review/standin-3/config.go
+++ b/review/standin-3/config.go
@@ -34,3 +34,13 @@
 		"cold_remaining_ms": 0, "sequence": sequence, "born": born,
 	}
 }
+
+// modelService returns a service whose replicas are ranks of a group.
+func modelService(name string) map[string]any {
+	return map[string]any{
+		"name": name, "health_path": "/healthz", "max_connections": 418, "protocol": "h1", "tls": false, "warmup_s": 3.0, "warmup_per_s": 38.0,
+		"engine": map[string]any{
+			"slots": 12, "sets": 1, "experts": 4, "placements": 4, "spare": 3, "expert_mb": 2200.0, "expert_share": 0.85, "form_ms": 600.0, "link_mbps": 180000.0,
+		},
+	}
+}
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"net"
+	"net/http"
 	"os"
 	"path/filepath"
 	"sync"
@@ -19,13 +20,14 @@
 	folder  string
 	store   *store
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// entries are the processes that were started.
 	entries  []*entry
 	replicas int
 }
 
 var cases = map[string]func(*lab) (bool, error){
-	"pause": pause, "withdrawn": withdrawn, "capitals": capitals,
+	"cold": cold, "pause": pause, "withdrawn": withdrawn, "capitals": capitals,
 }
 
 func main() {
@@ -100,7 +102,8 @@
 
 // startEntry starts an entry and waits until it is ready.
 func (l *lab) startEntry(name string) (*entry, error) {
-	e, err := startEntry(l.folder, name, loopback(2+len(l.entries)), l.store.address)
+	address := loopback(2 + len(l.entries))
+	e, err := startProcess(l.folder, "entry", name, address, entrySettings(name, address, l.store.address))
 	if err != nil {
 		return nil, err
 	}
@@ -108,6 +111,25 @@
 	return e, e.awaitReady(10 * time.Second)
 }
 
+// startAgent starts a model replica that answers nothing but 404, its record, and the agent beside it.
+func (l *lab) startAgent(name string) error {
+	address := loopback(8 + l.replicas)
+	l.replicas++
+	listener, err := net.Listen("tcp4", address+":0")
+	if err != nil {
+		return err
+	}
+	go func() { _ = http.Serve(listener, http.NotFoundHandler()) }()
+	rank := listener.Addr().String()
+	l.store.set("servers", "i-"+name, registration("scribe", rank, "ready", time.Now().UnixMilli(), 1))
+	agent, err := startProcess(l.folder, "agent", name, address, agentSettings(name, address, l.store.address, rank))
+	if err != nil {
+		return err
+	}
+	l.entries = append(l.entries, agent)
+	return nil
+}
+
 func (l *lab) dial(address string) (net.Conn, error) {
 	return net.DialTimeout("tcp4", address, time.Second)
 }
--- a/review/standin-3/process.go
+++ b/review/standin-3/process.go
@@ -23,7 +23,7 @@
 	portMetrics = 19100
 )
 
-// entry is an entry process, started as the deploy file says.
+// entry is a process of the deploy file, an entry or an agent.
 type entry struct {
 	name, address string
 	settingsPath  string
@@ -43,17 +43,24 @@
 	}
 }
 
-// startEntry starts an entry process. Its log goes to a file beside its settings.
-func startEntry(folder, name, address, storeAddress string) (*entry, error) {
+// agentSettings are the settings of an agent beside a replica.
+func agentSettings(name, address, storeAddress, replica string) map[string]any {
+	out := entrySettings(name, address, storeAddress)
+	out["callers"], out["ready"], out["replica"], out["memoryMB"] = "", "", replica, "152"
+	return out
+}
+
+// startProcess starts a process of a role. Its log goes to a file beside its settings.
+func startProcess(folder, role, name, address string, settings map[string]any) (*entry, error) {
 	e := &entry{name: name, address: address, settingsPath: filepath.Join(folder, name+".conf"), ended: make(chan struct{})}
-	if err := e.writeSettings(entrySettings(name, address, storeAddress)); err != nil {
+	if err := e.writeSettings(settings); err != nil {
 		return nil, err
 	}
 	log, err := os.Create(filepath.Join(folder, name+".log"))
 	if err != nil {
 		return nil, err
 	}
-	e.cmd = exec.Command(program, "entry")
+	e.cmd = exec.Command(program, role)
 	e.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "GOLDCRESTSHORE_SETTINGS=" + e.settingsPath}
 	e.cmd.Stdout, e.cmd.Stderr = log, log
 	e.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
