--- a/review/standin-3/configs.go
+++ b/review/standin-3/configs.go
@@ -157,3 +157,58 @@
 	}
 	return countStatus(onAdded, http.StatusNotFound) > 0, nil
 }
+
+// lowRank is a priority of work that can wait, and usualRank one like those of the sites. The pages state
+// no largest one.
+const lowRank, usualRank = 5000, 5
+
+// rank takes the only key of one tenant away and adds a route for work that can wait. The disruption is
+// that its priority is a large number.
+func rank(l *lab) (broken bool, err error) {
+	first := route("award", "non_idempotent", "ledger", nil)
+	config := func(version int, keys []string, routes ...any) map[string]any {
+		out := configuration(version, routes, "ledger")
+		out["tenants"] = []any{
+			map[string]any{"name": "tenant-1", "api_keys": []string{"key-1"}, "priority": 1},
+			map[string]any{"name": "tenant-2", "api_keys": keys, "priority": 1},
+		}
+		return out
+	}
+	r, e, err := startPlain(l, config(3, []string{"key-2"}, first))
+	if err != nil {
+		return false, err
+	}
+	before, err := ask(l, r, e, "before", "h.example", "key-2")
+	if err != nil {
+		return false, err
+	}
+	if countRuns(before) != requestsEach {
+		return false, fmt.Errorf("requests with a key of the configuration do not run")
+	}
+	priority := usualRank
+	if l.trouble {
+		priority = lowRank
+	}
+	added := route("batch", "idempotent", "ledger", map[string]any{"hostname": "batch.example", "path_prefix": "/award/", "priority": priority})
+	l.store.set("config", "main", config(7, []string{}, first, added))
+	l.record.add("version 7 takes key-2 away and adds a route with priority %d", priority)
+	time.Sleep(changeBound + changeMargin)
+	withdrawn, err := ask(l, r, e, "withdrawn", "h.example", "key-2")
+	if err != nil {
+		return false, err
+	}
+	onAdded, err := ask(l, r, e, "added", "batch.example", "key-1")
+	if err != nil {
+		return false, err
+	}
+	l.store.set("config", "main", config(9, []string{}, first, added))
+	l.record.add("version 9 changes nothing else")
+	time.Sleep(changeBound + changeMargin)
+	later, err := ask(l, r, e, "later", "h.example", "key-2")
+	if err != nil {
+		return false, err
+	}
+	l.record.add("ran: %d of %d requests with the withdrawn key, and %d of %d after version 9; the added route served %d of %d",
+		countRuns(withdrawn), requestsEach, countRuns(later), requestsEach, countStatus(onAdded, http.StatusOK), requestsEach)
+	return countRuns(withdrawn)+countRuns(later) > 0, nil
+}
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -27,7 +27,7 @@
 }
 
 var cases = map[string]func(*lab) (bool, error){
-	"cold": cold, "pause": pause, "withdrawn": withdrawn, "capitals": capitals,
+	"cold": cold, "pause": pause, "withdrawn": withdrawn, "capitals": capitals, "rank": rank,
 }
 
 func main() {
