--- a/review/standin-3/pause.go
+++ b/review/standin-3/pause.go
@@ -86,7 +86,7 @@
 	first := &replica{id: "i-1", service: "ledger", record: l.record}
 	first.run = func(w http.ResponseWriter, q *http.Request) { pressed.serve(l, w, q) }
 	second := &replica{id: "i-2", service: "ledger", record: l.record, run: func(w http.ResponseWriter, q *http.Request) {
-		time.Sleep(pauseWork / 10)
+		time.Sleep(pauseWork)
 		_, _ = io.WriteString(w, "done") // an error shows at the client
 	}}
 	replicas := []*replica{first, second}
--- a/review/standin-3/process.go
+++ b/review/standin-3/process.go
@@ -15,13 +15,18 @@
 // program is the program of the deploy file.
 const program = "target/goldcrest-platform"
 
-// Ports of an entry; each entry has a loopback address of its own.
-const (
-	portCallers = 18227
-	portReady   = 18220
-	portFirst   = 17340
-	portMetrics = 19100
-)
+// ports are the ports of all processes; each process has a loopback address of its own.
+var ports = struct{ callers, ready, first, metrics int }{freePort(), freePort(), freePort(), freePort()}
+
+// freePort returns a port that is free on a loopback address, or 0 if there is none.
+func freePort() int {
+	l, err := net.Listen("tcp4", loopback(0)+":0")
+	if err != nil {
+		return 0 // the processes can't listen either, and the case ends
+	}
+	defer l.Close()
+	return l.Addr().(*net.TCPAddr).Port
+}
 
 // entry is a process of the deploy file, an entry or an agent.
 type entry struct {
@@ -35,9 +40,9 @@
 func entrySettings(name, address, storeAddress string) map[string]any {
 	return map[string]any{
 		"instance": name, "dataCentre": "zone-a", "address": address,
-		"callers": fmt.Sprintf("%s:%d", address, portCallers), "ready": fmt.Sprintf("%s:%d", address, portReady),
-		"peers": "", "portRange": fmt.Sprintf("%d,%d", portFirst, portFirst+15), "contacts": "", "replica": "",
-		"store": storeAddress, "metricsPort": portMetrics, "memoryMB": "284", "maxDescriptors": "4100",
+		"callers": fmt.Sprintf("%s:%d", address, ports.callers), "ready": fmt.Sprintf("%s:%d", address, ports.ready),
+		"peers": "", "portRange": fmt.Sprintf("%d,%d", ports.first, ports.first+15), "contacts": "", "replica": "",
+		"store": storeAddress, "metricsPort": ports.metrics, "memoryMB": "284", "maxDescriptors": "4100",
 		"graceS": "8", "stallMs": "1500", "heartbeatMs": "1200", "configMs": "2000", "drainMs": "2000",
 		"dataCentreMs": "5000", "retryRatio": "0.2", "retryWindowS": "10", "retryAllowance": "94",
 	}
@@ -82,13 +87,13 @@
 	return os.WriteFile(e.settingsPath, raw, 0o644)
 }
 
-func (e *entry) callers() string { return fmt.Sprintf("%s:%d", e.address, portCallers) }
+func (e *entry) callers() string { return fmt.Sprintf("%s:%d", e.address, ports.callers) }
 
 // awaitReady waits until the entry says that it is ready.
 func (e *entry) awaitReady(timeout time.Duration) error {
 	client := http.Client{Timeout: time.Second}
 	for end := time.Now().Add(timeout); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
-		resp, err := client.Get(fmt.Sprintf("http://%s:%d/readyz", e.address, portReady))
+		resp, err := client.Get(fmt.Sprintf("http://%s:%d/readyz", e.address, ports.ready))
 		if err != nil {
 			continue
 		}
