--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -6,4 +6,4 @@
 	echo "build the deploy file and run review/build-3.sh first" >&2
 	exit 2
 fi
-exec review/standin-3/bin/standin rank review/12
+exec review/standin-3/bin/standin withdrawn review/12
