--- a/entry/request/balance/balance_test.go
+++ b/entry/request/balance/balance_test.go
@@ -35,7 +35,7 @@
 		}
 	}
 	state := fleet.New()
-	state.SetConfig(config.New(1, nil, services, nil, config.Limits{}))
+	state.SetConfig(config.New(config.Parts{Version: 1, Services: services}))
 	state.SetUpstreams(list)
 	state.SetDrained(nil)
 	b := New(-clock.Hour, Settings{DataCentre: "dc0", RetryRatio: 0.2, RetryAllowance: 10, RetryWindow: 10 * clock.Second})
--- a/entry/request/balance/limitedfleet_test.go
+++ b/entry/request/balance/limitedfleet_test.go
@@ -40,7 +40,7 @@
 		list[id] = &fleet.Upstream{ID: id, Service: "plain", Address: id, Slots: 1000}
 	}
 	state := fleet.New()
-	state.SetConfig(config.New(1, nil, []config.Service{{Name: "plain"}}, nil, config.Limits{}))
+	state.SetConfig(config.New(config.Parts{Version: 1, Services: []config.Service{{Name: "plain"}}}))
 	state.SetUpstreams(list)
 	state.SetDrained(nil)
 	for i := range entries {
--- a/entry/request/forward/forward_test.go
+++ b/entry/request/forward/forward_test.go
@@ -58,7 +58,9 @@
 	limits := config.Limits{MaxHeaderBytes: 4096, MaxBodyBytes: 100, IdleTimeout: clock.Minute, HeaderTimeout: clock.Second}
 	customers := []config.Customer{{Name: "one", Keys: []string{"k1"}, Priority: -1}}
 	state := fleet.New()
-	state.SetConfig(config.New(3, routes, []config.Service{{Name: "plain"}, {Name: "model", Engine: &config.Engine{}}}, customers, limits))
+	state.SetConfig(config.New(config.Parts{
+		Version: 3, Routes: routes, Services: []config.Service{{Name: "plain"}, {Name: "model", Engine: &config.Engine{}}}, Customers: customers, Limits: limits,
+	}))
 	address := s.listen(t, responders).Addr().String()
 	upstreams := make(map[string]*fleet.Upstream)
 	for i := range 3 {
@@ -229,7 +231,9 @@
 	time.Sleep(50 * time.Millisecond)
 	check.Equal(t, "responses before it is synced", len(responses), 0)
 	routes := []config.Route{{Name: "added", Host: "h.example", PathPrefix: "/added/", Shares: []config.Share{{Service: "plain", Weight: 1}}, MaxUpstreams: 1, Timeout: 6 * clock.Second, Anonymous: true}}
-	s.server.State.SetConfig(config.New(4, routes, []config.Service{{Name: "plain"}}, nil, config.Limits{MaxHeaderBytes: 4096, MaxBodyBytes: 100}))
+	s.server.State.SetConfig(config.New(config.Parts{
+		Version: 4, Routes: routes, Services: []config.Service{{Name: "plain"}}, Limits: config.Limits{MaxHeaderBytes: 4096, MaxBodyBytes: 100},
+	}))
 	s.server.Scheduler.SetView(s.server.State.View())
 	close(synced)
 	check.Equal(t, "status by what other entries know", (<-responses).status, http.StatusOK)
--- a/entry/version/config/config.go
+++ b/entry/version/config/config.go
@@ -123,29 +123,38 @@
 	limits      Limits
 }
 
+// Parts are the parts of a configuration.
+type Parts struct {
+	Version   int64
+	Routes    []Route
+	Services  []Service
+	Customers []Customer
+	Limits    Limits
+}
+
 // New returns a configuration that consists of the given parts.
-func New(version int64, routes []Route, services []Service, customers []Customer, limits Limits) *Config {
+func New(p Parts) *Config {
 	c := &Config{
-		version:     version,
+		version:     p.Version,
 		routes:      make(map[string][]*Route),
 		services:    make(map[string]*Service),
 		customers:   make(map[string]*Customer),
-		requiresKey: len(customers) > 0,
-		limits:      limits,
+		requiresKey: len(p.Customers) > 0,
+		limits:      p.Limits,
 	}
-	for i := range routes {
-		r := &routes[i]
+	for i := range p.Routes {
+		r := &p.Routes[i]
 		c.routes[r.Host] = append(c.routes[r.Host], r)
 	}
 	for _, list := range c.routes {
 		slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix)) })
 	}
-	for i := range services {
-		c.services[services[i].Name] = &services[i]
+	for i := range p.Services {
+		c.services[p.Services[i].Name] = &p.Services[i]
 	}
-	for i := range customers {
-		for _, key := range customers[i].Keys {
-			c.customers[key] = &customers[i]
+	for i := range p.Customers {
+		for _, key := range p.Customers[i].Keys {
+			c.customers[key] = &p.Customers[i]
 		}
 	}
 	return c
--- a/entry/version/config/config_test.go
+++ b/entry/version/config/config_test.go
@@ -13,7 +13,7 @@
 		{Name: "other", Host: "b.example", PathPrefix: "/", Shares: []Share{{"s2", 1}}},
 	}
 	customers := []Customer{{Name: "one", Keys: []string{"k1", "k2"}, Priority: -1}}
-	return New(7, routes, []Service{{Name: "s1"}}, customers, Limits{})
+	return New(Parts{Version: 7, Routes: routes, Services: []Service{{Name: "s1"}}, Customers: customers})
 }
 
 // Guards against matching a shorter prefix or the route of another host.
--- a/entry/version/fleet/fleet_test.go
+++ b/entry/version/fleet/fleet_test.go
@@ -7,7 +7,7 @@
 	"goldcrestshore/entry/version/config"
 )
 
-func newConfig(v int64) *config.Config { return config.New(v, nil, nil, nil, config.Limits{}) }
+func newConfig(v int64) *config.Config { return config.New(config.Parts{Version: v}) }
 
 // Guards against new work for a draining upstream after an earlier registration was read from a
 // restored store, and against one that stays out of service after it has started again.
@@ -87,7 +87,7 @@
 // used by its successor, while its registration has not lapsed yet.
 func TestSupersededRegistration(t *testing.T) {
 	s := New()
-	s.SetConfig(config.New(1, nil, []config.Service{{Name: "model"}}, nil, config.Limits{}))
+	s.SetConfig(config.New(config.Parts{Version: 1, Services: []config.Service{{Name: "model"}}}))
 	s.SetDrained(nil)
 	old := &Upstream{ID: "old", Service: "model", Address: "a", StartTime: 1000}
 	s.SetUpstreams(map[string]*Upstream{"old": old})
