Put a configuration in force without the values that can't be used

Callers: a version took a key away and added a route with priority 5000.

Cause: a number outside its bounds, a value of another type and a fraction of a whole number each refused the version as a whole. Event 1201 named the field.

Change: what can't be used is left out or cut by itself, and the rest of the version is in force.

--- a/core/process/event/catalogue.go
+++ b/core/process/event/catalogue.go
@@ -41,6 +41,7 @@
 	ConfigAdopted  = define(1200, logrus.InfoLevel, "configuration version adopted")
 	ConfigRejected = define(1201, logrus.ErrorLevel, "configuration version failed validation and is not adopted")
 	PlatformFailed = define(1202, logrus.WarnLevel, "platform call failed")
+	ConfigPartial  = define(1203, logrus.WarnLevel, "configuration version is in force, but some of its values can't be used as they are written")
 )
 
 // Events of an entry's view of the store, 1250-1299.
--- a/entry/request/forward/request.go
+++ b/entry/request/forward/request.go
@@ -206,7 +206,7 @@
 	}
 	if customer != nil {
 		header.Set(h.Customer, customer.Name)
-		if customer.Priority >= 0 {
+		if customer.Priority != config.NoPriority {
 			r.priority = customer.Priority
 		}
 	}
--- a/entry/version/config/config.go
+++ b/entry/version/config/config.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"strings"
 
@@ -28,7 +29,7 @@
 // relative to the other shares of the route.
 type Share struct {
 	Service string
-	Weight  int
+	Weight  float64
 }
 
 // Route describes how requests for one host and path prefix are served.
@@ -88,7 +89,9 @@
 
 // Service describes the upstreams behind a name.
 type Service struct {
-	Name           string
+	Name string
+	// MaxConnections is the number of connections that an upstream accepts, 0 if it is
+	// not known.
 	MaxConnections int
 	// ColdRequestsPerSecond is the rate that a cold upstream can take from all
 	// entries together.
@@ -101,11 +104,15 @@
 type Customer struct {
 	Name string
 	Keys []string
-	// Priority overrides that of the route unless it is negative.
+	// Priority overrides that of the route unless it is NoPriority.
 	Priority int
 }
 
-// Limits bounds what a caller may send and how long it may take.
+// NoPriority is the priority of a customer that has none of its own.
+const NoPriority = -1
+
+// Limits bounds what a caller may send and how long it may take. Sizes that are not
+// limited are Unlimited; a time of 0 is not limited by the configuration.
 type Limits struct {
 	MaxHeaderBytes int
 	MaxBodyBytes   int64
@@ -113,6 +120,9 @@
 	IdleTimeout    clock.Millis
 }
 
+// Unlimited is a size that the configuration does not limit.
+const Unlimited = math.MaxInt
+
 // Config is one version of the configuration. It is immutable.
 type Config struct {
 	version     int64
@@ -121,6 +131,7 @@
 	customers   map[string]*Customer
 	requiresKey bool
 	limits      Limits
+	problems    Problems
 }
 
 // Parts are the parts of a configuration.
@@ -130,6 +141,8 @@
 	Services  []Service
 	Customers []Customer
 	Limits    Limits
+	// Problems are those of the text that the parts were decoded from.
+	Problems Problems
 }
 
 // New returns a configuration that consists of the given parts.
@@ -141,6 +154,7 @@
 		customers:   make(map[string]*Customer),
 		requiresKey: len(p.Customers) > 0,
 		limits:      p.Limits,
+		problems:    p.Problems,
 	}
 	for i := range p.Routes {
 		r := &p.Routes[i]
@@ -169,6 +183,9 @@
 
 func (c *Config) Limits() Limits { return c.limits }
 
+// Problems returns the values that are not in force as they are written.
+func (c *Config) Problems() *Problems { return &c.problems }
+
 // Customer returns the customer that a key belongs to, or nil.
 func (c *Config) Customer(key string) *Customer { return c.customers[key] }
 
@@ -195,13 +212,13 @@
 // Pick returns the service for a request by the weights of the shares, or an empty
 // string if the route has none. draw must be uniformly distributed in [0,1).
 func (r *Route) Pick(draw float64) string {
-	total := 0
+	total := 0.0
 	for _, s := range r.Shares {
 		total += s.Weight
 	}
-	remaining := draw * float64(total)
+	remaining := draw * total
 	for _, s := range r.Shares {
-		remaining -= float64(s.Weight)
+		remaining -= s.Weight
 		if remaining < 0 {
 			return s.Service
 		}
