Send nothing to a share of a route without weight

Callers: none was seen; found while looking for other places where none left is read as not configured. Of a split whose weights are all 0 the last service got all requests.

Result: TestShareWithoutWeightGetsNothing failed before for the last share and for a split without weights, and passes now.

--- a/entry/version/config/config.go
+++ b/entry/version/config/config.go
@@ -26,7 +26,7 @@
 )
 
 // Share is the share of a route's requests that goes to a service. Weight is
-// relative to the other shares of the route.
+// relative to the other shares of the route; a share without weight gets nothing.
 type Share struct {
 	Service string
 	Weight  float64
@@ -210,21 +210,22 @@
 }
 
 // Pick returns the service for a request by the weights of the shares, or an empty
-// string if the route has none. draw must be uniformly distributed in [0,1).
+// string if none has a weight. draw must be uniformly distributed in [0,1).
 func (r *Route) Pick(draw float64) string {
 	total := 0.0
 	for _, s := range r.Shares {
 		total += s.Weight
 	}
-	remaining := draw * total
+	picked, remaining := "", draw*total
 	for _, s := range r.Shares {
+		if s.Weight <= 0 {
+			continue
+		}
+		picked = s.Service // the last one, if a rounding error leaves something
 		remaining -= s.Weight
 		if remaining < 0 {
-			return s.Service
+			break
 		}
 	}
-	if len(r.Shares) == 0 {
-		return ""
-	}
-	return r.Shares[len(r.Shares)-1].Service
+	return picked
 }
--- a/entry/version/config/config_test.go
+++ b/entry/version/config/config_test.go
@@ -1,6 +1,8 @@
 package config
 
 import (
+	"fmt"
+	"math"
 	"testing"
 
 	"goldcrestshore/core/process/check"
@@ -45,6 +47,26 @@
 	check.Equal(t, "route without services", (&Route{}).Pick(0.5), "")
 }
 
+// Guards against requests for a service whose weight is 0, which gets none.
+func TestShareWithoutWeightGetsNothing(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		shares []Share
+		want   string
+	}{
+		{"first", []Share{{"s1", 0}, {"s2", 1}}, "s2"},
+		{"last", []Share{{"s1", 1}, {"s2", 0}}, "s1"},
+		{"all", []Share{{"s1", 0}, {"s2", 0}}, ""},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := &Route{Shares: tc.shares}
+			for _, draw := range []float64{0, 0.5, math.Nextafter(1, 0), 1} {
+				check.Equal(t, fmt.Sprint("draw ", draw), r.Pick(draw), tc.want)
+			}
+		})
+	}
+}
+
 // Guards against a key that is not found or is attributed to another customer.
 func TestCustomerByKey(t *testing.T) {
 	c := sample()
