Compare the hosts of routes and requests in one form

Cause: the host of a request was put into small letters, that of a route was not. Ruled out: a route that does not reach the entry (1200 has the version, and the route with small letters works).

Change: one function gives the form in which hosts are compared, for both sides: lower case, no port, no brackets. A port in the configuration and an IPv6 address without a port went wrong in the same place. Of routes that differ in letters alone the first one is used, and 1203 names the others. The line of a request without a route has its host and path, which nothing told.

--- a/entry/request/forward/request.go
+++ b/entry/request/forward/request.go
@@ -13,6 +13,7 @@
 
 	"goldcrestshore/core/connection/http1"
 	"goldcrestshore/core/process/clock"
+	"goldcrestshore/core/process/event"
 	"goldcrestshore/entry/connection/upstream"
 	"goldcrestshore/entry/request/body"
 	"goldcrestshore/entry/request/quarantine"
@@ -106,7 +107,9 @@
 	path, _, _ := strings.Cut(target, "?")
 	r.route = cfg.Match(q.Host, path)
 	if r.route == nil {
-		return r, s.unknownRefusal(http.StatusNotFound, reasonNoRoute)
+		refused := s.unknownRefusal(http.StatusNotFound, reasonNoRoute)
+		refused.fields = event.Fields{"host": q.Host, "path": path}
+		return r, refused
 	}
 	customer := cfg.Customer(q.Header.Get(s.Headers.Key))
 	if customer == nil && cfg.RequiresKey() && !r.route.Anonymous {
--- a/entry/version/config/config.go
+++ b/entry/version/config/config.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"math"
 	"slices"
 	"strings"
@@ -125,7 +126,8 @@
 
 // Config is one version of the configuration. It is immutable.
 type Config struct {
-	version     int64
+	version int64
+	// routes holds the routes by canonical host, those with the longest path prefixes first.
 	routes      map[string][]*Route
 	services    map[string]*Service
 	customers   map[string]*Customer
@@ -158,10 +160,12 @@
 	}
 	for i := range p.Routes {
 		r := &p.Routes[i]
-		c.routes[r.Host] = append(c.routes[r.Host], r)
+		host := canonicalHost(r.Host)
+		c.routes[host] = append(c.routes[host], r)
 	}
 	for _, list := range c.routes {
-		slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix)) })
+		slices.SortStableFunc(list, byPathPrefix)
+		c.addUnusedRoutes(list)
 	}
 	for i := range p.Services {
 		c.services[p.Services[i].Name] = &p.Services[i]
@@ -174,6 +178,23 @@
 	return c
 }
 
+// byPathPrefix compares routes of one host: those with longer path prefixes come first, and equal ones
+// are beside each other.
+func byPathPrefix(a, b *Route) int {
+	return cmp.Or(cmp.Compare(len(b.PathPrefix), len(a.PathPrefix)), cmp.Compare(a.PathPrefix, b.PathPrefix))
+}
+
+// addUnusedRoutes adds a problem for each route of a host, in the order of byPathPrefix, that has the path
+// prefix of an earlier one.
+func (c *Config) addUnusedRoutes(routes []*Route) {
+	for i := 1; i < len(routes); i++ {
+		if routes[i].PathPrefix == routes[i-1].PathPrefix {
+			detail := fmt.Sprintf("has the host and path prefix of route %q and is not used", routes[i-1].Name)
+			c.problems.Add(NewProblem(fmt.Sprintf("route %q", routes[i].Name), "", detail))
+		}
+	}
+}
+
 // Version returns the version; versions only increase.
 func (c *Config) Version() int64 { return c.version }
 
@@ -196,12 +217,10 @@
 func (c *Config) Services() map[string]*Service { return c.services }
 
 // Match returns the route of the host whose path prefix is the longest that
-// matches, or nil. It ignores the port and the case of the host.
+// matches, or nil; of equal routes the first one. It ignores the port and the case of
+// the host.
 func (c *Config) Match(host, path string) *Route {
-	if i := strings.LastIndexByte(host, ':'); i >= 0 {
-		host = host[:i]
-	}
-	for _, r := range c.routes[strings.ToLower(host)] {
+	for _, r := range c.routes[canonicalHost(host)] {
 		if strings.HasPrefix(path, r.PathPrefix) {
 			return r
 		}
--- a/entry/version/config/config_test.go
+++ b/entry/version/config/config_test.go
@@ -38,6 +38,49 @@
 	}
 }
 
+// Guards against a route that no request reaches since the configuration writes its host in another form
+// than callers do: with capital letters, with a port, or as an IPv6 address (review/15).
+func TestHostsAreComparedInOneForm(t *testing.T) {
+	for _, tc := range []struct {
+		configured, requested string
+		want                  bool
+	}{
+		{"Desk.example", "Desk.example", true},
+		{"Desk.example", "desk.example", true},
+		{"desk.example", "DESK.example:8080", true},
+		{"desk.example:80", "desk.example", true},
+		{"[::1]", "[::1]", true},
+		{"[::1]", "[::1]:80", true},
+		{"::1", "[::1]", true},
+		{"[FE80::A]", "[fe80::a]:80", true},
+		{"10.0.0.1", "10.0.0.1:80", true},
+		{"", "", true},
+		{"desk.example", "desk.example.org", false},
+		{"desk", "desk.example", false},
+		{"[::1]", "[::2]", false},
+		{"[::1]", "[::1", false},
+	} {
+		t.Run(tc.configured+" "+tc.requested, func(t *testing.T) {
+			c := New(Parts{Routes: []Route{{Host: tc.configured, PathPrefix: "/"}}})
+			check.Equal(t, "matches", c.Match(tc.requested, "/x") != nil, tc.want)
+		})
+	}
+}
+
+// Guards against two routes that differ in the letters of their hosts alone and get requests by chance.
+func TestFirstOfEqualRoutesIsUsed(t *testing.T) {
+	c := New(Parts{Routes: []Route{
+		{Name: "first", Host: "Desk.example", PathPrefix: "/a/"},
+		{Name: "second", Host: "desk.example", PathPrefix: "/a/"},
+		{Name: "longer", Host: "DESK.example", PathPrefix: "/a/b/"},
+	}})
+	for _, host := range []string{"Desk.example", "desk.example", "DESK.EXAMPLE:80"} {
+		check.Equal(t, host, c.Match(host, "/a/x").Name, "first")
+		check.Equal(t, host+" with a longer path", c.Match(host, "/a/b/x").Name, "longer")
+	}
+	check.Equal(t, "problems", c.Problems().String(), `route "second" has the host and path prefix of route "first" and is not used`)
+}
+
 // Guards against a traffic split that ignores the weights.
 func TestPickFollowsWeights(t *testing.T) {
 	r := sample().Match("a.example", "/x/y/")
