Ask for keys also while no customer is left

Cause: keys were asked for if there was a customer. That the list is there is another fact than that it has entries, and it got lost in decoding. Ruled out: a version that is not in force (1200 has it) and keys that are remembered (a key that was never held runs too).

--- a/entry/request/forward/forward_test.go
+++ b/entry/request/forward/forward_test.go
@@ -59,7 +59,7 @@
 	customers := []config.Customer{{Name: "one", Keys: []string{"k1"}, Priority: -1}}
 	state := fleet.New()
 	state.SetConfig(config.New(config.Parts{
-		Version: 3, Routes: routes, Services: []config.Service{{Name: "plain"}, {Name: "model", Engine: &config.Engine{}}}, Customers: customers, Limits: limits,
+		Version: 3, Routes: routes, Services: []config.Service{{Name: "plain"}, {Name: "model", Engine: &config.Engine{}}}, Customers: customers, RequiresKey: true, Limits: limits,
 	}))
 	address := s.listen(t, responders).Addr().String()
 	upstreams := make(map[string]*fleet.Upstream)
@@ -221,6 +221,21 @@
 	}
 }
 
+// Guards against routes that are open to everybody once the last customer has gone.
+func TestNobodyHasAKeyOnceTheLastCustomerHasGone(t *testing.T) {
+	s := newTestEntry(t)
+	service, shares := []config.Service{{Name: "plain"}}, []config.Share{{Service: "plain", Weight: 1}}
+	s.server.State.SetConfig(config.New(config.Parts{
+		Version: 4, Services: service, RequiresKey: true, Limits: config.Limits{MaxHeaderBytes: 4096, MaxBodyBytes: 100},
+		Routes: []config.Route{{Name: "once", Host: "h.example", PathPrefix: "/once/", Shares: shares, MaxUpstreams: 1}},
+	}))
+	for _, key := range []string{"k1", "never-held", ""} {
+		got := s.call(t, "/once/a", func(q *http.Request) { q.Header.Set("X-Key", key) })
+		check.Equal(t, "status with key "+key, got.status, http.StatusUnauthorized)
+	}
+	check.Equal(t, "requests at upstreams", len(s.requests()), 0)
+}
+
 // Guards against an entry that serves by the store alone before it has what other entries know.
 func TestRequestsWaitUntilEntryIsSynced(t *testing.T) {
 	s := newTestEntry(t, respondOK("yes"))
--- a/entry/version/config/config.go
+++ b/entry/version/config/config.go
@@ -142,7 +142,10 @@
 	Routes    []Route
 	Services  []Service
 	Customers []Customer
-	Limits    Limits
+	// RequiresKey is set if routes that are not anonymous need a customer key, also
+	// while there is no customer.
+	RequiresKey bool
+	Limits      Limits
 	// Problems are those of the text that the parts were decoded from.
 	Problems Problems
 }
@@ -154,7 +157,7 @@
 		routes:      make(map[string][]*Route),
 		services:    make(map[string]*Service),
 		customers:   make(map[string]*Customer),
-		requiresKey: len(p.Customers) > 0,
+		requiresKey: p.RequiresKey,
 		limits:      p.Limits,
 		problems:    p.Problems,
 	}
@@ -198,8 +201,7 @@
 // Version returns the version; versions only increase.
 func (c *Config) Version() int64 { return c.version }
 
-// RequiresKey reports whether routes that are not anonymous need a customer key,
-// which is the case if any customer is configured.
+// RequiresKey reports whether routes that are not anonymous need a customer key.
 func (c *Config) RequiresKey() bool { return c.requiresKey }
 
 func (c *Config) Limits() Limits { return c.limits }
