Take no agent for unresponsive that was not asked

While the registration of an upstream has lapsed, no heartbeats go to its agent. When it was back after 0.4 s and more, the agent counted as unresponsive until its next reply: the upstream was avoided, and with the requests in flight that are kept now, those without an event in the last 0.5 s would have failed over.

Change: only time in which heartbeats were sent counts. Loads of upstreams that have gone are forgotten; they were kept for good. TestUnresponsiveAgents says that its agents were asked.

Result: TestAgentThatWasNotAskedIsNotUnresponsive failed before (unresponsive while it had lapsed and at once after it; one load kept) and passes now.

--- a/entry/connection/sidecar/beacon.go
+++ b/entry/connection/sidecar/beacon.go
@@ -70,6 +70,9 @@
 	// upstream.
 	pending  map[uint64]string
 	sequence uint64
+	// askedSince holds, by upstream, since when heartbeats have been sent to its agent in each
+	// round. Nothing is sent while the registration of the upstream has lapsed.
+	askedSince map[string]clock.Millis
 }
 
 type loadReport struct {
@@ -116,11 +119,18 @@
 // startRound forgets the heartbeats of the last round and returns the sequence number of the
 // first one to agents; those of the others follow it.
 func (b *Beacon) startRound(agents []Agent) uint64 {
+	now := b.Clock.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	clear(b.pending)
+	askedBefore := b.askedSince
+	b.askedSince = make(map[string]clock.Millis, len(agents))
 	first := b.sequence + 1
 	for _, a := range agents {
+		b.askedSince[a.Upstream] = now
+		if since, found := askedBefore[a.Upstream]; found {
+			b.askedSince[a.Upstream] = since
+		}
 		b.sequence++
 		b.pending[b.sequence] = a.Upstream
 		known, found := b.loads[a.Upstream]
@@ -130,9 +140,20 @@
 		known.service = a.Service
 		b.loads[a.Upstream] = known
 	}
+	b.forgetLoads(now)
 	return first
 }
 
+// forgetLoads removes the loads of upstreams to whose agents nothing is sent any more, once they are
+// no longer used. It must be called with mu held.
+func (b *Beacon) forgetLoads(now clock.Millis) {
+	for upstream, a := range b.loads {
+		if _, asked := b.askedSince[upstream]; !asked && now-a.receivedAt > loadTTL {
+			delete(b.loads, upstream)
+		}
+	}
+}
+
 func (b *Beacon) send(c net.PacketConn, a Agent, sequence uint64, m frame.Message) {
 	out, err := frame.Append(nil, frame.NewID(0, sequence), m)
 	if err != nil {
@@ -202,14 +223,15 @@
 }
 
 // unresponsive returns the upstreams whose agents have replied before but not
-// within heartbeatTimeout.
+// within heartbeatTimeout, although heartbeats were sent to them.
 func (b *Beacon) unresponsive() map[string]bool {
 	now := b.Clock.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	out := make(map[string]bool)
-	for upstream, a := range b.loads {
-		if a.receivedAt >= 0 && now-a.receivedAt > heartbeatTimeout {
+	for upstream, since := range b.askedSince {
+		a := b.loads[upstream]
+		if a.receivedAt >= 0 && now-max(a.receivedAt, since) > heartbeatTimeout {
 			out[upstream] = true
 		}
 	}
--- a/entry/connection/sidecar/sidecar_test.go
+++ b/entry/connection/sidecar/sidecar_test.go
@@ -84,7 +84,7 @@
 	b := &Beacon{Clock: clock.System(), loads: map[string]loadReport{
 		"never":  {receivedAt: -loadTTL},
 		"lately": {receivedAt: clock.System().Now()},
-	}}
+	}, askedSince: map[string]clock.Millis{"never": 0, "lately": 0, "stopped": 0}}
 	b.loads["stopped"] = loadReport{receivedAt: b.Clock.Now() - heartbeatTimeout - 1}
 	unresponsive := b.unresponsive()
 	check.Equal(t, "stopped", unresponsive["stopped"], true)
@@ -136,3 +136,32 @@
 		}
 	}
 }
+
+// Guards against an agent that counts as unresponsive because nothing was sent to it while the
+// registration of its upstream had lapsed, so that requests at that upstream fail over, and against
+// loads that are kept of upstreams that have gone.
+func TestAgentThatWasNotAskedIsNotUnresponsive(t *testing.T) {
+	c := clock.NewManual(clock.Hour)
+	b := &Beacon{Clock: c, loads: make(map[string]loadReport), pending: make(map[uint64]string)}
+	round := func(agents ...Agent) {
+		c.Advance(heartbeatInterval)
+		b.startRound(agents)
+	}
+	agent := Agent{Upstream: "u", Service: "s"}
+	round(agent)
+	b.recordLoad(frame.NewID(0, b.sequence), group.Load{Entries: 1})
+	for range 4 {
+		round()
+		check.Equal(t, "unresponsive while it has lapsed", b.unresponsive()["u"], false)
+	}
+	round(agent)
+	check.Equal(t, "unresponsive at once after the lapse", b.unresponsive()["u"], false)
+	for range 4 {
+		round(agent)
+	}
+	check.Equal(t, "unresponsive without replies", b.unresponsive()["u"], true)
+	for range 10 {
+		round()
+	}
+	check.Equal(t, "loads that are kept", len(b.loads), 0)
+}
