Let the configuration raise the limit of heads above 64 KiB

Cause: the server bounded heads at 64 KiB, whatever the configuration says. It was meant for the time without one.

--- a/entry/request/forward/callers.go
+++ b/entry/request/forward/callers.go
@@ -10,9 +10,9 @@
 
 // Limits of callers that the configuration does not state.
 const (
-	// serverMaxHeaderBytes bounds a request head before the configured limit is
-	// known.
-	serverMaxHeaderBytes = 64 << 10
+	// serverMaxHeaderBytes bounds a request head whatever the configuration allows. The
+	// memory of all heads together is bounded besides.
+	serverMaxHeaderBytes = 1 << 20
 	// sendBufferBytes is the send buffer of a caller's connection. A larger one makes no caller
 	// faster, and those of callers that do not read add up.
 	sendBufferBytes = 64 << 10
--- a/entry/request/forward/forward_test.go
+++ b/entry/request/forward/forward_test.go
@@ -367,6 +367,33 @@
 	check.Equal(t, "last event id at the second upstream", seen[1].Header.Get("X-Last-Event"), "1")
 }
 
+// Guards against a limit of heads in the configuration that a lower one of the server overrides.
+func TestConfiguredHeadLimitIsInForce(t *testing.T) {
+	for _, tc := range []struct{ limit, head, want int }{
+		{4 << 10, 5_000, http.StatusRequestHeaderFieldsTooLarge},
+		{128 << 10, 100_000, http.StatusOK},
+		{128 << 10, 200_000, http.StatusRequestHeaderFieldsTooLarge},
+		{config.Unlimited, 200_000, http.StatusOK},
+	} {
+		t.Run(fmt.Sprint(tc.head, " of ", tc.limit), func(t *testing.T) {
+			s := newTestEntry(t, respondOK("yes"))
+			s.server.State.SetConfig(config.New(config.Parts{
+				Version: 4, Services: []config.Service{{Name: "plain"}}, Limits: config.Limits{MaxHeaderBytes: tc.limit, MaxBodyBytes: 100},
+				Routes: []config.Route{{Name: "once", Host: "h.example", PathPrefix: "/once/", Shares: []config.Share{{Service: "plain", Weight: 1}}, MaxUpstreams: 1}},
+			}))
+			s.server.Scheduler.SetView(s.server.State.View())
+			q, err := http.NewRequest("GET", "http://"+serveCallers(t, s)+"/once/", nil)
+			check.NoError(t, "NewRequest", err)
+			q.Host = "h.example"
+			q.Header.Set("X-Large", strings.Repeat("a", tc.head))
+			resp, err := http.DefaultTransport.RoundTrip(q)
+			check.NoError(t, "RoundTrip", err)
+			check.NoError(t, "Close", resp.Body.Close())
+			check.Equal(t, "status", resp.StatusCode, tc.want)
+		})
+	}
+}
+
 // Guards against requests beyond the limits of the current configuration.
 func TestLimits(t *testing.T) {
 	for _, tc := range []struct {
