--- a/entry/request/forward/metrics.go
+++ b/entry/request/forward/metrics.go
@@ -75,12 +75,15 @@
 // maxPriorityLabels bounds the number of values of the priority label.
 const maxPriorityLabels = 10
 
+// priorityLabel returns the label of a priority. The lowest priorities share the last one.
+func priorityLabel(priority int) int { return min(max(priority, 0), maxPriorityLabels-1) }
+
 // recordQueueWait records how long a request waited for an upstream.
 func (m *Metrics) recordQueueWait(priority int, wait clock.Millis) {
 	if m == nil {
 		return
 	}
-	label := strconv.Itoa(min(max(priority, 0), maxPriorityLabels-1))
+	label := strconv.Itoa(priorityLabel(priority))
 	m.scope.Tagged(map[string]string{"priority": label}).Histogram("queue_seconds", m.buckets).RecordDuration(wait.Duration())
 }
 
@@ -90,10 +93,12 @@
 		return
 	}
 	scope := m.scope.Tagged(map[string]string{"service": s.Service})
-	for priority := range maxPriorityLabels {
-		if n, queued := s.Queued[priority]; queued || priority == 0 {
-			scope.Tagged(map[string]string{"priority": strconv.Itoa(priority)}).Gauge("queue_length").Update(float64(n))
-		}
+	var queued [maxPriorityLabels]int
+	for priority, n := range s.Queued {
+		queued[priorityLabel(priority)] += n
+	}
+	for label, n := range queued {
+		scope.Tagged(map[string]string{"priority": strconv.Itoa(label)}).Gauge("queue_length").Update(float64(n))
 	}
 	for _, state := range balance.States {
 		scope.Tagged(map[string]string{"state": string(state)}).Gauge("upstreams").Update(float64(s.Upstreams[state]))
--- a/entry/request/forward/metrics_test.go
+++ b/entry/request/forward/metrics_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/prometheus/common/expfmt"
 	"github.com/prometheus/common/model"
+	"github.com/uber-go/tally/v4"
 
 	"goldcrestshore/core/process/check"
 	"goldcrestshore/core/process/metric"
@@ -83,3 +84,33 @@
 		check.Equal(t, name, value, want)
 	}
 }
+
+// Guards against requests of low priorities that wait and are not shown, and against queues that are
+// shown as long as they once were.
+func TestQueueLengths(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		queued []map[int]int
+		want   map[string]float64
+	}{
+		{"low priorities count together", []map[int]int{{2: 5, 9: 1, 12: 3, 5000: 4}}, map[string]float64{"2": 5, "9": 8}},
+		{"queue that has emptied", []map[int]int{{2: 5}, {}}, map[string]float64{"0": 0, "2": 0}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			scope := tally.NewTestScope("", nil)
+			m := NewMetrics(scope)
+			for _, queued := range tc.queued {
+				m.Report(balance.Status{Service: "s", Queued: queued})
+			}
+			got := make(map[string]float64)
+			for _, g := range scope.Snapshot().Gauges() {
+				if g.Name() == "queue_length" {
+					got[g.Tags()["priority"]] = g.Value()
+				}
+			}
+			for priority, want := range tc.want {
+				check.Equal(t, "priority "+priority, got[priority], want)
+			}
+		})
+	}
+}
