--- a/core/process/check/check.go
+++ b/core/process/check/check.go
@@ -4,6 +4,7 @@
 import (
 	"errors"
 	"testing"
+	"time"
 )
 
 // Equal marks the test as failed if got differs from want.
@@ -37,3 +38,24 @@
 		t.Errorf("%s: got %v, want at most %v", what, got, want)
 	}
 }
+
+// pollInterval is the time between two checks of a condition.
+const pollInterval = 5 * time.Millisecond
+
+// Reached waits until a condition holds, at most for a time, and reports whether it does.
+func Reached(timeout time.Duration, condition func() bool) bool {
+	for end := time.Now().Add(timeout); time.Now().Before(end); time.Sleep(pollInterval) {
+		if condition() {
+			return true
+		}
+	}
+	return condition()
+}
+
+// Await waits until a condition holds and fails the test immediately if it does not within a time.
+func Await(t testing.TB, what string, timeout time.Duration, condition func() bool) {
+	t.Helper()
+	if !Reached(timeout, condition) {
+		t.Fatalf("%s: got none within %v, want it", what, timeout)
+	}
+}
--- a/entry/connection/mirror/mirror_test.go
+++ b/entry/connection/mirror/mirror_test.go
@@ -80,16 +80,13 @@
 // awaitListener waits until connections to an address are accepted.
 func awaitListener(t *testing.T, address string) {
 	t.Helper()
-	for end := time.Now().Add(20 * time.Second); ; time.Sleep(time.Millisecond) {
+	check.Await(t, "connection", 20*time.Second, func() bool {
 		c, err := net.Dial("tcp4", address)
 		if err == nil {
 			_ = c.Close()
-			return
 		}
-		if time.Now().After(end) {
-			t.Fatalf("Dial: got error %v, want none", err)
-		}
-	}
+		return err == nil
+	})
 }
 
 func yes() bool { return true }
--- a/entry/process/quarantines/service_test.go
+++ b/entry/process/quarantines/service_test.go
@@ -106,14 +106,8 @@
 	return s
 }
 
-func await(t *testing.T, what string, reached func() bool) {
-	t.Helper()
-	for end := time.Now().Add(5 * time.Second); !reached(); time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatalf("%s: not reached", what)
-		}
-	}
-}
+// awaitTimeout is how long tests wait for what a service does in the background.
+const awaitTimeout = 5 * time.Second
 
 // request returns a request with one fingerprint of its own.
 func request(own quarantine.Fingerprint, shared ...quarantine.Fingerprint) quarantine.Request {
@@ -151,14 +145,14 @@
 		e.Arrived(request(quarantine.Fingerprint(2000+i), caller))
 		e.Crashed(fmt.Sprint("u", i+1), 1, requestWithPart(i+1))
 	}
-	await(t, "all crashes stored", func() bool { return len(store.state().Crashes) == entryCount-1 })
+	check.Await(t, "all crashes stored", awaitTimeout, func() bool { return len(store.state().Crashes) == entryCount-1 })
 	c.Advance(clock.Second)
 	for i, e := range entries {
-		await(t, fmt.Sprint("part refused by entry ", i), func() bool { return e.Remaining(requestWithPart(100+i)) > 0 })
+		check.Await(t, fmt.Sprint("part refused by entry ", i), awaitTimeout, func() bool { return e.Remaining(requestWithPart(100+i)) > 0 })
 		check.Equal(t, fmt.Sprint("sound request of entry ", i), e.Remaining(request(quarantine.Fingerprint(3000+i), caller)), 0)
 	}
 	t.Run("after a restart", func(t *testing.T) {
-		await(t, "quarantine stored", func() bool { return len(store.state().Blocks) == 1 })
+		check.Await(t, "quarantine stored", awaitTimeout, func() bool { return len(store.state().Blocks) == 1 })
 		restarted := newService(t, c, store)
 		raw, _, err := store.Load(context.Background())
 		check.NoError(t, "Load", err)
@@ -182,12 +176,12 @@
 	for i, e := range entries {
 		e.Crashed(fmt.Sprint("u", i), 1, requestWithPart(i))
 	}
-	await(t, "crashes stored", func() bool { return len(store.state().Crashes) == 2 })
+	check.Await(t, "crashes stored", awaitTimeout, func() bool { return len(store.state().Crashes) == 2 })
 	store.restore(nil, 0)
 	for _, e := range entries {
 		e.ShareAgain()
 	}
-	await(t, "crashes stored again", func() bool { return len(store.state().Crashes) == 2 })
+	check.Await(t, "crashes stored again", awaitTimeout, func() bool { return len(store.state().Crashes) == 2 })
 	unused := &memoryStore{}
 	newService(t, c, unused).ShareAgain()
 	time.Sleep(2 * maxConflictDelay.Duration())
@@ -256,5 +250,5 @@
 	c.Advance(clock.Minute)
 	s.Received([]byte("{"))
 	s.Crashed("u0", 1, requestWithPart(1))
-	await(t, "crash stored", func() bool { return len(store.state().Crashes) == 1 })
+	check.Await(t, "crash stored", awaitTimeout, func() bool { return len(store.state().Crashes) == 1 })
 }
--- a/entry/request/forward/stop_test.go
+++ b/entry/request/forward/stop_test.go
@@ -111,7 +111,7 @@
 		c := dialCaller(t, s.server.Listen)
 		go func() { got <- c.request(t, "r") }()
 	}
-	awaitCondition(t, "requests at upstreams and one that waits", func() bool { return len(s.requests()) == slots && s.waiting() == 1 })
+	check.Await(t, "requests at upstreams and one that waits", awaitTimeout, func() bool { return len(s.requests()) == slots && s.waiting() == 1 })
 	stopped := stop()
 	responses := make(map[string]int)
 	for range slots + 1 {
@@ -147,15 +147,8 @@
 	return len(s.server.Scheduler.waiting)
 }
 
-// awaitCondition waits until a condition holds.
-func awaitCondition(t *testing.T, what string, condition func() bool) {
-	t.Helper()
-	for end := time.Now().Add(10 * time.Second); !condition(); time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatalf("%s: got none within 10s, want it", what)
-		}
-	}
-}
+// awaitTimeout is how long tests wait for what an entry does in the background.
+const awaitTimeout = 10 * time.Second
 
 // caller is a caller with a connection of its own.
 type caller struct{ net.Conn }
--- a/entry/request/forward/unread_test.go
+++ b/entry/request/forward/unread_test.go
@@ -41,20 +41,10 @@
 	_ = c.(*net.TCPConn).SetReadBuffer(4 << 10)
 	_, err = io.WriteString(c, "GET /once/ HTTP/1.1\r\nHost: h.example\r\nX-Id: r1\r\nX-Key: k1\r\n\r\n")
 	check.NoError(t, "write", err)
-	awaitTrue(func() bool { return s.server.bodyMemory.InUse() >= unreadBytes })
+	check.Await(t, "response held", awaitTimeout, func() bool { return s.server.bodyMemory.InUse() >= unreadBytes })
 	return address, c
 }
 
-// awaitTrue waits until f returns true, at most 10 s, and reports whether it has.
-func awaitTrue(f func() bool) bool {
-	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
-		if f() {
-			return true
-		}
-	}
-	return f()
-}
-
 // Guards against callers that do not read their responses and keep the memory of all bodies, so that the
 // responses of other callers are discarded and their upstreams count as failed.
 func TestUnreadResponseGivesWay(t *testing.T) {
@@ -83,10 +73,10 @@
 func TestUnreadResponseFreesUpstream(t *testing.T) {
 	s := newTestEntry(t, respondOK(strings.Repeat("a", unreadBytes)))
 	serveUnread(t, s)
-	check.Equal(t, "upstream is free", awaitTrue(func() bool {
+	check.Await(t, "upstream is free", awaitTimeout, func() bool {
 		var inFlight int
 		s.server.Scheduler.WithBalancer(func(_ clock.Millis, b *balance.Balancer) { inFlight = len(b.InFlight()) })
 		return inFlight == 0
-	}), true)
+	})
 	check.Equal(t, "response is still being sent", s.server.bodyMemory.InUse() >= unreadBytes, true)
 }
