--- a/agent/process/server/server.go
+++ b/agent/process/server/server.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"os/signal"
 	"syscall"
 	"time"
@@ -177,11 +176,9 @@
 }
 
 func (s *Server) serveAdmin(ctx context.Context) error {
-	return metric.Serve(ctx, s.Settings.Admin(), map[string]http.Handler{
-		"/metrics":          s.Metrics.Handler(),
-		"/ready":            metric.Ready(s.ready),
-		metric.ProfilesPath: metric.Profiles(),
-	})
+	endpoints := s.Metrics.Endpoints()
+	endpoints[metric.ReadyPath] = metric.Ready(s.ready)
+	return metric.Serve(ctx, s.Settings.Admin(), endpoints)
 }
 
 // ready reports whether the agent accepts new requests.
--- a/core/process/metric/serve.go
+++ b/core/process/metric/serve.go
@@ -44,6 +44,19 @@
 	})
 }
 
+// Paths of the admin endpoints beside the profiles.
+const (
+	metricsPath = "/metrics"
+	// ReadyPath is where processes that take requests tell whether they do.
+	ReadyPath = "/ready"
+)
+
+// Endpoints returns the admin endpoints that each process has: its metrics and the profiles of the
+// runtime.
+func (r *Registry) Endpoints() map[string]http.Handler {
+	return map[string]http.Handler{metricsPath: r.Handler(), ProfilesPath: Profiles()}
+}
+
 // Serve serves the admin endpoints on address until ctx is done. It returns immediately if address
 // is empty.
 func Serve(ctx context.Context, address string, endpoints map[string]http.Handler) error {
--- a/core/version/group/validate.go
+++ b/core/version/group/validate.go
@@ -9,8 +9,9 @@
 // Upper bounds of the numbers in messages between entries and agents, far above any real one.
 const (
 	// maxCount bounds numbers of requests and of processes.
-	maxCount    = 1 << 24
-	maxSlowdown = 1 << 20
+	maxCount = 1 << 24
+	// MaxSlowdown bounds how many times slower than usual a rank is.
+	MaxSlowdown = 1 << 20
 	// maxPerSecond bounds a rate limit, and maxAllowed what it allows in all.
 	maxPerSecond = 1 << 30
 	maxAllowed   = 1 << 50
@@ -36,7 +37,7 @@
 		bounds.Number{Name: "entries", Value: float64(l.Entries), Most: maxCount},
 		bounds.Number{Name: "term", Value: float64(l.Term), Most: MaxCounter},
 		bounds.Number{Name: "age of the owner's message", Value: float64(l.OwnerAge), Most: maxAgeMillis},
-		bounds.Number{Name: "slowdown", Value: l.Slowdown, Most: maxSlowdown},
+		bounds.Number{Name: "slowdown", Value: l.Slowdown, Most: MaxSlowdown},
 		bounds.Number{Name: "state of the group", Value: float64(l.State), Most: float64(StateClosed)},
 	)
 }
--- a/entry/process/server/server.go
+++ b/entry/process/server/server.go
@@ -6,7 +6,6 @@
 	"context"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"os/signal"
 	"slices"
 	"syscall"
@@ -84,11 +83,9 @@
 	group.Go(func() error { s.suspects.Run(runCtx); return nil })
 	group.Go(func() error { s.broadcastShares(runCtx); return nil })
 	group.Go(func() error {
-		return metric.Serve(runCtx, s.Settings.Admin(), map[string]http.Handler{
-			"/metrics":          s.Metrics.Handler(),
-			"/ready":            metric.Ready(s.callers.Ready),
-			metric.ProfilesPath: metric.Profiles(),
-		})
+		endpoints := s.Metrics.Endpoints()
+		endpoints[metric.ReadyPath] = metric.Ready(s.callers.Ready)
+		return metric.Serve(runCtx, s.Settings.Admin(), endpoints)
 	})
 	group.Go(func() error {
 		<-signalCtx.Done()
