Share the turns of a full service among the customers that wait

The queue of a service was sorted by priority, lateness and due time alone, so that a customer that sends ten times as much as the others got ten elevenths of the turns.

balance.fairQueue replaces it: within a priority the customers with waiting requests take turns by start-time fair queueing (Goyal, Vin, Cheng, SIGCOMM 1996) with the same cost for each request; lateness and due time decide among equal tags and among the requests of one customer. A customer that is idle costs nothing; one that no free upstream can serve loses the turn. The wait of a new request, and the Retry-After of a rejected one, count what goes ahead of the customer's own next request.

Releasing a request searched all upstreams for each waiting one. It searches them once a grant now, and once more when none is free.

1310 and 1311 name the customer; queue_customers and queue_largest tell how many wait and whether one of them presses. Open: shares are those of each entry, not of all together, and count requests, not tokens.

--- a/entry/request/balance/balance.go
+++ b/entry/request/balance/balance.go
@@ -4,8 +4,6 @@
 package balance
 
 import (
-	"slices"
-
 	"goldcrestshore/core/process/clock"
 	"goldcrestshore/entry/version/fleet"
 )
@@ -87,7 +85,7 @@
 // it now.
 func (b *Balancer) Acquire(now clock.Millis, t *Ticket) Decision {
 	s := b.service(t.Service)
-	if len(s.queue) == 0 {
+	if s.queue.length == 0 {
 		if u := b.choose(now, s, t); u != nil {
 			return b.grant(now, s, t, u)
 		}
@@ -99,7 +97,7 @@
 	if reason := b.tooManyAhead(now, s, t); reason != "" {
 		return b.reject(now, s, t, reason, usable)
 	}
-	s.queue = append(s.queue, t) // dispatch sorts the queue
+	s.queue.add(t)
 	return Wait{}
 }
 
@@ -207,10 +205,7 @@
 
 // Cancel removes a ticket from the queue.
 func (b *Balancer) Cancel(t *Ticket) {
-	s := b.service(t.Service)
-	if i := slices.Index(s.queue, t); i >= 0 {
-		s.queue = slices.Delete(s.queue, i, i+1)
-	}
+	b.service(t.Service).queue.remove(t)
 }
 
 // SetOthersInFlight sets, by upstream ID, how many requests of other entries are
--- a/entry/request/balance/choose.go
+++ b/entry/request/balance/choose.go
@@ -110,3 +110,11 @@
 	near, bestNear := u.info.DataCentre == b.settings.DataCentre, best.info.DataCentre == b.settings.DataCentre
 	return near && !bestNear
 }
+
+// anyFree reports whether an upstream has room for a request to which no upstream is barred.
+func (b *Balancer) anyFree(now clock.Millis, s *service) bool {
+	if s.spec == nil {
+		return false
+	}
+	return slices.ContainsFunc(s.upstreams, func(u *upstream) bool { return b.eligible(now, s, u, &Ticket{}) })
+}
--- a/entry/request/balance/inactivity.go
+++ b/entry/request/balance/inactivity.go
@@ -54,7 +54,7 @@
 
 // hasFreeCapacity reports whether an upstream could run a request at once.
 func (b *Balancer) hasFreeCapacity(now clock.Millis, s *service, t *Ticket) bool {
-	return len(s.queue) == 0 && b.search(now, s, t, false) != nil
+	return s.queue.length == 0 && b.search(now, s, t, false) != nil
 }
 
 // unresponsive reports whether neither an upstream nor its agent has sent anything
--- a/entry/request/balance/queue.go
+++ b/entry/request/balance/queue.go
@@ -1,35 +1,14 @@
 package balance
 
-import (
-	"slices"
+import "goldcrestshore/core/process/clock"
 
-	"goldcrestshore/core/process/clock"
-)
-
-// before reports whether a goes before b: by priority, then those that can still
-// meet their objective if granted now, then by due time.
-func (s *service) before(now clock.Millis, a, b *Ticket) bool {
-	if a.Priority != b.Priority {
-		return a.Priority < b.Priority
-	}
-	firstEvent := now + s.responseLatency.value()
-	aLate, bLate := firstEvent > a.Due, firstEvent > b.Due
-	if aLate != bLate {
-		return bLate
-	}
-	return a.Due < b.Due
+// firstEvent returns when the first event of a request that is granted now can be expected.
+func (s *service) firstEvent(now clock.Millis) firstEvent {
+	return firstEvent(now + s.responseLatency.value())
 }
 
 // ahead returns how many waiting requests go before t.
-func (s *service) ahead(now clock.Millis, t *Ticket) int {
-	n := 0
-	for _, q := range s.queue {
-		if !s.before(now, t, q) {
-			n++
-		}
-	}
-	return n
-}
+func (s *service) ahead(now clock.Millis, t *Ticket) int { return s.queue.ahead(s.firstEvent(now), t) }
 
 // completionWait estimates how long a request with others ahead of it waits, from the rate
 // of completions. It returns 0 if there are no recent ones.
@@ -44,47 +23,58 @@
 // dispatch grants upstreams to waiting requests in the order of the queue.
 func (b *Balancer) dispatch(now clock.Millis, s *service) []Decision {
 	var out []Decision
-	// Requests that could meet their objective on arrival may be late by now.
-	slices.SortStableFunc(s.queue, func(x, y *Ticket) int {
-		if s.before(now, x, y) {
-			return -1
+	for s.queue.length > 0 {
+		t := s.queue.next(s.firstEvent(now))
+		u := b.choose(now, s, t)
+		if u == nil {
+			break
 		}
-		if s.before(now, y, x) {
-			return 1
+		s.queue.take(t)
+		out = append(out, b.grant(now, s, t, u))
+	}
+	if s.queue.length > 0 && b.anyFree(now, s) {
+		out = append(out, b.dispatchOthers(now, s)...)
+	}
+	return out
+}
+
+// dispatchOthers grants upstreams that the next request in the queue can't use to later ones. Of the
+// requests of a customer that may go to any upstream, one is tried.
+func (b *Balancer) dispatchOthers(now clock.Millis, s *service) []Decision {
+	var out []Decision
+	tried := make(map[string]bool)
+	for _, t := range s.queue.inOrder(s.firstEvent(now)) {
+		isAnywhere := len(t.Avoid) == 0
+		if isAnywhere && tried[t.Customer] {
+			continue
 		}
-		return 0
-	})
-	for i := 0; i < len(s.queue); {
-		t := s.queue[i]
 		u := b.choose(now, s, t)
 		if u == nil {
-			i++
+			tried[t.Customer] = tried[t.Customer] || isAnywhere
 			continue
 		}
-		s.queue = slices.Delete(s.queue, i, i+1)
+		s.queue.take(t)
 		out = append(out, b.grant(now, s, t, u))
 	}
 	return out
 }
 
-// expire rejects the waiting requests for which waiting is useless. The queue must be sorted.
+// expire rejects the waiting requests for which waiting is useless.
 func (b *Balancer) expire(now clock.Millis, s *service) []Decision {
 	var out []Decision
 	usable := b.usable(now, s)
 	slots, limitsBind := b.limitSlots(now, s)
 	resumesAt := b.resumesAt(now, s)
-	for i := 0; i < len(s.queue); {
-		t := s.queue[i]
+	for _, t := range s.queue.inOrder(s.firstEvent(now)) {
 		sentBy := now // at the earliest
 		if limitsBind {
 			sentBy = slots.take()
 		}
 		reason := s.uselessWait(now, t, usable, sentBy, resumesAt)
 		if reason == "" {
-			i++
 			continue
 		}
-		s.queue = slices.Delete(s.queue, i, i+1)
+		s.queue.remove(t)
 		out = append(out, b.reject(now, s, t, reason, usable))
 	}
 	return out
--- a/entry/request/balance/returns.go
+++ b/entry/request/balance/returns.go
@@ -3,7 +3,7 @@
 import "goldcrestshore/core/process/clock"
 
 func (b *Balancer) reject(now clock.Millis, s *service, t *Ticket, reason Reason, usable int) Reject {
-	return Reject{Ticket: t, Reason: reason, RetryAfter: b.retryAfter(now, s, usable), Queued: len(s.queue), Usable: usable}
+	return Reject{Ticket: t, Reason: reason, RetryAfter: b.retryAfter(now, s, usable, s.queue.aheadOfNext(s.firstEvent(now), t.Customer, t.Priority)), Queued: s.queue.length, Usable: usable}
 }
 
 // Bounds of the delay after which a rejected caller should retry.
@@ -16,12 +16,12 @@
 const retryAfterSteps = 16
 
 // retryAfter spreads the retries of rejected callers: the delays run from the time
-// that the queue needs to empty to twice that time. Without recent completions they
+// that the requests take that go ahead of the customer's next one to twice that time. Without recent completions they
 // run from half of maxRetryAfter to maxRetryAfter. Without a usable upstream they are
 // near maxRetryAfter, or behind the expected opening of a closed group, or behind the end of the
 // first pause if all upstreams have asked for one. While all usable
 // upstreams state a limit they begin when the limits allow another request.
-func (b *Balancer) retryAfter(now clock.Millis, s *service, usable int) clock.Millis {
+func (b *Balancer) retryAfter(now clock.Millis, s *service, usable, ahead int) clock.Millis {
 	s.rejections++
 	const spread = maxRetryAfter / 4
 	if opening := s.opensAt - now; s.reportedClosed() && opening > 0 {
@@ -36,11 +36,11 @@
 	}
 	wait := maxRetryAfter / 2
 	if perSecond := s.completions.perSecond(now); perSecond > 0 {
-		needed := clock.Millis(float64(len(s.queue)) / perSecond * float64(clock.Second))
+		needed := clock.Millis(float64(ahead) / perSecond * float64(clock.Second))
 		wait = min(max(needed, minRetryAfter), maxRetryAfter/2)
 	}
 	if slots, bind := b.limitSlots(now, s); bind {
-		slots.skip(len(s.queue))
+		slots.skip(ahead)
 		wait = max(wait, slots.take()-now)
 	}
 	return wait + wait*clock.Millis(s.rejections*7%retryAfterSteps)/retryAfterSteps
@@ -50,5 +50,5 @@
 // should retry if the request cannot be run now.
 func (b *Balancer) RetryAfter(now clock.Millis, name string) clock.Millis {
 	s := b.service(name)
-	return b.retryAfter(now, s, b.usable(now, s))
+	return b.retryAfter(now, s, b.usable(now, s), s.queue.length)
 }
--- a/entry/request/balance/status.go
+++ b/entry/request/balance/status.go
@@ -40,6 +40,9 @@
 	Service string
 	// Queued is the number of waiting requests by priority.
 	Queued map[int]int
+	// QueuedCustomers is the number of customers whose requests wait, and MostQueued the highest number
+	// of waiting requests of one of them.
+	QueuedCustomers, MostQueued int
 	// Upstreams is the number of upstreams by state, and Lapsed the number of those whose
 	// registrations have lapsed and whose state is kept.
 	Upstreams map[State]int
@@ -80,9 +83,10 @@
 	if s.spec.MaxConnections > 0 {
 		st.ConnectionLimit = b.connectionLimit(now, s)
 	}
-	for _, t := range s.queue {
-		st.Queued[t.Priority]++
+	for _, c := range s.queue.classes {
+		st.Queued[c.priority] = c.length
 	}
+	st.QueuedCustomers, st.MostQueued = s.queue.customers()
 	for _, u := range s.upstreams {
 		st.Upstreams[b.state(now, s, u)]++
 		st.InFlight += u.load()
--- a/entry/request/balance/status_test.go
+++ b/entry/request/balance/status_test.go
@@ -42,6 +42,8 @@
 		check.Equal(t, string(state), got.Upstreams[state], want)
 	}
 	check.Equal(t, "queued at the priority", got.Queued[3], 1)
+	check.Equal(t, "customers that wait", got.QueuedCustomers, 1)
+	check.Equal(t, "most requests of one that wait", got.MostQueued, 1)
 	check.Equal(t, "longest inactivity", got.MaxInactivity, now)
 	check.Equal(t, "limit", got.Limit, 5*limit)
 }
--- a/entry/request/balance/upstream.go
+++ b/entry/request/balance/upstream.go
@@ -99,7 +99,7 @@
 type service struct {
 	spec      *config.Service
 	upstreams []*upstream
-	queue     []*Ticket
+	queue     fairQueue
 	budget    *Budget
 	// responseLatency is the time from the grant to the first event, or to the end
 	// of the response in plain services.
--- a/entry/request/forward/metrics.go
+++ b/entry/request/forward/metrics.go
@@ -104,6 +104,8 @@
 		scope.Tagged(map[string]string{"state": string(state)}).Gauge("upstreams").Update(float64(s.Upstreams[state]))
 	}
 	for name, value := range map[string]float64{
+		"queue_customers":          float64(s.QueuedCustomers),
+		"queue_largest":            float64(s.MostQueued),
 		"upstreams_lapsed":         float64(s.Lapsed),
 		"upstream_silence_seconds": float64(s.MaxInactivity) / float64(clock.Second),
 		"held":                     float64(s.InFlight),
--- a/entry/request/forward/refusal.go
+++ b/entry/request/forward/refusal.go
@@ -21,7 +21,7 @@
 // request ahead: such a caller returns without waiting, and one of them takes the turns of many others.
 func (s *Server) refuse(w http.ResponseWriter, q *http.Request, r *request, f *refusal) {
 	http1.EndAhead(w, q)
-	fields := event.Fields{"request": r.id, "route": r.routeName(), "status": f.status, "reason": f.reason, "ms": s.Clock.Now() - r.arrived, "config": r.configVersion}
+	fields := event.Fields{"request": r.id, "route": r.routeName(), "customer": r.customer, "status": f.status, "reason": f.reason, "ms": s.Clock.Now() - r.arrived, "config": r.configVersion}
 	for k, v := range f.fields {
 		fields[k] = v
 	}
--- a/entry/request/forward/respond.go
+++ b/entry/request/forward/respond.go
@@ -82,7 +82,7 @@
 	total := s.Clock.Now() - r.arrived
 	s.Metrics.countOutcome("answered")
 	fields := event.Fields{
-		"request": r.id, "route": r.routeName(), "status": c.status, "upstream": c.upstream, "ms": total,
+		"request": r.id, "route": r.routeName(), "customer": r.customer, "status": c.status, "upstream": c.upstream, "ms": total,
 		"waitedMs": c.queueWait, "held": c.inFlight, "limit": c.inFlightLimit, "sends": c.attempts, "events": c.events, "config": r.configVersion,
 	}
 	c.interruption.addTo(fields)
