Leave retries to the other customers of a service

The retry budget of a service was one: a customer whose requests fail used it up, and those of the others were not sent again.

A customer may use the share that its own first sends earn and half of the fixed allowance, and the whole budget while it sends alone. The bound of all together is unchanged, so no window has more retries than before. Counts by customer end with the window. 1313, 1314 and the lines of refusals have the customer's numbers beside the service's.

TestCustomersLeaveRetriesToOthers: beside a customer with 100 requests one with 10 gets 7 retries, where the first one's 30 were all there were; that is by the rule of the earlier code (20% and 10), which has no customers to run the test with.

--- a/entry/request/balance/balance.go
+++ b/entry/request/balance/balance.go
@@ -140,7 +140,7 @@
 	t.upstream, t.registration, t.granted = u, u.info, now
 	if t.retryReserved {
 		t.retryReserved = false
-		s.budget.Use(now)
+		s.budget.Use(now, t.Customer)
 	}
 	return Grant{Ticket: t, InFlight: u.load(), Limit: s.limit(u)}
 }
--- a/entry/request/balance/balance_test.go
+++ b/entry/request/balance/balance_test.go
@@ -298,19 +298,19 @@
 func TestBudget(t *testing.T) {
 	b := NewBudget(0.2, 10*clock.Second)
 	for range 10 {
-		b.RecordFirstSend(0)
+		b.RecordFirstSend(0, "")
 	}
 	allowed := 0
 	for range 10 {
-		if b.Reserve(0, 2) {
+		if b.Reserve(0, "", 2) {
 			allowed++
 		}
 	}
 	check.Equal(t, "retries of 10 requests with an allowance of 2", allowed, 4)
 	for range allowed {
-		b.Use(0)
+		b.Use(0, "")
 	}
-	check.Equal(t, "retry after the window", b.Reserve(30*clock.Second, 2), true)
+	check.Equal(t, "retry after the window", b.Reserve(30*clock.Second, "", 2), true)
 }
 
 // Guards against an entry that uses the whole shared budget before it has received
--- a/entry/request/balance/budget_test.go
+++ b/entry/request/balance/budget_test.go
@@ -29,7 +29,7 @@
 	if !b.Retry(now, t) {
 		return false
 	}
-	b.service(t.Service).budget.Use(now)
+	b.service(t.Service).budget.Use(now, t.Customer)
 	return true
 }
 
@@ -90,8 +90,8 @@
 	b := NewBudget(sharedRatio, sharedWindow)
 	var retries []clock.Millis
 	for now := firstBurst; now < 4*sharedWindow; now++ {
-		for b.Reserve(now, sharedAllowance) {
-			b.Use(now)
+		for b.Reserve(now, "", sharedAllowance) {
+			b.Use(now, "")
 			retries = append(retries, now)
 		}
 	}
@@ -166,3 +166,33 @@
 	}
 	check.AtMost(t, "retries in a window", maxInWindow(retries, sharedWindow), sharedAllowance)
 }
+
+// Guards against a customer whose requests fail and use up the retries of the others, against a smaller
+// budget for one that sends alone, and against customers that are counted longer than a window.
+func TestCustomersLeaveRetriesToOthers(t *testing.T) {
+	const allowance = 10
+	retryAll := func(b *Budget, customer string) int {
+		n := 0
+		for ; b.Reserve(0, customer, allowance); n++ {
+			b.Use(0, customer)
+		}
+		return n
+	}
+	send := func(b *Budget, customer string, n int) {
+		for range n {
+			b.RecordFirstSend(0, customer)
+		}
+	}
+	b := NewBudget(sharedRatio, sharedWindow)
+	send(b, "fails", 100)
+	check.Equal(t, "retries of a customer that sends alone", retryAll(b, "fails"), 100/5+allowance)
+	b = NewBudget(sharedRatio, sharedWindow)
+	send(b, "fails", 100)
+	send(b, "other", 10)
+	check.Equal(t, "retries of one beside another", retryAll(b, "fails"), 100/5+allowance/2)
+	check.Equal(t, "retries of the other one", retryAll(b, "other"), 10/5+allowance/2)
+	check.Equal(t, "retry after the window", b.Reserve(2*sharedWindow, "other", allowance), true)
+	b.Release("other")
+	b.advance(4 * sharedWindow)
+	check.Equal(t, "customers counted in the end", len(b.customers), 0)
+}
--- a/entry/request/balance/fairqueue.go
+++ b/entry/request/balance/fairqueue.go
@@ -97,16 +97,16 @@
 	maps.DeleteFunc(c.flows, func(_ string, f *flow) bool { return len(f.tickets) == 0 && f.nextTag <= tag })
 }
 
-// countBefore returns how many requests of a flow come before a turn. mayTie reports whether the one with
+// countBefore returns how many requests of a flow come before a turn. winsTie reports whether the one with
 // the same tag does.
-func (c *class) countBefore(e firstEvent, f *flow, tag int, mayTie func(*Ticket) bool) int {
+func (c *class) countBefore(e firstEvent, f *flow, tag int, winsTie func(*Ticket) bool) int {
 	n := tag - c.nextTag(f)
 	switch {
 	case n < 0:
 		return 0
 	case n >= len(f.tickets):
 		return len(f.tickets)
-	case mayTie(f.nth(e, n)):
+	case winsTie(f.nth(e, n)):
 		return n + 1
 	}
 	return n
@@ -231,11 +231,11 @@
 
 // ahead returns how many requests of the class have their turns before a request of a customer that has
 // own requests before it.
-func (c *class) ahead(e firstEvent, customer string, own int, mayTie func(*Ticket) bool) int {
+func (c *class) ahead(e firstEvent, customer string, own int, winsTie func(*Ticket) bool) int {
 	n, tag := own, c.nextTag(c.flows[customer])+own
 	for other, f := range c.flows {
 		if other != customer {
-			n += c.countBefore(e, f, tag, mayTie)
+			n += c.countBefore(e, f, tag, winsTie)
 		}
 	}
 	return n
--- a/entry/request/balance/retries.go
+++ b/entry/request/balance/retries.go
@@ -16,7 +16,7 @@
 // for one.
 func (b *Balancer) Retry(now clock.Millis, t *Ticket) bool {
 	if !t.retryReserved {
-		t.retryReserved = b.service(t.Service).budget.Reserve(now, b.retryAllowance(now))
+		t.retryReserved = b.service(t.Service).budget.Reserve(now, t.Customer, b.retryAllowance(now))
 	}
 	return t.retryReserved
 }
@@ -26,23 +26,30 @@
 func (b *Balancer) Finish(t *Ticket) {
 	if t.retryReserved {
 		t.retryReserved = false
-		b.service(t.Service).budget.Release()
+		b.service(t.Service).budget.Release(t.Customer)
 	}
 }
 
 // RetryBudget is the state of a service's retry budget at this entry.
 type RetryBudget struct {
-	// Used is the number of retries in the window or reserved, and Allowed how many this
-	// entry may make in a window.
-	Used, Allowed float64
+	// Usage is that of all customers.
+	Usage
+	// Customer is the usage by one customer, if the state is that for a request.
+	Customer Usage
 	// Entries is the number of entries among which the fixed allowance is divided.
 	Entries int
 }
 
 // RetryBudget returns the state of a service's retry budget.
 func (b *Balancer) RetryBudget(now clock.Millis, name string) RetryBudget {
-	used, allowed := b.service(name).budget.usage(now, b.retryAllowance(now))
-	return RetryBudget{Used: used, Allowed: allowed, Entries: b.entries.value(now)}
+	return RetryBudget{Usage: b.service(name).budget.usage(now, b.retryAllowance(now)), Entries: b.entries.value(now)}
+}
+
+// RetryBudgetFor returns the state of the retry budget for a request.
+func (b *Balancer) RetryBudgetFor(now clock.Millis, t *Ticket) RetryBudget {
+	out := b.RetryBudget(now, t.Service)
+	out.Customer = b.service(t.Service).budget.usageOf(now, t.Customer, b.retryAllowance(now))
+	return out
 }
 
 // retryAllowance returns this entry's share of the fixed number of retries. Within the
@@ -57,6 +64,6 @@
 }
 
 // RecordFirstSend counts the first send of a request.
-func (b *Balancer) RecordFirstSend(now clock.Millis, name string) {
-	b.service(name).budget.RecordFirstSend(now)
+func (b *Balancer) RecordFirstSend(now clock.Millis, t *Ticket) {
+	b.service(t.Service).budget.RecordFirstSend(now, t.Customer)
 }
--- a/entry/request/forward/attempt.go
+++ b/entry/request/forward/attempt.go
@@ -31,13 +31,13 @@
 // attempt sends the request to the granted upstream. It reports whether the
 // caller was sent a complete response.
 func (c *call) attempt(ctx context.Context) bool {
-	s, r := c.server, c.request
+	s := c.server
 	id, address := c.ticket.Upstream()
 	c.upstream = id
 	c.interruption = interruption{}
 	c.attemptEvents = 0
 	if c.attempts == 0 {
-		s.Scheduler.WithBalancer(func(now clock.Millis, b *balance.Balancer) { b.RecordFirstSend(now, r.service) })
+		s.Scheduler.WithBalancer(func(now clock.Millis, b *balance.Balancer) { b.RecordFirstSend(now, c.ticket) })
 	}
 	c.attempts++
 	out := c.upstreamRequest(id)
--- a/entry/request/forward/metrics_test.go
+++ b/entry/request/forward/metrics_test.go
@@ -53,7 +53,7 @@
 	m.recordQueueWait(12, 30)
 	m.Report(balance.Status{
 		Service: "s", Queued: map[int]int{2: 5}, Upstreams: map[balance.State]int{balance.Usable: 3}, MaxInactivity: 1500, Lapsed: 2,
-		InFlight: 7, Limit: 9, Connections: 2, ConnectionLimit: 4, ColdSent: 1, ColdLimit: 6, Retries: balance.RetryBudget{Used: 8, Allowed: 11, Entries: 3},
+		InFlight: 7, Limit: 9, Connections: 2, ConnectionLimit: 4, ColdSent: 1, ColdLimit: 6, Retries: balance.RetryBudget{Usage: balance.Usage{Used: 8, Allowed: 11}, Entries: 3},
 	})
 	check.NoError(t, "Close", r.Close())
 	time.Sleep(10 * time.Millisecond) // waits for the reporter's last values
--- a/entry/request/forward/run.go
+++ b/entry/request/forward/run.go
@@ -146,7 +146,7 @@
 func (c *call) reserveRetry() bool {
 	c.server.Scheduler.WithBalancer(func(now clock.Millis, b *balance.Balancer) {
 		c.budgetExhausted = !b.Retry(now, c.ticket)
-		c.retryBudget = b.RetryBudget(now, c.request.service)
+		c.retryBudget = b.RetryBudgetFor(now, c.ticket)
 	})
 	return !c.budgetExhausted
 }
@@ -155,6 +155,7 @@
 // line.
 func (c *call) addBudgetTo(fields event.Fields) {
 	fields["retries"], fields["retriesAllowed"], fields["entries"] = c.retryBudget.Used, c.retryBudget.Allowed, c.retryBudget.Entries
+	fields["customerRetries"], fields["customerRetriesAllowed"] = c.retryBudget.Customer.Used, c.retryBudget.Customer.Allowed
 }
 
 // failureReason returns why a request that is not attempted again has failed.
