--- a/entry/request/balance/fairqueue.go
+++ b/entry/request/balance/fairqueue.go
@@ -11,8 +11,8 @@
 // priority the customers with waiting requests share the turns equally, by start-time fair queueing
 // (P. Goyal, H. M. Vin, H. Cheng, "Start-time Fair Queueing", SIGCOMM 1996) with the same cost for each
 // request: the start tag of a customer's next request is the number of its turns so far, and the lowest tag
-// goes first. So no customer gets more than one turn ahead of another one that waits as well, however
-// many requests it sends. Among equal tags, and among the requests of one customer, firstEvent decides.
+// goes first. So while two customers wait, the numbers of turns that they get differ by two at most, however
+// many requests they send. Among equal tags, and among the requests of one customer, firstEvent decides.
 //
 // Requests that did not wait do not count, nor do turns for which no upstream could take a customer's
 // requests. The zero value is an empty queue.
